--- /dev/null
+++ b/crates/wirehost/src/main.rs
@@ -0,0 +1,264 @@
+//! Speaks the bench's binary wire on standard input and output and hosts one router for each instance.
+
+mod bytes;
+mod terms;
+
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::process::ExitCode;
+
+use bytes::Fields;
+use terms::tenths;
+use tideroute::choice::Router;
+use tideroute::interface::{Arrival, Decision, Ending, Listing, Standing, Tenths};
+
+type Routers = BTreeMap<u16, Router>;
+
+fn standing(code: u8) -> Result<Standing, String> {
+    match code {
+        0 => Ok(Standing::Gone),
+        1 => Ok(Standing::Ready),
+        2 => Ok(Standing::Draining),
+        other => Err(format!("worker state {other} is unknown")),
+    }
+}
+
+fn ending(code: u8, info: u32) -> Result<Ending, String> {
+    Ok(match code {
+        0 => Ending::Honoured,
+        1 => Ending::Fault,
+        2 if info == 1 => Ending::Stateless,
+        2 => Ending::Full,
+        3 => Ending::TimedOut,
+        4 => Ending::Unreachable,
+        5 => Ending::Broken,
+        6 => Ending::Withdrawn,
+        7 => Ending::NeverSent,
+        100 => Ending::Read,
+        other => return Err(format!("outcome {other} is unknown")),
+    })
+}
+
+fn floats(f: &mut Fields) -> Result<Vec<f32>, String> {
+    let count = f.u8("report length")?;
+    (0..count).map(|_| f.f32("report value")).collect()
+}
+
+fn member(f: &mut Fields) -> Result<Listing, String> {
+    Ok(Listing {
+        kind: f.u16("worker kind")?,
+        size: f64::from(f.f32("capacity_hint")?),
+        standing: standing(f.u8("worker state")?)?,
+        cell: f.u16("cohort")?,
+        started: tenths(f.f64("last_start_ms")?),
+        zone: f.u8("region_part")?,
+        worker: f.array("worker")?,
+    })
+}
+
+/// Passes one record on to the instance that it names, whose number comes back.
+fn event(f: &mut Fields, now: Tenths, routers: &mut Routers) -> Result<u16, String> {
+    let code = f.u8("code")?;
+    if !matches!(code, 10 | 20 | 30 | 40 | 50 | 60 | 70 | 80 | 90 | 100 | 110) {
+        return Err(format!("event code {code} is unknown"));
+    }
+    let who = f.u16("who")?;
+    if code == 10 {
+        let salt = f.u64("salt")?;
+        let length = f.u32("config length")? as usize;
+        let terms = terms::read(f.bytes(length, "config")?)?;
+        routers.insert(who, Router::new(terms, salt, now));
+        return Ok(who);
+    }
+    if code == 100 {
+        routers.remove(&who).ok_or_else(|| format!("instance {who} was never enlisted"))?;
+        return Ok(who);
+    }
+    let router = routers.get_mut(&who).ok_or_else(|| format!("instance {who} was never enlisted"))?;
+    match code {
+        20 => {
+            f.u64("rev")?;
+            let kind = f.u8("list kind")?;
+            if kind > 3 {
+                return Err(format!("list kind {kind} is unknown"));
+            }
+            let count = f.u32("members_list length")?;
+            if kind == 1 || kind == 2 {
+                router.list_anew(now);
+            }
+            for _ in 0..count {
+                router.listed(now, member(f)?);
+            }
+        }
+        30 => {
+            let (id, track) = (f.u64("req")?, f.u8("service")?);
+            let (customer, session) = (f.u32("user_group")?, f.u64("session")?);
+            let left = tenths(f.f64("grace_ms")?);
+            f.f64("predicted_ms")?;
+            let prefix = f.u64("prefix_id")?;
+            let prompt = f64::from(f.f32("prompt_tokens")?);
+            f.f32("prefix_tokens")?;
+            f.f32("n_max")?;
+            f.u8("marks")?;
+            if !router.arrived(now, Arrival { id, track, customer, session, prefix, prompt, left }) {
+                return Err(format!("class {track} of request {id} is not in the settings"));
+            }
+        }
+        40 => {
+            let (id, shot) = (f.u64("req")?, f.u16("try")?);
+            f.f64("spent_ms")?;
+            f.array::<6>("worker")?;
+            router.started(now, id, shot);
+        }
+        50 => {
+            let (id, shot) = (f.u64("req")?, f.u16("try")?);
+            f.array::<6>("worker")?;
+            let code = f.u8("code")?;
+            f.f64("spent_ms")?;
+            let terminal = f.u8("terminal")? != 0;
+            let info = f.u32("info")?;
+            floats(f)?;
+            router.settled(now, id, shot, ending(code, info)?, terminal, f64::from(info));
+        }
+        60 => router.dropped(now, f.u64("req")?),
+        70 => {
+            f.u32("cookie")?;
+            router.woken(now);
+        }
+        80 => {
+            let well = f.u8("code")? == 0;
+            let worker = f.array("worker")?;
+            f.f64("spent_ms")?;
+            floats(f)?;
+            router.probed(now, worker, well);
+        }
+        90 => {
+            f.u16("origin_peer")?;
+            let length = f.u16("raw length")? as usize;
+            f.bytes(length, "raw")?;
+        }
+        _ => {
+            let (id, shot) = (f.u64("req")?, f.u16("try")?);
+            let worker = f.array("worker")?;
+            let held = match f.u8("sort")? {
+                1 => true,
+                2 => false,
+                other => return Err(format!("answer {other} on a place is unknown")),
+            };
+            f.f32("amount")?;
+            router.answered_ahead(now, id, shot, worker, held);
+        }
+    }
+    Ok(who)
+}
+
+fn write(out: &mut Vec<u8>, who: u16, decision: Decision) {
+    let mut head = |code: u8, id: Option<u64>| {
+        out.push(code);
+        out.extend(who.to_le_bytes());
+        out.extend(id.iter().flat_map(|id| id.to_le_bytes()));
+    };
+    let ms = |time: Tenths| (time as f64 / 10.0).to_le_bytes();
+    match decision {
+        Decision::Send { id, worker, within } => {
+            head(20, Some(id));
+            out.extend(worker);
+            out.extend(ms(within));
+        }
+        Decision::Hold { id, worker } => {
+            head(60, Some(id));
+            out.extend(worker);
+        }
+        Decision::LetGo { id } => head(110, Some(id)),
+        Decision::Withdraw { id, shot } => {
+            head(100, Some(id));
+            out.extend(shot.to_le_bytes());
+        }
+        Decision::TurnBack { id, after } => {
+            head(140, Some(id));
+            out.extend(ms(after));
+        }
+        Decision::Abandon { id } => head(130, Some(id)),
+        Decision::Probe { worker } => {
+            head(80, None);
+            out.extend(worker);
+        }
+        Decision::Wake { after } => {
+            head(30, None);
+            out.extend(ms(after));
+            out.extend(0u32.to_le_bytes());
+        }
+    }
+}
+
+/// Handles one batch, whose header has been read; the reply goes to `out`.
+fn batch(header: &[u8; 20], body: &[u8], routers: &mut Routers, out: &mut Vec<u8>) -> Result<(), String> {
+    let mut head = Fields::new(header);
+    let (seq, _, count) = (head.u32("batch")?, head.u32("length")?, head.u32("count")?);
+    let now = tenths(head.f64("clock")?);
+    let mut f = Fields::new(body);
+    let mut seen = Vec::new();
+    for record in 0..count {
+        let start = f.at;
+        let who = event(&mut f, now, routers)
+            .map_err(|e| format!("batch {seq}, record {record} from byte {start}: {e}"))?;
+        seen.push(who);
+    }
+    if !f.is_empty() {
+        return Err(format!("batch {seq}: {} bytes follow its {count} records", body.len() - f.at));
+    }
+    seen.sort_unstable();
+    seen.dedup();
+    let (mut written, mut actions) = (0u32, Vec::new());
+    for who in seen {
+        let Some(router) = routers.get_mut(&who) else { continue };
+        while let Some(decision) = router.decide(now) {
+            write(&mut actions, who, decision);
+            written += 1;
+        }
+    }
+    for word in [seq, actions.len() as u32, written] {
+        out.extend(word.to_le_bytes());
+    }
+    out.extend(actions);
+    Ok(())
+}
+
+/// Reads as many bytes as the frame states; a short input never costs more memory than it holds.
+fn fill(input: &mut impl Read, count: u64) -> Result<Vec<u8>, String> {
+    let mut data = Vec::new();
+    input.take(count).read_to_end(&mut data).map_err(|e| format!("standard input: {e}"))?;
+    Ok(data)
+}
+
+pub fn serve(mut input: impl Read, mut output: impl Write) -> Result<(), String> {
+    let mut routers = Routers::new();
+    loop {
+        let head = fill(&mut input, 20)?;
+        if head.is_empty() {
+            return Ok(());
+        }
+        let Ok(header) = <[u8; 20]>::try_from(head.as_slice()) else {
+            return Err(format!("a header of 20 bytes was cut off after {}", head.len()));
+        };
+        let mut sizes = Fields::new(&header);
+        let (seq, length) = (sizes.u32("batch")?, sizes.u32("length")?);
+        let body = fill(&mut input, u64::from(length))?;
+        if body.len() < length as usize {
+            return Err(format!("batch {seq} of {length} bytes was cut off after {}", body.len()));
+        }
+        let mut out = Vec::new();
+        batch(&header, &body, &mut routers, &mut out)?;
+        output.write_all(&out).and_then(|()| output.flush()).map_err(|e| format!("standard output: {e}"))?;
+    }
+}
+
+fn main() -> ExitCode {
+    match serve(io::stdin().lock(), io::stdout().lock()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("tideroute-wirehost: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,678 @@
+//! Every routing decision. The host makes a `Router` for each instance and tells it what happens through its
+//! public calls, which only update what is known; after them it pulls `decide` until that gives None.
+//! The types at the edge are in `interface.rs`; the reasons are in `docs/design.md`.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::chance::Chance;
+use crate::fading::{Fading, FadingMean};
+use crate::interface::*;
+
+/// Prompt tokens of this router's that may wait at a reader before reads spill; the design's first value.
+const SPILL: f64 = 30_000.0;
+/// Tenths: how long a writer's 'not held' or a server's 'full' is believed; the design's 50 ms.
+const DENIAL: Tenths = 500;
+/// One pair in so many passes a shut gate, to measure again; the design's value.
+const MEASURE: f64 = 50.0;
+/// Tenths: the memory of the means, long against one submission and short against a trouble.
+const MEMORY: Tenths = 50_000;
+/// Tenths: the first rest of a worker that failed, about the time in which a process starts again.
+const REST: Tenths = 5_000;
+/// Doublings of the rest at most: a dead worker is tried every eight seconds or so.
+const RESTS: u32 = 4;
+/// Errors in a row that send a worker to rest; single ones belong to any service.
+const ERRORS: u32 = 3;
+/// Shots that a fresh worker may have out before its first answer.
+const FRESH: u32 = 2;
+/// A worker is asked whether it lives after being silent for so many times the usual wait.
+const PATIENCE: f64 = 3.0;
+/// Tenths: and not before this, a few connection set-ups across any site.
+const PATIENCE_LEAST: Tenths = 3_000;
+/// Part of the release time after which a state that found no writer is let go; the rest covers ticks.
+const PINNED: f64 = 0.7;
+/// Tenths: how often undecided submissions are looked at, and how often only workers are watched.
+const LOOK: Tenths = 100;
+const WATCH: Tenths = 500;
+
+#[derive(Clone)]
+struct Worker {
+    list: Listing,
+    role: Role,
+    tokens: f64,
+    streams: u32,
+    shots: u32,
+    oldest: Tenths,
+    answers: u32,
+    fresh_from: Tenths,
+    sent: Fading,
+    heard: Tenths,
+    denied: Tenths,
+    full: Tenths,
+    errors: u32,
+    rests: u32,
+    rests_until: Tenths,
+    probing: bool,
+}
+
+struct Shot {
+    number: u16,
+    worker: WorkerId,
+    reading: bool,
+    sent: Tenths,
+    started: bool,
+    withdrawn: bool,
+    cross: bool,
+}
+
+struct Submission {
+    arrival: Arrival,
+    contract: Tenths,
+    cut_off: Tenths,
+    shots: u16,
+    out: Option<Shot>,
+    /// The writer asked for a place, and whether it is known to be held.
+    place: Option<(WorkerId, bool)>,
+    asked: Vec<WorkerId>,
+    state: Option<WorkerId>,
+    since: Tenths,
+    /// When and where the first shot went that may have run.
+    ran: Option<(Tenths, WorkerId)>,
+    let_go: bool,
+    ended: bool,
+}
+
+pub struct Router {
+    terms: Terms,
+    chance: Chance,
+    workers: BTreeMap<WorkerId, Worker>,
+    open: BTreeMap<SubmissionId, Submission>,
+    ready: VecDeque<Decision>,
+    stale: bool,
+    wake: Tenths,
+    read_wait: FadingMean,
+    token_wait: FadingMean,
+    cross_wait: FadingMean,
+}
+
+impl Router {
+    pub fn new(terms: Terms, seed: u64, _now: Tenths) -> Self {
+        Router {
+            terms,
+            chance: Chance::new(seed),
+            workers: BTreeMap::new(),
+            open: BTreeMap::new(),
+            ready: VecDeque::new(),
+            stale: false,
+            wake: Tenths::MAX,
+            read_wait: FadingMean::default(),
+            token_wait: FadingMean::default(),
+            cross_wait: FadingMean::default(),
+        }
+    }
+
+    /// A whole list begins: workers that it does not name are gone.
+    pub fn list_anew(&mut self, _now: Tenths) {
+        self.stale = true;
+        self.workers.values_mut().for_each(|w| w.list.standing = Standing::Gone);
+    }
+
+    pub fn listed(&mut self, now: Tenths, list: Listing) {
+        self.stale = true;
+        let role = self.terms.roles.get(usize::from(list.kind)).copied();
+        let Some(role) = role else { return };
+        let worker = self.workers.entry(list.worker).or_insert(Worker {
+            list,
+            role,
+            tokens: 0.0,
+            streams: 0,
+            shots: 0,
+            oldest: now,
+            answers: 0,
+            fresh_from: list.started,
+            sent: Fading::default(),
+            heard: now,
+            denied: -DENIAL,
+            full: -DENIAL,
+            errors: 0,
+            rests: 0,
+            rests_until: 0,
+            probing: false,
+        });
+        if worker.list.started != list.started {
+            (worker.answers, worker.fresh_from) = (0, list.started);
+            (worker.rests, worker.rests_until, worker.errors) = (0, 0, 0);
+        }
+        worker.list = list;
+        worker.role = role;
+    }
+
+    /// False if the submission names a track that the terms do not have.
+    pub fn arrived(&mut self, now: Tenths, arrival: Arrival) -> bool {
+        self.stale = true;
+        let Some(track) = self.terms.tracks.get(usize::from(arrival.track)) else { return false };
+        let stretch = track.per_thousand as f64 * arrival.prompt.max(0.0) / 1000.0;
+        let submission = Submission {
+            arrival,
+            contract: now + track.contract + stretch as Tenths,
+            cut_off: now + arrival.left,
+            shots: 0,
+            out: None,
+            place: None,
+            asked: Vec::new(),
+            state: None,
+            since: now,
+            ran: None,
+            let_go: false,
+            ended: false,
+        };
+        self.open.insert(arrival.id, submission);
+        true
+    }
+
+    pub fn started(&mut self, now: Tenths, id: SubmissionId, shot: u16) {
+        self.stale = true;
+        let Some(submission) = self.open.get_mut(&id) else { return };
+        let Some(out) = submission.out.as_mut().filter(|out| out.number == shot) else { return };
+        out.started = true;
+        let mean = if out.cross { &mut self.cross_wait } else { &mut self.token_wait };
+        mean.add(now, MEMORY, (now - out.sent) as f64);
+        (submission.state, submission.place, submission.let_go) = (None, None, false);
+        let worker = out.worker;
+        self.well(now, worker);
+    }
+
+    pub fn answered_ahead(
+        &mut self,
+        now: Tenths,
+        id: SubmissionId,
+        _shot: u16,
+        worker: WorkerId,
+        held: bool,
+    ) {
+        self.stale = true;
+        if let Some(w) = self.workers.get_mut(&worker) {
+            w.heard = now;
+            w.denied = if held { now - DENIAL } else { now };
+        }
+        let Some(submission) = self.open.get_mut(&id) else { return };
+        if submission.place.is_some_and(|(asked, _)| asked == worker) {
+            submission.place = held.then_some((worker, true));
+        }
+    }
+
+    pub fn settled(
+        &mut self,
+        now: Tenths,
+        id: SubmissionId,
+        shot: u16,
+        ending: Ending,
+        terminal: bool,
+        _kept: f64,
+    ) {
+        self.stale = true;
+        let Some(submission) = self.open.get_mut(&id) else { return };
+        let Some(out) = submission.out.take_if(|out| out.number == shot) else { return };
+        submission.since = now;
+        submission.ended |= terminal;
+        let proven = matches!(
+            ending,
+            Ending::Read | Ending::Full | Ending::Stateless | Ending::Unreachable | Ending::NeverSent
+        );
+        if !out.reading && !proven && submission.ran.is_none() {
+            submission.ran = Some((out.sent, out.worker));
+        }
+        let held_there = submission.place.is_some_and(|(w, _)| w == out.worker);
+        if ending == Ending::Read {
+            submission.state = Some(out.worker);
+            self.read_wait.add(now, MEMORY, (now - out.sent) as f64);
+        } else if out.reading || ending == Ending::Stateless || held_there {
+            // The state is gone, or went ahead to a writer that failed: only a new read helps.
+            submission.let_go |= submission.state.is_some() || submission.place.is_some();
+            (submission.state, submission.place) = (None, None);
+        }
+        let jitter = 1.0 + self.chance.unit();
+        let Some(worker) = self.workers.get_mut(&out.worker) else { return };
+        match ending {
+            Ending::Honoured | Ending::Read | Ending::Stateless => self.well(now, out.worker),
+            Ending::Full => (worker.heard, worker.denied, worker.full) = (now, now, now),
+            Ending::Fault => {
+                worker.heard = now;
+                worker.errors += 1;
+                if worker.errors >= ERRORS {
+                    worker.rest(now, jitter);
+                }
+            }
+            Ending::Unreachable | Ending::Broken => worker.rest(now, jitter),
+            Ending::TimedOut | Ending::Withdrawn | Ending::NeverSent => {}
+        }
+    }
+
+    pub fn dropped(&mut self, _now: Tenths, id: SubmissionId) {
+        self.stale = true;
+        if let Some(submission) = self.open.get_mut(&id) {
+            submission.ended = true;
+        }
+    }
+
+    pub fn woken(&mut self, now: Tenths) {
+        if now >= self.wake {
+            self.wake = Tenths::MAX;
+        }
+        self.stale = true;
+    }
+
+    pub fn probed(&mut self, now: Tenths, worker: WorkerId, well: bool) {
+        self.stale = true;
+        let jitter = 1.0 + self.chance.unit();
+        let Some(w) = self.workers.get_mut(&worker) else { return };
+        w.probing = false;
+        if well {
+            w.heard = now;
+            if w.rests_until > 0 {
+                // Back through a trickle: the cap on what is in flight starts anew.
+                (w.rests_until, w.answers, w.fresh_from) = (0, 0, now);
+            }
+        } else {
+            w.rest(now, jitter);
+        }
+    }
+
+    pub fn decide(&mut self, now: Tenths) -> Option<Decision> {
+        if self.ready.is_empty() && std::mem::take(&mut self.stale) {
+            self.survey(now);
+        }
+        self.ready.pop_front()
+    }
+
+    fn well(&mut self, now: Tenths, worker: WorkerId) {
+        if let Some(w) = self.workers.get_mut(&worker) {
+            (w.heard, w.errors, w.rests, w.rests_until) = (now, 0, 0, 0);
+            w.answers = w.answers.saturating_add(1);
+        }
+    }
+
+    fn survey(&mut self, now: Tenths) {
+        self.count(now);
+        let mut open = std::mem::take(&mut self.open);
+        for (&id, s) in &mut open {
+            if s.let_go || (s.ended && s.out.is_none() && (s.state.is_some() || s.place.is_some())) {
+                self.ready.push_back(Decision::LetGo { id });
+                s.let_go = false;
+            }
+        }
+        open.retain(|_, s| !s.ended || s.out.is_some());
+        self.watch(now, &mut open);
+        let mut order: Vec<_> = open
+            .iter()
+            .filter(|(_, s)| !s.ended)
+            .map(|(&id, s)| (s.state.is_none(), s.contract, id))
+            .collect();
+        order.sort_unstable();
+        let mut waits = false;
+        for (_, _, id) in order {
+            let Some(s) = open.get_mut(&id) else { continue };
+            if s.out.is_none() {
+                self.forward(now, s);
+                waits |= s.out.is_none() && !s.ended;
+            } else {
+                self.ask(now, s);
+            }
+        }
+        open.retain(|_, s| !s.ended || s.out.is_some());
+        let busy = open.values().any(|s| s.out.as_ref().is_some_and(|o| !o.started));
+        let resting = self.workers.values().any(|w| w.rests_until > 0);
+        self.open = open;
+        let pause = if waits { LOOK } else { WATCH };
+        if (waits || busy || resting) && self.wake > now + pause {
+            self.wake = now + pause;
+            self.ready.push_back(Decision::Wake { after: pause });
+        }
+    }
+
+    /// Counts anew what this router has out at each worker.
+    fn count(&mut self, now: Tenths) {
+        for w in self.workers.values_mut() {
+            (w.tokens, w.streams, w.shots, w.oldest) = (0.0, 0, 0, now);
+        }
+        for s in self.open.values() {
+            if let Some(out) = &s.out {
+                if let Some(w) = self.workers.get_mut(&out.worker) {
+                    w.shots += 1;
+                    if out.reading {
+                        w.tokens += s.arrival.prompt;
+                    } else {
+                        w.streams += 1;
+                    }
+                    if !out.started {
+                        w.oldest = w.oldest.min(out.sent);
+                    }
+                }
+            }
+            if let Some((place, _)) = s.place.filter(|(p, _)| s.out.as_ref().is_none_or(|o| o.worker != *p)) {
+                if let Some(w) = self.workers.get_mut(&place) {
+                    w.streams += 1;
+                }
+            }
+        }
+    }
+
+    /// Tells silence from slowness: a worker that stays silent beyond what is usual is probed, and its shots
+    /// are called back only when the probe fails too.
+    fn watch(&mut self, now: Tenths, open: &mut BTreeMap<SubmissionId, Submission>) {
+        let usual_read = self.read_wait.read(now, MEMORY).unwrap_or(0.0);
+        let usual_token = self.token_wait.read(now, MEMORY).unwrap_or(0.0);
+        for (&id, w) in &mut self.workers {
+            if w.list.standing == Standing::Gone {
+                continue;
+            }
+            let usual = if w.role == Role::Reader { usual_read } else { usual_token };
+            let patience = ((usual * PATIENCE) as Tenths).max(PATIENCE_LEAST);
+            let silent = w.rests_until == 0 && now - w.heard.max(w.oldest) > patience;
+            let rested = w.rests_until > 0 && now >= w.rests_until;
+            if (silent || rested) && !w.probing {
+                if self.terms.probes {
+                    w.probing = true;
+                    self.ready.push_back(Decision::Probe { worker: id });
+                } else if silent {
+                    w.rest(now, 1.0 + self.chance.unit());
+                } else {
+                    (w.rests_until, w.answers, w.fresh_from) = (0, 0, now);
+                }
+            }
+        }
+        for (&id, s) in open {
+            let repeat = self.terms.tracks[usize::from(s.arrival.track)].repeat;
+            let Some(out) = s.out.as_mut().filter(|o| !o.started && !o.withdrawn) else { continue };
+            let lost = self.workers.get(&out.worker).is_some_and(|w| w.rests_until > 0);
+            let free = out.reading || repeat == Repeat::Replayable;
+            if self.terms.withdrawals && (s.ended || lost && free) {
+                out.withdrawn = true;
+                self.ready.push_back(Decision::Withdraw { id, shot: out.number });
+            }
+        }
+    }
+
+    /// Whether a new shot or place may go to the worker.
+    fn usable(&mut self, now: Tenths, id: WorkerId) -> bool {
+        let Some(w) = self.workers.get(&id) else { return false };
+        if w.list.standing != Standing::Ready || w.rests_until > 0 {
+            return false;
+        }
+        let fresh = now - w.fresh_from < self.terms.warm_after && w.fresh_from > 0;
+        if fresh && w.shots >= FRESH + w.answers {
+            return false;
+        }
+        let age = now - w.list.started;
+        if w.list.started > 0 && age < self.terms.warm_after {
+            return self.cold_room(now, id, age);
+        }
+        true
+    }
+
+    /// Guards against pushing over a cold worker: this router's share of its kind's sends, scaled down to what
+    /// the worker can surely do, leaves the whole multiple as margin when every router does the same.
+    fn cold_room(&mut self, now: Tenths, id: WorkerId, age: Tenths) -> bool {
+        let (span, warm) = (self.terms.fall_span, self.terms.warm_after);
+        let role = self.workers[&id].role;
+        let (mut kin, mut sent) = (0.0, 0.0);
+        for w in self.workers.values_mut() {
+            let cold = w.list.started > 0 && now - w.list.started < warm;
+            if w.role == role && w.list.standing == Standing::Ready && !cold {
+                kin += 1.0;
+                sent += w.sent.read(now, span);
+            }
+        }
+        let present = self.terms.cold_share + (1.0 - self.terms.cold_share) * age as f64 / warm as f64;
+        let margin = (self.terms.fall_multiple / 2.0).min(1.0);
+        let mean = if kin > 0.0 { sent / kin } else { 0.0 };
+        self.workers.get_mut(&id).is_some_and(|w| w.sent.read(now, span) < (mean * present * margin).max(0.5))
+    }
+
+    /// Readers and mixed workers, best first, by rendezvous hashing of the prefix or session.
+    fn readers(&self, arrival: &Arrival) -> Vec<WorkerId> {
+        let key = if arrival.prefix != 0 { arrival.prefix } else { arrival.session };
+        let mut ranked: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.role != Role::Writer)
+            .map(|(&id, w)| (w.list.size.max(0.01) / -draw(key, id).ln(), id))
+            .collect();
+        ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
+        ranked.into_iter().map(|(_, id)| id).collect()
+    }
+
+    fn grants(&mut self, now: Tenths, cell: u16) -> bool {
+        let writers: Vec<_> = self.writers(|w| w.list.cell == cell && now >= w.denied + DENIAL);
+        writers.into_iter().any(|id| self.usable(now, id))
+    }
+
+    fn writers(&self, fits: impl Fn(&Worker) -> bool) -> Vec<WorkerId> {
+        self.workers.iter().filter(|(_, w)| w.role != Role::Reader && fits(w)).map(|(&id, _)| id).collect()
+    }
+
+    /// Of the writers that fit, the usable one with the fewest own streams for its size.
+    fn least(&mut self, now: Tenths, zone: u8, fits: impl Fn(&Worker) -> bool) -> Option<WorkerId> {
+        let mut fitting = self.writers(fits);
+        fitting.retain(|&id| self.usable(now, id));
+        let rank = |id: &WorkerId| {
+            let w = &self.workers[id];
+            (w.list.zone != zone, f64::from(w.streams) / w.list.size.max(0.01))
+        };
+        fitting.into_iter().min_by(|a, b| {
+            let (a, b) = (rank(a), rank(b));
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+        })
+    }
+
+    /// The gate to another cell: open while first tokens over cells come soon enough, else now and then.
+    fn gate(&mut self, now: Tenths) -> bool {
+        let bound = self.terms.tracks.iter().map(|t| t.contract).min().unwrap_or(0) as f64 / 2.0;
+        self.cross_wait.read(now, MEMORY).is_none_or(|mean| mean < bound)
+            || self.chance.unit() * MEASURE < 1.0
+    }
+
+    /// The next step of a submission that has no shot out.
+    fn forward(&mut self, now: Tenths, s: &mut Submission) {
+        let id = s.arrival.id;
+        if now + LOOK >= s.cut_off {
+            return self.end(s);
+        }
+        if let Some(reader) = s.state {
+            let overdue = s.since + (self.terms.release as f64 * PINNED) as Tenths <= now;
+            match self.writer_for(now, s, reader) {
+                Some(writer) if s.shots < self.terms.max_shots && self.may_run(now, s, writer) => {
+                    let cross = self.workers.get(&reader).map(|w| w.list.cell)
+                        != self.workers.get(&writer).map(|w| w.list.cell);
+                    if s.place.is_some_and(|(w, _)| w != writer) {
+                        s.place = None;
+                    }
+                    self.send(now, s, writer, false, cross);
+                    return;
+                }
+                _ if overdue || s.place.is_some_and(|(_, held)| held) => {
+                    self.ready.push_back(Decision::LetGo { id });
+                    (s.state, s.place) = (None, None);
+                }
+                _ => return self.end_if_hopeless(now, s),
+            }
+        }
+        if s.ran.is_some_and(|_| !self.may_repeat(now, s)) || s.shots + 2 > self.terms.max_shots {
+            return self.end(s);
+        }
+        if let Some(worker) = self.reader_for(now, s) {
+            let reading = self.workers.get(&worker).is_some_and(|w| w.role == Role::Reader);
+            s.asked.clear();
+            self.send(now, s, worker, reading, false);
+            if reading {
+                self.ask(now, s);
+            }
+            return;
+        }
+        self.end_if_hopeless(now, s);
+    }
+
+    fn reader_for(&mut self, now: Tenths, s: &Submission) -> Option<WorkerId> {
+        let mut fallback: Option<(f64, WorkerId)> = None;
+        for id in self.readers(&s.arrival) {
+            if !self.usable(now, id) || !self.may_run(now, s, id) {
+                continue;
+            }
+            let w = &self.workers[&id];
+            let (tokens, cell, full, mixed) = (w.tokens, w.list.cell, w.full, w.role == Role::Mixed);
+            if now < full + DENIAL {
+                continue;
+            }
+            // Exception to the wait: a reader further down whose cell grants is taken first.
+            if !mixed && !self.grants(now, cell) {
+                continue;
+            }
+            if tokens + s.arrival.prompt <= SPILL || tokens == 0.0 {
+                return Some(id);
+            }
+            if fallback.is_none_or(|(least, _)| tokens < least) {
+                fallback = Some((tokens, id));
+            }
+        }
+        let readers = fallback.map(|(_, id)| id);
+        if readers.is_none() && self.terms.writers_read && self.readers(&s.arrival).is_empty() {
+            return self.least(now, 0, |w| now >= w.full + DENIAL);
+        }
+        readers
+    }
+
+    /// The held writer, else the fewest own streams in the reader's cell, else beyond it through the gate.
+    fn writer_for(&mut self, now: Tenths, s: &Submission, reader: WorkerId) -> Option<WorkerId> {
+        if let Some((writer, true)) = s.place {
+            return self.alive(writer).then_some(writer);
+        }
+        let (cell, zone) = self.workers.get(&reader).map(|w| (w.list.cell, w.list.zone))?;
+        let near = self.least(now, zone, |w| w.list.cell == cell && now >= w.full + DENIAL);
+        if near.is_some() || !self.gate(now) {
+            return near;
+        }
+        self.least(now, zone, |w| w.list.cell != cell && now >= w.full + DENIAL)
+    }
+
+    fn alive(&self, id: WorkerId) -> bool {
+        self.workers.get(&id).is_some_and(|w| w.list.standing == Standing::Ready && w.rests_until == 0)
+    }
+
+    /// Asks for a place at the next writer of the reader's cell while the prompt is read.
+    fn ask(&mut self, now: Tenths, s: &mut Submission) {
+        let Some(out) = s.out.as_ref().filter(|o| o.reading && !o.withdrawn) else { return };
+        if s.place.is_some() || !self.terms.places {
+            return;
+        }
+        let Some((cell, zone)) = self.workers.get(&out.worker).map(|w| (w.list.cell, w.list.zone)) else {
+            return;
+        };
+        let asked = s.asked.clone();
+        let fits = |w: &Worker| !asked.contains(&w.list.worker) && now >= w.denied + DENIAL;
+        let mut writer = self.least(now, zone, |w| w.list.cell == cell && fits(w));
+        if writer.is_none() && s.asked.len() < 4 && self.gate(now) {
+            writer = self.least(now, zone, |w| w.list.cell != cell && fits(w));
+        }
+        let Some(worker) = writer.filter(|&w| self.may_run(now, s, w)) else { return };
+        s.asked.push(worker);
+        s.place = Some((worker, false));
+        if let Some(w) = self.workers.get_mut(&worker) {
+            w.streams += 1;
+        }
+        self.ready.push_back(Decision::Hold { id: s.arrival.id, worker });
+    }
+
+    fn send(&mut self, now: Tenths, s: &mut Submission, worker: WorkerId, reading: bool, cross: bool) {
+        let number = s.shots;
+        s.shots += 1;
+        let (started, withdrawn) = (false, false);
+        s.out = Some(Shot { number, worker, reading, sent: now, started, withdrawn, cross });
+        if let Some(w) = self.workers.get_mut(&worker) {
+            w.sent.add(now, self.terms.fall_span, 1.0);
+            w.shots += 1;
+            if reading {
+                w.tokens += s.arrival.prompt;
+            } else if s.place.is_none_or(|(p, _)| p != worker) {
+                w.streams += 1;
+            }
+        }
+        self.ready.push_back(Decision::Send { id: s.arrival.id, worker, within: 0 });
+    }
+
+    /// Rule 2: whether the track lets the submission run again at this worker now.
+    fn may_run(&self, now: Tenths, s: &Submission, worker: WorkerId) -> bool {
+        let Some((first, ran_at)) = s.ran else { return true };
+        let (Some(there), Some(here)) = (self.workers.get(&ran_at), self.workers.get(&worker)) else {
+            return false;
+        };
+        match self.terms.tracks[usize::from(s.arrival.track)].repeat {
+            Repeat::Replayable => true,
+            Repeat::SingleUse => false,
+            Repeat::Referenced { group, window } => {
+                now < first + window
+                    && match group {
+                        Group::All => true,
+                        Group::Zone => there.list.zone == here.list.zone,
+                        Group::Cell => there.list.cell == here.list.cell,
+                    }
+            }
+        }
+    }
+
+    fn may_repeat(&self, now: Tenths, s: &Submission) -> bool {
+        match self.terms.tracks[usize::from(s.arrival.track)].repeat {
+            Repeat::Replayable => true,
+            Repeat::SingleUse => false,
+            Repeat::Referenced { window, .. } => s.ran.is_none_or(|(first, _)| now < first + window),
+        }
+    }
+
+    fn end_if_hopeless(&mut self, now: Tenths, s: &mut Submission) {
+        let usual = self.read_wait.read(now, MEMORY).unwrap_or(0.0);
+        let usual = usual + self.token_wait.read(now, MEMORY).unwrap_or(0.0);
+        if now + usual as Tenths + LOOK > s.contract.min(s.cut_off) {
+            self.end(s);
+        }
+    }
+
+    /// The final answer: a turn-back where its promise is true, else an abandonment.
+    fn end(&mut self, s: &mut Submission) {
+        let id = s.arrival.id;
+        let harmless = s.ran.is_none()
+            || match self.terms.tracks[usize::from(s.arrival.track)].repeat {
+                Repeat::Replayable => true,
+                Repeat::SingleUse => false,
+                Repeat::Referenced { group, .. } => group == Group::All,
+            };
+        if s.state.is_some() || s.place.is_some() {
+            self.ready.push_back(Decision::LetGo { id });
+            (s.state, s.place) = (None, None);
+        }
+        s.ended = true;
+        let after = if self.terms.advice { self.terms.longest_advice } else { 0 };
+        self.ready.push_back(if harmless {
+            Decision::TurnBack { id, after }
+        } else {
+            Decision::Abandon { id }
+        });
+    }
+}
+
+impl Worker {
+    /// Out of service for a while, twice as long after each failure; the jitter keeps routers apart.
+    fn rest(&mut self, now: Tenths, jitter: f64) {
+        if now < self.rests_until {
+            return;
+        }
+        self.rests_until = now + (REST as f64 * jitter) as Tenths * (1 << self.rests.min(RESTS));
+        self.rests += 1;
+    }
+}
+
+/// A number between 0 and 1 that depends only on the key and the worker.
+fn draw(key: u64, worker: WorkerId) -> f64 {
+    let mut x = worker.iter().fold(key, |x, &b| (x ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
+    for _ in 0..2 {
+        x = (x ^ (x >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    }
+    ((x >> 12) as f64 + 0.5) / (1u64 << 52) as f64
+}
--- /dev/null
+++ b/src/fading.rs
@@ -0,0 +1,45 @@
+//! Sums whose older parts fade out, brought up to date when they are read.
+
+use crate::interface::Tenths;
+
+#[derive(Clone, Copy, Default)]
+pub struct Fading {
+    sum: f64,
+    at: Tenths,
+}
+
+impl Fading {
+    /// The sum as of now: what was added `span` ago counts 1/e of what it did.
+    pub fn read(&mut self, now: Tenths, span: Tenths) -> f64 {
+        if now > self.at {
+            self.sum *= (-((now - self.at) as f64) / span.max(1) as f64).exp();
+            self.at = now;
+        }
+        self.sum
+    }
+
+    pub fn add(&mut self, now: Tenths, span: Tenths, amount: f64) {
+        self.read(now, span);
+        self.sum += amount;
+    }
+}
+
+/// A mean in which older readings weigh less.
+#[derive(Clone, Copy, Default)]
+pub struct FadingMean {
+    total: Fading,
+    count: Fading,
+}
+
+impl FadingMean {
+    pub fn add(&mut self, now: Tenths, span: Tenths, reading: f64) {
+        self.total.add(now, span, reading);
+        self.count.add(now, span, 1.0);
+    }
+
+    /// None until there is a reading, and again once all have faded to nothing.
+    pub fn read(&mut self, now: Tenths, span: Tenths) -> Option<f64> {
+        let count = self.count.read(now, span);
+        (count > 1e-6).then(|| self.total.read(now, span) / count)
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,126 @@
+//! The plain types at the edge of the decisions in `choice.rs`.
+
+/// Tenths of a millisecond: a moment on the router's clock, or a length of time.
+pub type Tenths = i64;
+
+/// A worker's address and port, as the wire gives them.
+pub type WorkerId = [u8; 6];
+
+pub type SubmissionId = u64;
+
+/// What a machine of one kind does: reads prompts, writes answers, or takes submissions whole.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Role {
+    Reader,
+    Writer,
+    Mixed,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// The workers among which repeats of a referenced submission are dropped.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Repeat {
+    Replayable,
+    Referenced { group: Group, window: Tenths },
+    SingleUse,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Ending {
+    Honoured,
+    Fault,
+    Full,
+    /// There was no read state to fetch.
+    Stateless,
+    TimedOut,
+    Unreachable,
+    Broken,
+    Withdrawn,
+    NeverSent,
+    /// The prompt was read; its state waits at the reader.
+    Read,
+}
+
+/// What holds for one track of submissions.
+#[derive(Clone, Debug)]
+pub struct Track {
+    pub repeat: Repeat,
+    pub contract: Tenths,
+    /// Contract time added for every 1,000 prompt tokens.
+    pub per_thousand: Tenths,
+    pub earnings: f64,
+    /// The part of the earnings that a late answer still brings.
+    pub late: f64,
+}
+
+/// What a router is told when it starts and works under from then on.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub routers: u32,
+    pub tracks: Vec<Track>,
+    /// Submissions a second inside each customer's share, over all routers.
+    pub allowances: Vec<f64>,
+    pub roles: Vec<Role>,
+    pub places: bool,
+    pub writers_read: bool,
+    pub release: Tenths,
+    pub cold_share: f64,
+    pub warm_after: Tenths,
+    pub fall_multiple: f64,
+    pub fall_span: Tenths,
+    pub max_shots: u16,
+    pub withdrawals: bool,
+    pub probes: bool,
+    pub advice: bool,
+    pub longest_advice: Tenths,
+}
+
+/// One worker as the list names it.
+#[derive(Clone, Copy, Debug)]
+pub struct Listing {
+    pub worker: WorkerId,
+    pub kind: u16,
+    pub size: f64,
+    pub standing: Standing,
+    pub cell: u16,
+    pub zone: u8,
+    /// When its process last started; 0 for long ago.
+    pub started: Tenths,
+}
+
+/// One submission as a client hands it over.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub id: SubmissionId,
+    pub track: u8,
+    pub customer: u32,
+    pub session: u64,
+    pub prefix: u64,
+    pub prompt: f64,
+    pub left: Tenths,
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Decision {
+    Send { id: SubmissionId, worker: WorkerId, within: Tenths },
+    Hold { id: SubmissionId, worker: WorkerId },
+    LetGo { id: SubmissionId },
+    Withdraw { id: SubmissionId, shot: u16 },
+    TurnBack { id: SubmissionId, after: Tenths },
+    Abandon { id: SubmissionId },
+    Probe { worker: WorkerId },
+    Wake { after: Tenths },
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,6 @@
+//! Tideroute: routing decisions for language-model servers that read and write in two stages.
+
+pub mod chance;
+pub mod choice;
+pub mod fading;
+pub mod interface;
