--- a/src/choice.rs
+++ b/src/choice.rs
@@ -221,7 +221,7 @@
         if !out.reading && !proven && submission.ran.is_none() {
             submission.ran = Some((out.sent, out.worker));
         }
-        let held_there = submission.place.is_some_and(|(w, _)| w == out.worker);
+        let held_there = submission.place.is_some_and(|(w, held)| held && w == out.worker);
         if ending == Ending::Read {
             submission.state = Some(out.worker);
             self.read_wait.add(now, MEMORY, (now - out.sent) as f64);
@@ -229,6 +229,8 @@
             // The state is gone, or went ahead to a writer that failed: only a new read helps.
             submission.let_go |= submission.state.is_some() || submission.place.is_some();
             (submission.state, submission.place) = (None, None);
+        } else {
+            submission.place = None;
         }
         let jitter = 1.0 + self.chance.unit();
         let Some(worker) = self.workers.get_mut(&out.worker) else { return };
@@ -542,8 +544,12 @@
 
     /// The held writer, else the fewest own streams in the reader's cell, else beyond it through the gate.
     fn writer_for(&mut self, now: Tenths, s: &Submission, reader: WorkerId) -> Option<WorkerId> {
-        if let Some((writer, true)) = s.place {
-            return self.alive(writer).then_some(writer);
+        // A short read may end before the answer on its place: the state may have gone ahead all the same, and
+        // a send elsewhere would find none.
+        if let Some((writer, held)) = s.place {
+            if held || self.alive(writer) {
+                return self.alive(writer).then_some(writer);
+            }
         }
         let (cell, zone) = self.workers.get(&reader).map(|w| (w.list.cell, w.list.zone))?;
         let near = self.least(now, zone, |w| w.list.cell == cell && now >= w.full + DENIAL);
