--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,8 +8,8 @@
 use crate::fading::{Fading, FadingMean};
 use crate::interface::*;
 
-/// Prompt tokens of this router's that may wait at a reader before reads spill; the design's first value.
-const SPILL: f64 = 30_000.0;
+/// Prompt tokens of this router that may wait at a reader before reads spill.
+const SPILL: f64 = 8_000.0;
 /// Tenths: how long a writer's 'not held' or a server's 'full' is believed; the design's 50 ms.
 const DENIAL: Tenths = 500;
 /// One pair in so many passes a shut gate, to measure again; the design's value.
