Mark the writer, not the reader, when a place is answered; bound what waits at tight writers

Cause: the answer on a place names the reader, on whose shot it comes; denials were booked there and steered nothing, so one cell's two writers jammed (up to 7.9 s to a first token) while a cell with three writers stood idle. Also: a tight writer gets one waiting submission a router; a cold worker's budget counts what warm kin answered.

--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -138,15 +138,16 @@
             f.bytes(length, "raw")?;
         }
         _ => {
-            let (id, shot) = (f.u64("req")?, f.u16("try")?);
-            let worker = f.array("worker")?;
+            let id = f.u64("req")?;
+            f.u16("try")?;
+            f.array::<6>("worker")?;
             let held = match f.u8("sort")? {
                 1 => true,
                 2 => false,
                 other => return Err(format!("answer {other} on a place is unknown")),
             };
             f.f32("amount")?;
-            router.answered_ahead(now, id, shot, worker, held);
+            router.answered_ahead(now, id, held);
         }
     }
     Ok(who)
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,6 +45,12 @@
     answers: u32,
     fresh_from: Tenths,
     sent: Fading,
+    /// What it answered: reads ended and streams begun.
+    done: Fading,
+    /// Own submissions that wait there, sent or read without a place.
+    waits: u32,
+    /// Its last answer on a place was no.
+    tight: bool,
     heard: Tenths,
     denied: Tenths,
     full: Tenths,
@@ -130,6 +136,9 @@
             answers: 0,
             fresh_from: list.started,
             sent: Fading::default(),
+            done: Fading::default(),
+            waits: 0,
+            tight: false,
             heard: now,
             denied: -DENIAL,
             full: -DENIAL,
@@ -178,25 +187,21 @@
         mean.add(now, MEMORY, (now - out.sent) as f64);
         (submission.state, submission.place, submission.let_go) = (None, None, false);
         let worker = out.worker;
+        if let Some(w) = self.workers.get_mut(&worker) {
+            w.done.add(now, self.terms.fall_span, 1.0);
+        }
         self.well(now, worker);
     }
 
-    pub fn answered_ahead(
-        &mut self,
-        now: Tenths,
-        id: SubmissionId,
-        _shot: u16,
-        worker: WorkerId,
-        held: bool,
-    ) {
+    /// The answer comes by the reading shot and names its reader, so the writer is the one asked last.
+    pub fn answered_ahead(&mut self, now: Tenths, id: SubmissionId, held: bool) {
         self.stale = true;
-        if let Some(w) = self.workers.get_mut(&worker) {
-            w.heard = now;
-            w.denied = if held { now - DENIAL } else { now };
-        }
         let Some(submission) = self.open.get_mut(&id) else { return };
-        if submission.place.is_some_and(|(asked, _)| asked == worker) {
-            submission.place = held.then_some((worker, true));
+        let Some((writer, _)) = submission.place else { return };
+        submission.place = held.then_some((writer, true));
+        if let Some(w) = self.workers.get_mut(&writer) {
+            w.heard = now;
+            (w.denied, w.tight) = (if held { now - DENIAL } else { now }, !held);
         }
     }
 
@@ -235,8 +240,12 @@
         let jitter = 1.0 + self.chance.unit();
         let Some(worker) = self.workers.get_mut(&out.worker) else { return };
         match ending {
-            Ending::Honoured | Ending::Read | Ending::Stateless => self.well(now, out.worker),
-            Ending::Full => (worker.heard, worker.denied, worker.full) = (now, now, now),
+            Ending::Read => {
+                worker.done.add(now, self.terms.fall_span, 1.0);
+                self.well(now, out.worker);
+            }
+            Ending::Honoured | Ending::Stateless => self.well(now, out.worker),
+            Ending::Full => (worker.heard, worker.denied, worker.full, worker.tight) = (now, now, now, true),
             Ending::Fault => {
                 worker.heard = now;
                 worker.errors += 1;
@@ -334,7 +343,7 @@
     /// Counts anew what this router has out at each worker.
     fn count(&mut self, now: Tenths) {
         for w in self.workers.values_mut() {
-            (w.tokens, w.streams, w.shots, w.oldest) = (0.0, 0, 0, now);
+            (w.tokens, w.streams, w.shots, w.waits, w.oldest) = (0.0, 0, 0, 0, now);
         }
         for s in self.open.values() {
             if let Some(out) = &s.out {
@@ -346,6 +355,7 @@
                         w.streams += 1;
                     }
                     if !out.started {
+                        w.waits += 1;
                         w.oldest = w.oldest.min(out.sent);
                     }
                 }
@@ -354,6 +364,12 @@
                 if let Some(w) = self.workers.get_mut(&place) {
                     w.streams += 1;
                 }
+            } else if let Some(&asked) = s.asked.last().filter(|_| s.out.as_ref().is_some_and(|o| o.reading))
+            {
+                // Read without a place: it will wait at a writer of that cell.
+                if let Some(w) = self.workers.get_mut(&asked) {
+                    w.waits += 1;
+                }
             }
         }
     }
@@ -421,7 +437,7 @@
             let cold = w.list.started > 0 && now - w.list.started < warm;
             if w.role == role && w.list.standing == Standing::Ready && !cold {
                 kin += 1.0;
-                sent += w.sent.read(now, span);
+                sent += w.done.read(now, span);
             }
         }
         let present = self.terms.cold_share + (1.0 - self.terms.cold_share) * age as f64 / warm as f64;
@@ -444,7 +460,10 @@
     }
 
     fn grants(&mut self, now: Tenths, cell: u16) -> bool {
-        let writers: Vec<_> = self.writers(|w| w.list.cell == cell && now >= w.denied + DENIAL);
+        // A writer that said no gets at most one waiting submission from this router, whose start is the sign
+        // that it has room again; queues stay as short as the number of routers.
+        let writers: Vec<_> =
+            self.writers(|w| w.list.cell == cell && (!w.tight || w.waits == 0 && now >= w.denied + DENIAL));
         writers.into_iter().any(|id| self.usable(now, id))
     }
 
@@ -583,6 +602,7 @@
         s.place = Some((worker, false));
         if let Some(w) = self.workers.get_mut(&worker) {
             w.streams += 1;
+            w.waits += u32::from(w.tight);
         }
         self.ready.push_back(Decision::Hold { id: s.arrival.id, worker });
     }
