Weigh the reader hash by the writers of each cell

Cause: cells differ in writers for each reader; an even hash sends a cell with few writers too much.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -446,15 +446,21 @@
         self.workers.get_mut(&id).is_some_and(|w| w.sent.read(now, span) < (mean * present * margin).max(0.5))
     }
 
-    /// Readers and mixed workers, best first, by rendezvous hashing of the prefix or session.
+    /// Readers and mixed workers, best first, by rendezvous hashing of the prefix or session. A cell's readers
+    /// share the weight of its writers, or a cell with few writers would draw more than they can answer.
     fn readers(&self, arrival: &Arrival) -> Vec<WorkerId> {
         let key = if arrival.prefix != 0 { arrival.prefix } else { arrival.session };
-        let mut ranked: Vec<_> = self
-            .workers
-            .iter()
-            .filter(|(_, w)| w.role != Role::Writer)
-            .map(|(&id, w)| (w.list.size.max(0.01) / -draw(key, id).ln(), id))
-            .collect();
+        let mut cells: BTreeMap<u16, (f64, f64)> = BTreeMap::new();
+        for w in self.workers.values().filter(|w| w.list.standing == Standing::Ready) {
+            let (reads, writes) = cells.entry(w.list.cell).or_default();
+            *if w.role == Role::Reader { reads } else { writes } += w.list.size.max(0.01);
+        }
+        let mut ranked = Vec::new();
+        for (&id, w) in self.workers.iter().filter(|(_, w)| w.role != Role::Writer) {
+            let (reads, writes) = cells.get(&w.list.cell).copied().unwrap_or_default();
+            let share = if w.role == Role::Mixed { 1.0 } else { (writes / reads.max(0.01)).max(0.01) };
+            ranked.push((w.list.size.max(0.01) * share / -draw(key, id).ln(), id));
+        }
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
         ranked.into_iter().map(|(_, id)| id).collect()
     }
