Keep reads at the router while a reader takes over half the contract time

Cause: with a lost zone the last readers got every read; their queues held reads whose clients had left, and where waiting work is not dropped a reader then did nothing useful (read time 12 s, 4 reads in 5 s; 57% of shots full). Now a reader with shots of ours out is passed over while its reads take over half of the contract time, a full one for half a second, and there is no fallback beyond the bound. It should also cover slow and silent readers; it can do harm where one slow answer hides an idle reader: one shot is always allowed, so that it is seen.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,6 +12,10 @@
 const SPILL: f64 = 8_000.0;
 /// Tenths: how long a writer's 'not held' or a server's 'full' is believed; the design's 50 ms.
 const DENIAL: Tenths = 500;
+/// Tenths: how long a reader's 'full' is believed: its queue holds seconds of work, not moments.
+const FULL: Tenths = 5_000;
+/// Part of the contract time that a read may take, queue included; the rest is for the way to the first token.
+const READING: f64 = 0.5;
 /// One pair in so many passes a shut gate, to measure again; the design's value.
 const MEASURE: f64 = 50.0;
 /// Tenths: the memory of the means, long against one submission and short against a trouble.
@@ -45,6 +49,7 @@
     answers: u32,
     fresh_from: Tenths,
     sent: Fading,
+    read_wait: FadingMean,
     /// What it answered: reads ended and streams begun.
     done: Fading,
     /// Own submissions that wait there, sent or read without a place.
@@ -72,6 +77,7 @@
 
 struct Submission {
     arrival: Arrival,
+    came: Tenths,
     contract: Tenths,
     cut_off: Tenths,
     shots: u16,
@@ -136,6 +142,7 @@
             answers: 0,
             fresh_from: list.started,
             sent: Fading::default(),
+            read_wait: FadingMean::default(),
             done: Fading::default(),
             waits: 0,
             tight: false,
@@ -162,6 +169,7 @@
         let stretch = track.per_thousand as f64 * arrival.prompt.max(0.0) / 1000.0;
         let submission = Submission {
             arrival,
+            came: now,
             contract: now + track.contract + stretch as Tenths,
             cut_off: now + arrival.left,
             shots: 0,
@@ -242,6 +250,7 @@
         match ending {
             Ending::Read => {
                 worker.done.add(now, self.terms.fall_span, 1.0);
+                worker.read_wait.add(now, MEMORY, (now - out.sent) as f64);
                 self.well(now, out.worker);
             }
             Ending::Honoured | Ending::Stateless => self.well(now, out.worker),
@@ -539,32 +548,29 @@
     }
 
     fn reader_for(&mut self, now: Tenths, s: &Submission) -> Option<WorkerId> {
-        let mut fallback: Option<(f64, WorkerId)> = None;
+        let usable_wait = (s.contract - s.came) as f64 * READING;
         for id in self.readers(&s.arrival) {
             if !self.usable(now, id) || !self.may_run(now, s, id) {
                 continue;
             }
-            let w = &self.workers[&id];
-            let (tokens, cell, full, mixed) = (w.tokens, w.list.cell, w.full, w.role == Role::Mixed);
-            if now < full + DENIAL {
+            let Some(w) = self.workers.get_mut(&id) else { continue };
+            // Guards against a queue of reads that clients leave before they are done: while reads there take
+            // too much of the contract time, only one of this router's is out to see whether it has passed.
+            let slow =
+                w.read_wait.read(now, MEMORY).unwrap_or(0.0).max((now - w.oldest) as f64) > usable_wait;
+            let (cell, mixed) = (w.list.cell, w.role == Role::Mixed);
+            if now < w.full + FULL || w.shots > 0 && (slow || w.tokens + s.arrival.prompt > SPILL) {
                 continue;
             }
             // Exception to the wait: a reader further down whose cell grants is taken first.
-            if !mixed && !self.grants(now, cell) {
-                continue;
-            }
-            if tokens + s.arrival.prompt <= SPILL || tokens == 0.0 {
+            if mixed || self.grants(now, cell) {
                 return Some(id);
             }
-            if fallback.is_none_or(|(least, _)| tokens < least) {
-                fallback = Some((tokens, id));
-            }
         }
-        let readers = fallback.map(|(_, id)| id);
-        if readers.is_none() && self.terms.writers_read && self.readers(&s.arrival).is_empty() {
+        if self.terms.writers_read && self.readers(&s.arrival).is_empty() {
             return self.least(now, 0, |w| now >= w.full + DENIAL);
         }
-        readers
+        None
     }
 
     /// The held writer, else the fewest own streams in the reader's cell, else beyond it through the gate.
