Count places against a cold writer's budget and in-flight cap

A place now counts as the send to come, and the cap grows with ended shots rather than begun streams.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,8 +43,8 @@
     list: Listing,
     role: Role,
     tokens: f64,
+    reads: u32,
     streams: u32,
-    shots: u32,
     oldest: Tenths,
     answers: u32,
     fresh_from: Tenths,
@@ -136,8 +136,8 @@
             list,
             role,
             tokens: 0.0,
+            reads: 0,
             streams: 0,
-            shots: 0,
             oldest: now,
             answers: 0,
             fresh_from: list.started,
@@ -197,8 +197,8 @@
         let worker = out.worker;
         if let Some(w) = self.workers.get_mut(&worker) {
             w.done.add(now, self.terms.fall_span, 1.0);
+            (w.heard, w.errors, w.rests, w.rests_until) = (now, 0, 0, 0);
         }
-        self.well(now, worker);
     }
 
     /// The answer comes by the reading shot and names its reader, so the writer is the one asked last.
@@ -352,13 +352,13 @@
     /// Counts anew what this router has out at each worker.
     fn count(&mut self, now: Tenths) {
         for w in self.workers.values_mut() {
-            (w.tokens, w.streams, w.shots, w.waits, w.oldest) = (0.0, 0, 0, 0, now);
+            (w.tokens, w.reads, w.streams, w.waits, w.oldest) = (0.0, 0, 0, 0, now);
         }
         for s in self.open.values() {
             if let Some(out) = &s.out {
                 if let Some(w) = self.workers.get_mut(&out.worker) {
-                    w.shots += 1;
                     if out.reading {
+                        w.reads += 1;
                         w.tokens += s.arrival.prompt;
                     } else {
                         w.streams += 1;
@@ -426,7 +426,7 @@
             return false;
         }
         let fresh = now - w.fresh_from < self.terms.warm_after && w.fresh_from > 0;
-        if fresh && w.shots >= FRESH + w.answers {
+        if fresh && w.reads + w.streams >= FRESH + w.answers {
             return false;
         }
         let age = now - w.list.started;
@@ -559,7 +559,7 @@
             let slow =
                 w.read_wait.read(now, MEMORY).unwrap_or(0.0).max((now - w.oldest) as f64) > usable_wait;
             let (cell, mixed) = (w.list.cell, w.role == Role::Mixed);
-            if now < w.full + FULL || w.shots > 0 && (slow || w.tokens + s.arrival.prompt > SPILL) {
+            if now < w.full + FULL || w.reads > 0 && (slow || w.tokens + s.arrival.prompt > SPILL) {
                 continue;
             }
             // Exception to the wait: a reader further down whose cell grants is taken first.
@@ -613,6 +613,8 @@
         s.asked.push(worker);
         s.place = Some((worker, false));
         if let Some(w) = self.workers.get_mut(&worker) {
+            // A place is a send to come: a cold writer's budget and cap must know of it from the start.
+            w.sent.add(now, self.terms.fall_span, 1.0);
             w.streams += 1;
             w.waits += u32::from(w.tight);
         }
@@ -625,12 +627,13 @@
         let (started, withdrawn) = (false, false);
         s.out = Some(Shot { number, worker, reading, sent: now, started, withdrawn, cross });
         if let Some(w) = self.workers.get_mut(&worker) {
-            w.sent.add(now, self.terms.fall_span, 1.0);
-            w.shots += 1;
             if reading {
+                w.reads += 1;
                 w.tokens += s.arrival.prompt;
+                w.sent.add(now, self.terms.fall_span, 1.0);
             } else if s.place.is_none_or(|(p, _)| p != worker) {
                 w.streams += 1;
+                w.sent.add(now, self.terms.fall_span, 1.0);
             }
         }
         self.ready.push_back(Decision::Send { id: s.arrival.id, worker, within: 0 });
