A tight writer rests in step with its first-token delay and the number of routers

Cause: each router kept one submission waiting at a tight writer, so with six routers six waited, and first tokens took 4 to 5 s. The rest after a 'no' is now the writer's last first-token delay times the other routers, 50 ms at least; no agreement is needed. It should cover any shared bottleneck; harm: one slow first token delays the next look.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -59,6 +59,8 @@
     waits: u32,
     /// Its last answer on a place was no.
     tight: bool,
+    /// How long its last first token took, and when that was.
+    lag: Tenths,
     heard: Tenths,
     denied: Tenths,
     full: Tenths,
@@ -149,6 +151,7 @@
             done: Fading::default(),
             waits: 0,
             tight: false,
+            lag: 0,
             heard: now,
             denied: -DENIAL,
             full: -DENIAL,
@@ -197,9 +200,10 @@
         let mean = if out.cross { &mut self.cross_wait } else { &mut self.token_wait };
         mean.add(now, MEMORY, (now - out.sent) as f64);
         (submission.state, submission.place, submission.let_go) = (None, None, false);
-        let worker = out.worker;
+        let (worker, sent) = (out.worker, out.sent);
         if let Some(w) = self.workers.get_mut(&worker) {
             w.done.add(now, self.terms.fall_span, 1.0);
+            w.lag = now - sent;
             (w.heard, w.errors, w.rests, w.rests_until) = (now, 0, 0, 0);
         }
     }
@@ -479,9 +483,11 @@
 
     fn grants(&mut self, now: Tenths, cell: u16) -> bool {
         // A writer that said no gets at most one waiting submission from this router, whose start is the sign
-        // that it has room again; queues stay as short as the number of routers.
-        let writers: Vec<_> =
-            self.writers(|w| w.list.cell == cell && (!w.tight || w.waits == 0 && now >= w.denied + DENIAL));
+        // that it has room again, and then rests so long that the routers together keep about one there.
+        let others = Tenths::from(self.terms.routers - 1);
+        let writers = self.writers(|w| {
+            w.list.cell == cell && (!w.tight || w.waits == 0 && now >= w.denied + DENIAL.max(w.lag * others))
+        });
         writers.into_iter().any(|id| self.usable(now, id))
     }
 
