--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,7 @@
 use crate::interface::*;
 
 /// Prompt tokens of this router that may wait at a reader before reads spill.
-const SPILL: f64 = 30_000.0;
+const SPILL: f64 = 4_000.0;
 /// Tenths: how long a writer's 'not held' or a server's 'full' is believed; the design's 50 ms.
 const DENIAL: Tenths = 500;
 /// Tenths: how long a reader's 'full' is believed: its queue holds seconds of work, not moments.
