--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,6 +10,8 @@
 
 /// Prompt tokens of this router that may wait at a reader before reads spill.
 const SPILL: f64 = 4_000.0;
+/// Where every reader is past the bound, the least filled takes up to so many times the bound.
+const FILLED: f64 = 2.0;
 /// Tenths: how long a writer's 'not held' or a server's 'full' is believed; the design's 50 ms.
 const DENIAL: Tenths = 500;
 /// Tenths: how long a reader's 'full' is believed: its queue holds seconds of work, not moments.
@@ -558,6 +560,7 @@
 
     fn reader_for(&mut self, now: Tenths, s: &Submission) -> Option<WorkerId> {
         let usable_wait = (s.contract - s.came) as f64 * READING;
+        let mut past: Option<(f64, WorkerId)> = None;
         for id in self.readers(&s.arrival) {
             if !self.usable(now, id) || !self.may_run(now, s, id) {
                 continue;
@@ -568,13 +571,23 @@
             let slow =
                 w.read_wait.read(now, MEMORY).unwrap_or(0.0).max((now - w.oldest) as f64) > usable_wait;
             let (cell, mixed) = (w.list.cell, w.role == Role::Mixed);
-            if now < w.full + FULL || w.reads > 0 && (slow || w.tokens + s.arrival.prompt > SPILL) {
+            if now < w.full + FULL || w.reads > 0 && (slow || w.tokens + s.arrival.prompt > SPILL * FILLED) {
                 continue;
             }
+            let tokens = if w.reads > 0 { w.tokens + s.arrival.prompt } else { 0.0 };
             // Exception to the wait: a reader further down whose cell grants is taken first.
-            if mixed || self.grants(now, cell) {
+            if !mixed && !self.grants(now, cell) {
+                continue;
+            }
+            if tokens <= SPILL {
                 return Some(id);
             }
+            if past.is_none_or(|(least, _)| tokens < least) {
+                past = Some((tokens, id));
+            }
+        }
+        if past.is_some() {
+            return past.map(|(_, id)| id);
         }
         if self.terms.writers_read && self.readers(&s.arrival).is_empty() {
             return self.least(now, 0, |w| now >= w.full + DENIAL);
