--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,7 @@
 use crate::interface::*;
 
 /// Prompt tokens of this router that may wait at a reader before reads spill.
-const SPILL: f64 = 1_200.0;
+const SPILL: f64 = 4_000.0;
 /// Where every reader is past the bound, the least filled takes up to so many times the bound.
 const FILLED: f64 = 2.0;
 /// Tenths: how long a writer's 'not held' or a server's 'full' is believed; the design's 50 ms.
@@ -55,8 +55,6 @@
     fresh_from: Tenths,
     sent: Fading,
     read_wait: FadingMean,
-    /// Part of a prompt that it had to read, the rest being kept from earlier prompts.
-    unread: FadingMean,
     /// What it answered: reads ended and streams begun.
     done: Fading,
     /// Own submissions that wait there, sent or read without a place.
@@ -152,7 +150,6 @@
             fresh_from: list.started,
             sent: Fading::default(),
             read_wait: FadingMean::default(),
-            unread: FadingMean::default(),
             done: Fading::default(),
             waits: 0,
             tight: false,
@@ -232,14 +229,13 @@
         shot: u16,
         ending: Ending,
         terminal: bool,
-        kept: f64,
+        _kept: f64,
     ) {
         self.stale = true;
         let Some(submission) = self.open.get_mut(&id) else { return };
         let Some(out) = submission.out.take_if(|out| out.number == shot) else { return };
         submission.since = now;
         submission.ended |= terminal;
-        let prompt = submission.arrival.prompt;
         let proven = matches!(
             ending,
             Ending::Read | Ending::Full | Ending::Stateless | Ending::Unreachable | Ending::NeverSent
@@ -264,7 +260,6 @@
             Ending::Read => {
                 worker.done.add(now, self.terms.fall_span, 1.0);
                 worker.read_wait.add(now, MEMORY, (now - out.sent) as f64);
-                worker.unread.add(now, MEMORY, (1.0 - kept / prompt.max(1.0)).clamp(0.0, 1.0));
                 self.well(now, out.worker);
             }
             Ending::Honoured | Ending::Stateless => self.well(now, out.worker),
@@ -576,11 +571,10 @@
             let slow =
                 w.read_wait.read(now, MEMORY).unwrap_or(0.0).max((now - w.oldest) as f64) > usable_wait;
             let (cell, mixed) = (w.list.cell, w.role == Role::Mixed);
-            let unread = w.unread.read(now, MEMORY).unwrap_or(1.0);
-            let tokens = if w.reads > 0 { (w.tokens + s.arrival.prompt) * unread } else { 0.0 };
-            if now < w.full + FULL || w.reads > 0 && (slow || tokens > SPILL * FILLED) {
+            if now < w.full + FULL || w.reads > 0 && (slow || w.tokens + s.arrival.prompt > SPILL * FILLED) {
                 continue;
             }
+            let tokens = if w.reads > 0 { w.tokens + s.arrival.prompt } else { 0.0 };
             // Exception to the wait: a reader further down whose cell grants is taken first.
             if !mixed && !self.grants(now, cell) {
                 continue;
