--- a/src/choice.rs
+++ b/src/choice.rs
@@ -571,10 +571,10 @@
             let slow =
                 w.read_wait.read(now, MEMORY).unwrap_or(0.0).max((now - w.oldest) as f64) > usable_wait;
             let (cell, mixed) = (w.list.cell, w.role == Role::Mixed);
-            if now < w.full + FULL || w.reads > 0 && (slow || w.tokens + s.arrival.prompt > SPILL * FILLED) {
+            if now < w.full + FULL || w.reads > 0 && (slow || w.tokens > SPILL * FILLED) {
                 continue;
             }
-            let tokens = if w.reads > 0 { w.tokens + s.arrival.prompt } else { 0.0 };
+            let tokens = w.tokens;
             // Exception to the wait: a reader further down whose cell grants is taken first.
             if !mixed && !self.grants(now, cell) {
                 continue;
