--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,7 @@
 use crate::interface::*;
 
 /// Prompt tokens of this router that may wait at a reader before reads spill.
-const SPILL: f64 = 4_000.0;
+const SPILL: f64 = 1_500.0;
 /// Where every reader is past the bound, the least filled takes up to so many times the bound.
 const FILLED: f64 = 2.0;
 /// Tenths: how long a writer's 'not held' or a server's 'full' is believed; the design's 50 ms.
