--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,7 @@
 use crate::interface::*;
 
 /// Prompt tokens of this router that may wait at a reader before reads spill.
-const SPILL: f64 = 1_500.0;
+const SPILL: f64 = 4_000.0;
 /// Where every reader is past the bound, the least filled takes up to so many times the bound.
 const FILLED: f64 = 2.0;
 /// Tenths: how long a writer's 'not held' or a server's 'full' is believed; the design's 50 ms.
@@ -39,6 +39,8 @@
 const PATIENCE_LEAST: Tenths = 3_000;
 /// Part of the release time after which a state that found no writer is let go; the rest covers ticks.
 const PINNED: f64 = 0.7;
+/// Tenths: how long a session is expected back at its reader, a few times a person's pause for thought.
+const SESSION: Tenths = 400_000;
 /// Tenths: how often undecided submissions are looked at, and how often only workers are watched.
 const LOOK: Tenths = 100;
 const WATCH: Tenths = 500;
@@ -111,6 +113,8 @@
     read_wait: FadingMean,
     token_wait: FadingMean,
     cross_wait: FadingMean,
+    /// Where and when each session was last read.
+    lately: BTreeMap<u64, (WorkerId, Tenths)>,
 }
 
 impl Router {
@@ -126,6 +130,7 @@
             read_wait: FadingMean::default(),
             token_wait: FadingMean::default(),
             cross_wait: FadingMean::default(),
+            lately: BTreeMap::new(),
         }
     }
 
@@ -246,6 +251,9 @@
         let held_there = submission.place.is_some_and(|(w, held)| held && w == out.worker);
         if ending == Ending::Read {
             submission.state = Some(out.worker);
+            let session = submission.arrival.session;
+            self.lately.retain(|_, (_, at)| now - *at < SESSION);
+            self.lately.insert(session, (out.worker, now));
             self.read_wait.add(now, MEMORY, (now - out.sent) as f64);
         } else if out.reading || ending == Ending::Stateless || held_there {
             // The state is gone, or went ahead to a writer that failed: only a new read helps.
@@ -477,7 +485,11 @@
         for (&id, w) in self.workers.iter().filter(|(_, w)| w.role != Role::Writer) {
             let (reads, writes) = cells.get(&w.list.cell).copied().unwrap_or_default();
             let share = if w.role == Role::Mixed { 1.0 } else { (writes / reads.max(0.01)).max(0.01) };
-            ranked.push((w.list.size.max(0.01) * share / -draw(key, id).ln(), id));
+            // Exception to the hash: a session that was read elsewhere goes back to where its own text is kept,
+            // or each spill and each return of a reader would cost one more whole read.
+            let stays = self.lately.get(&arrival.session).is_some_and(|(at, _)| *at == id);
+            let rank = if stays { f64::MAX } else { w.list.size.max(0.01) * share / -draw(key, id).ln() };
+            ranked.push((rank, id));
         }
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
         ranked.into_iter().map(|(_, id)| id).collect()
@@ -571,10 +583,10 @@
             let slow =
                 w.read_wait.read(now, MEMORY).unwrap_or(0.0).max((now - w.oldest) as f64) > usable_wait;
             let (cell, mixed) = (w.list.cell, w.role == Role::Mixed);
-            if now < w.full + FULL || w.reads > 0 && (slow || w.tokens > SPILL * FILLED) {
+            if now < w.full + FULL || w.reads > 0 && (slow || w.tokens + s.arrival.prompt > SPILL * FILLED) {
                 continue;
             }
-            let tokens = w.tokens;
+            let tokens = if w.reads > 0 { w.tokens + s.arrival.prompt } else { 0.0 };
             // Exception to the wait: a reader further down whose cell grants is taken first.
             if !mixed && !self.grants(now, cell) {
                 continue;
