End a submission at once when its track forbids another shot; a test for each lesson

A single-use submission that may have run, with its state still waiting, was held until the state's release time; it is now abandoned at once.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -533,7 +533,7 @@
     /// The next step of a submission that has no shot out.
     fn forward(&mut self, now: Tenths, s: &mut Submission) {
         let id = s.arrival.id;
-        if now + LOOK >= s.cut_off {
+        if now + LOOK >= s.cut_off || s.ran.is_some() && !self.may_repeat(now, s) {
             return self.end(s);
         }
         if let Some(reader) = s.state {
@@ -555,7 +555,7 @@
                 _ => return self.end_if_hopeless(now, s),
             }
         }
-        if s.ran.is_some_and(|_| !self.may_repeat(now, s)) || s.shots + 2 > self.terms.max_shots {
+        if s.shots + 2 > self.terms.max_shots {
             return self.end(s);
         }
         if let Some(worker) = self.reader_for(now, s) {
--- /dev/null
+++ b/tests/lessons.rs
@@ -0,0 +1,186 @@
+//! One small test for each failure met on the bench or foreseen in a submission's life.
+
+mod common;
+
+use common::{listing, terms, worker, World, MS};
+use tideroute::interface::*;
+
+const LEFT: Tenths = 6000 * MS;
+
+fn at(world: &World, id: SubmissionId) -> WorkerId {
+    world.open[&id].out.as_ref().expect("a shot is out").worker
+}
+
+fn cell(world: &World, worker: WorkerId) -> u16 {
+    world.list[&worker].cell
+}
+
+/// Reads a submission and has its place answered; it is then out at a writer.
+fn read(world: &mut World, held: bool) -> SubmissionId {
+    let id = world.arrive(0, 1, 1000.0, LEFT);
+    world.answer(id, held);
+    world.pass(50 * MS);
+    world.settle(id, Ending::Read);
+    id
+}
+
+#[test]
+fn a_read_goes_out_with_a_place_in_its_cell_and_the_held_writer_gets_the_send() {
+    let mut world = World::new(terms(), 6);
+    let id = world.arrive(0, 1, 1000.0, LEFT);
+    let (reader, place) = (at(&world, id), world.open[&id].place.expect("asked"));
+    assert_eq!(cell(&world, reader), cell(&world, place));
+    world.answer(id, true);
+    world.settle(id, Ending::Read);
+    assert_eq!(at(&world, id), place);
+}
+
+#[test]
+fn a_short_read_that_ends_before_the_answer_still_goes_to_the_asked_writer() {
+    let mut world = World::new(terms(), 6);
+    let id = world.arrive(0, 1, 10.0, LEFT);
+    let place = world.open[&id].place.expect("asked");
+    world.settle(id, Ending::Read);
+    assert_eq!(at(&world, id), place);
+}
+
+#[test]
+fn a_no_is_booked_to_the_writer_and_the_next_one_is_asked() {
+    let mut world = World::new(terms(), 6);
+    let id = world.arrive(0, 1, 1000.0, LEFT);
+    let first = world.open[&id].place.expect("asked");
+    world.answer(id, false);
+    let second = world.open[&id].place.expect("asked again");
+    assert!(second != first && cell(&world, second) == cell(&world, first));
+    world.answer(id, false);
+    let third = world.open[&id].place.expect("the gate is open while nothing is measured");
+    assert_ne!(cell(&world, third), cell(&world, first));
+}
+
+#[test]
+fn reads_wait_unread_while_no_writer_grants_and_go_out_by_timer() {
+    let mut world = World::new(terms(), 3);
+    let first = world.arrive(0, 1, 1000.0, LEFT);
+    world.answer(first, false);
+    world.answer(first, false);
+    let next = world.arrive(0, 1, 1000.0, LEFT);
+    assert!(world.open[&next].out.is_none());
+    world.settle(first, Ending::Read);
+    world.start(first);
+    world.pass(200 * MS);
+    assert!(world.open[&next].out.is_some());
+}
+
+#[test]
+fn a_reader_whose_reads_take_too_long_gets_no_second_one() {
+    let mut world = World::new(terms(), 6);
+    let first = world.arrive(0, 1, 1000.0, LEFT);
+    world.pass(1000 * MS);
+    let second = world.arrive(0, 1, 1000.0, LEFT);
+    assert_ne!(at(&world, first), at(&world, second));
+    let third = world.arrive(0, 1, 1000.0, LEFT);
+    assert_eq!(at(&world, third), at(&world, second));
+}
+
+#[test]
+fn places_count_at_a_cold_writer() {
+    let mut world = World::new(Terms { probes: false, ..terms() }, 3);
+    let back = Listing { started: world.now - 100 * MS, ..listing(1) };
+    world.relist(back);
+    world.pull();
+    // The model refuses more than two out at a writer that has answered nothing.
+    let ids: Vec<_> = (0..6).map(|_| world.arrive(0, 1, 100.0, LEFT)).collect();
+    let there = ids.iter().filter(|id| world.open[id].place == Some(worker(1))).count();
+    assert!((1..=2).contains(&there), "{there}");
+}
+
+#[test]
+fn what_cannot_make_its_contract_time_is_turned_back_at_once_with_advice() {
+    let mut world = World::new(terms(), 3);
+    let mut gone = listing(0);
+    gone.standing = Standing::Gone;
+    world.relist(gone);
+    world.pull();
+    let id = world.arrive(0, 1, 1000.0, LEFT);
+    world.pass(1600 * MS);
+    assert!(world.open[&id].ended);
+    assert!(matches!(world.log.last(), Some(Decision::TurnBack { after, .. }) if *after > 0));
+}
+
+#[test]
+fn a_session_goes_back_to_the_reader_that_holds_its_text() {
+    let mut world = World::new(terms(), 6);
+    let first = world.arrive(0, 1, 1000.0, LEFT);
+    world.pass(1000 * MS);
+    let spilled = world.arrive_in(77, 0, 1, 1000.0, LEFT);
+    let away = at(&world, spilled);
+    assert_ne!(at(&world, first), away);
+    world.settle(spilled, Ending::Read);
+    world.settle(first, Ending::Read);
+    world.pass(20_000 * MS);
+    let (other, back) = (world.arrive(0, 1, 1000.0, LEFT), world.arrive_in(77, 0, 1, 1000.0, LEFT));
+    assert!(at(&world, other) != away && at(&world, back) == away);
+}
+
+#[test]
+fn a_single_use_submission_is_abandoned_once_it_may_have_run() {
+    for (ending, again) in [(Ending::Broken, false), (Ending::Fault, false), (Ending::Unreachable, true)] {
+        let mut world = World::new(terms(), 6);
+        let id = world.arrive(1, 1, 1000.0, LEFT);
+        world.settle(id, Ending::Read);
+        world.settle(id, ending);
+        assert_eq!(world.open[&id].out.is_some(), again, "{ending:?}");
+        let abandoned = world.log.contains(&Decision::Abandon { id });
+        assert_eq!(abandoned, !again, "{ending:?}");
+    }
+}
+
+#[test]
+fn full_by_queue_tries_another_writer_and_a_lost_state_is_read_anew() {
+    let mut world = World::new(terms(), 6);
+    let id = read(&mut world, false);
+    let first = at(&world, id);
+    world.settle(id, Ending::Full);
+    assert!(at(&world, id) != first && world.list[&at(&world, id)].kind == 1);
+    world.settle(id, Ending::Stateless);
+    assert_eq!(world.list[&at(&world, id)].kind, 0);
+}
+
+#[test]
+fn a_held_writer_that_drains_before_the_send_is_let_go_and_the_prompt_read_anew() {
+    let mut world = World::new(terms(), 6);
+    let id = world.arrive(0, 1, 1000.0, LEFT);
+    world.answer(id, true);
+    let mut drains = world.list[&world.open[&id].place.expect("asked")];
+    drains.standing = Standing::Draining;
+    world.relist(drains);
+    world.pull();
+    world.settle(id, Ending::Read);
+    assert!(world.log.contains(&Decision::LetGo { id }));
+    assert_eq!(world.list[&at(&world, id)].kind, 0);
+}
+
+#[test]
+fn a_state_that_lands_after_the_client_left_is_let_go() {
+    let mut world = World::new(Terms { withdrawals: false, ..terms() }, 6);
+    let id = world.arrive(0, 1, 1000.0, LEFT);
+    world.drop_client(id);
+    world.settle(id, Ending::Read);
+    assert_eq!(world.log.last(), Some(&Decision::LetGo { id }));
+}
+
+#[test]
+fn a_silent_worker_is_probed_and_its_shots_called_back_only_when_that_fails() {
+    let mut world = World::new(terms(), 6);
+    let id = world.arrive(0, 1, 1000.0, 20_000 * MS);
+    world.answer(id, true);
+    let reader = at(&world, id);
+    world.pass(1000 * MS);
+    assert_eq!(world.probes, [reader]);
+    assert!(!world.log.iter().any(|d| matches!(d, Decision::Withdraw { .. })));
+    world.router.probed(world.now, reader, false);
+    world.pull();
+    assert!(world.log.contains(&Decision::Withdraw { id, shot: 0 }));
+    world.settle(id, Ending::Withdrawn);
+    assert_ne!(at(&world, id), reader);
+}
