--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,7 +20,7 @@
 const READING: f64 = 0.5;
 /// What waits is given up when less than so many times the usual way to a first token is left: an overloaded
 /// router would else admit everything just too late.
-const SLACK: f64 = 2.0;
+const SLACK: f64 = 3.0;
 /// One pair in so many passes a shut gate, to measure again; the design's value.
 const MEASURE: f64 = 50.0;
 /// Tenths: the memory of the means, long against one submission and short against a trouble.
