Take last a writer whose first tokens take over half of the contract time

While one of ours waits there, other writers come first, beyond the cell through the gate. It should also cover paused and silent writers; harm: a writer just recovered waits for the end of our one shot.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -617,11 +617,17 @@
             }
         }
         let (cell, zone) = self.workers.get(&reader).map(|w| (w.list.cell, w.list.zone))?;
-        let near = self.least(now, zone, |w| w.list.cell == cell && now >= w.full + DENIAL);
-        if near.is_some() || !self.gate(now) {
-            return near;
-        }
-        self.least(now, zone, |w| w.list.cell != cell && now >= w.full + DENIAL)
+        // Guards against first tokens that come too late: while they take over half of the contract time at a
+        // writer and one of this router's waits there, the others are taken first.
+        let wait = (s.contract - s.came) as f64 * READING;
+        let open = |w: &Worker| now >= w.full + DENIAL;
+        let soon = |w: &Worker| open(w) && (w.waits == 0 || (w.lag as f64) < wait);
+        let near = self.least(now, zone, |w| w.list.cell == cell && soon(w));
+        if near.is_none() && self.gate(now) {
+            let far = self.least(now, zone, |w| w.list.cell != cell && soon(w));
+            return far.or_else(|| self.least(now, zone, open));
+        }
+        near.or_else(|| self.least(now, zone, |w| w.list.cell == cell && open(w)))
     }
 
     fn alive(&self, id: WorkerId) -> bool {
