Ask for the list where it must be asked for; spread the advice on coming back

Sites whose list comes only on request would never have heard of a drain. A failed call is repeated after half a second to a second. Advice on coming back is spread over the upper half of what is allowed, so that a burst that was turned back does not return as one.

--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -83,8 +83,10 @@
                 return Err(format!("list kind {kind} is unknown"));
             }
             let count = f.u32("members_list length")?;
-            if kind == 1 || kind == 2 {
-                router.list_anew(now);
+            match kind {
+                1 | 2 => router.list_anew(now),
+                3 => router.list_failed(now),
+                _ => {}
             }
             for _ in 0..count {
                 router.listed(now, member(f)?);
@@ -184,6 +186,10 @@
             head(80, None);
             out.extend(worker);
         }
+        Decision::Subscribe => {
+            head(40, None);
+            out.push(1);
+        }
         Decision::Wake { after } => {
             head(30, None);
             out.extend(ms(after));
--- a/crates/wirehost/src/terms.rs
+++ b/crates/wirehost/src/terms.rs
@@ -81,6 +81,7 @@
         max_shots: number(&root, "caps.max_attempts")? as u16,
         withdrawals: flag(&root, "caps.cancel"),
         probes: flag(&root, "caps.probing"),
+        subscribes: word(&root, "discovery")? == "subscribe",
         advice: flag(&root, "caps.retry_after"),
         longest_advice: tenths(number(&root, "caps.max_retry_after_ms").unwrap_or(0.0)),
     })
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -110,6 +110,8 @@
     ready: VecDeque<Decision>,
     stale: bool,
     wake: Tenths,
+    /// When to ask for the list's changes, where they come only when asked for.
+    subscribe: Option<Tenths>,
     read_wait: FadingMean,
     token_wait: FadingMean,
     cross_wait: FadingMean,
@@ -118,15 +120,16 @@
 }
 
 impl Router {
-    pub fn new(terms: Terms, seed: u64, _now: Tenths) -> Self {
+    pub fn new(terms: Terms, seed: u64, now: Tenths) -> Self {
         Router {
-            terms,
             chance: Chance::new(seed),
             workers: BTreeMap::new(),
             open: BTreeMap::new(),
             ready: VecDeque::new(),
             stale: false,
             wake: Tenths::MAX,
+            subscribe: terms.subscribes.then_some(now),
+            terms,
             read_wait: FadingMean::default(),
             token_wait: FadingMean::default(),
             cross_wait: FadingMean::default(),
@@ -140,6 +143,13 @@
         self.workers.values_mut().for_each(|w| w.list.standing = Standing::Gone);
     }
 
+    /// The call for the list failed; the old list stays in force, and the next call keeps apart from others'.
+    pub fn list_failed(&mut self, now: Tenths) {
+        self.stale = true;
+        let pause = REST as f64 * (1.0 + self.chance.unit());
+        self.subscribe = self.terms.subscribes.then_some(now + pause as Tenths);
+    }
+
     pub fn listed(&mut self, now: Tenths, list: Listing) {
         self.stale = true;
         let role = self.terms.roles.get(usize::from(list.kind)).copied();
@@ -330,6 +340,9 @@
 
     fn survey(&mut self, now: Tenths) {
         self.count(now);
+        if self.subscribe.take_if(|at| *at <= now).is_some() {
+            self.ready.push_back(Decision::Subscribe);
+        }
         let mut open = std::mem::take(&mut self.open);
         for (&id, s) in &mut open {
             if s.let_go || (s.ended && s.out.is_none() && (s.state.is_some() || s.place.is_some())) {
@@ -360,7 +373,7 @@
         let resting = self.workers.values().any(|w| w.rests_until > 0);
         self.open = open;
         let pause = if waits { LOOK } else { WATCH };
-        if (waits || busy || resting) && self.wake > now + pause {
+        if (waits || busy || resting || self.subscribe.is_some()) && self.wake > now + pause {
             self.wake = now + pause;
             self.ready.push_back(Decision::Wake { after: pause });
         }
@@ -729,7 +742,9 @@
             (s.state, s.place) = (None, None);
         }
         s.ended = true;
-        let after = if self.terms.advice { self.terms.longest_advice } else { 0 };
+        // Spread out, or all that was turned back in one burst would return as one.
+        let spread = 0.5 + self.chance.unit() / 2.0;
+        let after = if self.terms.advice { (self.terms.longest_advice as f64 * spread) as Tenths } else { 0 };
         self.ready.push_back(if harmless {
             Decision::TurnBack { id, after }
         } else {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -84,6 +84,8 @@
     pub max_shots: u16,
     pub withdrawals: bool,
     pub probes: bool,
+    /// Changes of the list come only once they are asked for.
+    pub subscribes: bool,
     pub advice: bool,
     pub longest_advice: Tenths,
 }
@@ -115,12 +117,35 @@
 
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum Decision {
-    Send { id: SubmissionId, worker: WorkerId, within: Tenths },
-    Hold { id: SubmissionId, worker: WorkerId },
-    LetGo { id: SubmissionId },
-    Withdraw { id: SubmissionId, shot: u16 },
-    TurnBack { id: SubmissionId, after: Tenths },
-    Abandon { id: SubmissionId },
-    Probe { worker: WorkerId },
-    Wake { after: Tenths },
+    Send {
+        id: SubmissionId,
+        worker: WorkerId,
+        within: Tenths,
+    },
+    Hold {
+        id: SubmissionId,
+        worker: WorkerId,
+    },
+    LetGo {
+        id: SubmissionId,
+    },
+    Withdraw {
+        id: SubmissionId,
+        shot: u16,
+    },
+    TurnBack {
+        id: SubmissionId,
+        after: Tenths,
+    },
+    Abandon {
+        id: SubmissionId,
+    },
+    Probe {
+        worker: WorkerId,
+    },
+    /// Ask for the list's changes from now on.
+    Subscribe,
+    Wake {
+        after: Tenths,
+    },
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -30,6 +30,7 @@
         max_shots: 5,
         withdrawals: true,
         probes: true,
+        subscribes: false,
         advice: true,
         longest_advice: 1000 * MS,
     }
@@ -292,6 +293,7 @@
                 entry.ended = true;
             }
             Decision::Probe { worker } => self.probes.push(worker),
+            Decision::Subscribe => assert!(self.terms.subscribes),
             Decision::Wake { after } => self.wakes.push(now + after),
         }
     }
--- a/tests/lessons.rs
+++ b/tests/lessons.rs
@@ -184,3 +184,15 @@
     world.settle(id, Ending::Withdrawn);
     assert_ne!(at(&world, id), reader);
 }
+
+#[test]
+fn a_list_that_must_be_asked_for_is_asked_for_again_after_a_failure() {
+    let mut world = World::new(Terms { subscribes: true, ..terms() }, 3);
+    let asked = |world: &World| world.log.iter().filter(|d| **d == Decision::Subscribe).count();
+    assert_eq!(asked(&world), 1);
+    world.router.list_failed(world.now);
+    world.pull();
+    assert_eq!(asked(&world), 1);
+    world.pass(1500 * MS);
+    assert_eq!(asked(&world), 2);
+}
