--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,13 +39,15 @@
 const PATIENCE_LEAST: Tenths = 3_000;
 /// Part of the release time after which a state that found no writer is let go; the rest covers ticks.
 const PINNED: f64 = 0.7;
+/// A router's part of a customer's traffic may be so many times the even part before it counts as beyond.
+const UNEVEN: f64 = 1.5;
 /// Tenths: how long a session is expected back at its reader, a few times a person's pause for thought.
 const SESSION: Tenths = 400_000;
 /// Tenths: how often undecided submissions are looked at, and how often only workers are watched.
 const LOOK: Tenths = 100;
 const WATCH: Tenths = 500;
 
-#[derive(Clone)]
+#[derive(Default)]
 struct Worker {
     list: Listing,
     role: Role,
@@ -84,12 +86,15 @@
     cross: bool,
 }
 
+#[derive(Default)]
 struct Submission {
     arrival: Arrival,
     came: Tenths,
     contract: Tenths,
     cut_off: Tenths,
     shots: u16,
+    /// Beyond its customer's share: it yields to the rest.
+    beyond: bool,
     out: Option<Shot>,
     /// The writer asked for a place, and whether it is known to be held.
     place: Option<(WorkerId, bool)>,
@@ -109,6 +114,8 @@
     open: BTreeMap<SubmissionId, Submission>,
     ready: VecDeque<Decision>,
     stale: bool,
+    /// No reader takes any more in this survey.
+    shut: bool,
     wake: Tenths,
     /// When to ask for the list's changes, where they come only when asked for.
     subscribe: Option<Tenths>,
@@ -117,6 +124,8 @@
     cross_wait: FadingMean,
     /// Where and when each session was last read.
     lately: BTreeMap<u64, (WorkerId, Tenths)>,
+    /// What each customer has lately asked of this router.
+    asked: Vec<Fading>,
 }
 
 impl Router {
@@ -127,13 +136,15 @@
             open: BTreeMap::new(),
             ready: VecDeque::new(),
             stale: false,
+            shut: false,
             wake: Tenths::MAX,
             subscribe: terms.subscribes.then_some(now),
-            terms,
             read_wait: FadingMean::default(),
             token_wait: FadingMean::default(),
             cross_wait: FadingMean::default(),
             lately: BTreeMap::new(),
+            asked: vec![Fading::default(); terms.allowances.len()],
+            terms,
         }
     }
 
@@ -154,28 +165,13 @@
         self.stale = true;
         let role = self.terms.roles.get(usize::from(list.kind)).copied();
         let Some(role) = role else { return };
-        let worker = self.workers.entry(list.worker).or_insert(Worker {
+        let worker = self.workers.entry(list.worker).or_insert_with(|| Worker {
             list,
-            role,
-            tokens: 0.0,
-            reads: 0,
-            streams: 0,
-            oldest: now,
-            answers: 0,
             fresh_from: list.started,
-            sent: Fading::default(),
-            read_wait: FadingMean::default(),
-            done: Fading::default(),
-            waits: 0,
-            tight: false,
-            lag: 0,
             heard: now,
-            denied: -DENIAL,
-            full: -DENIAL,
-            errors: 0,
-            rests: 0,
-            rests_until: 0,
-            probing: false,
+            denied: now - DENIAL,
+            full: now - FULL,
+            ..Worker::default()
         });
         if worker.list.started != list.started {
             (worker.answers, worker.fresh_from) = (0, list.started);
@@ -190,21 +186,20 @@
         self.stale = true;
         let Some(track) = self.terms.tracks.get(usize::from(arrival.track)) else { return false };
         let stretch = track.per_thousand as f64 * arrival.prompt.max(0.0) / 1000.0;
-        let submission = Submission {
-            arrival,
-            came: now,
-            contract: now + track.contract + stretch as Tenths,
-            cut_off: now + arrival.left,
-            shots: 0,
-            out: None,
-            place: None,
-            asked: Vec::new(),
-            state: None,
-            since: now,
-            ran: None,
-            let_go: false,
-            ended: false,
+        // The share is the fleet's; this router sees a part of it, which may be more than its even part.
+        let customer = arrival.customer as usize;
+        let beyond = match (self.asked.get_mut(customer), self.terms.allowances.get(customer)) {
+            (Some(asked), Some(allowance)) => {
+                asked.add(now, MEMORY, 1.0);
+                let rate = asked.read(now, MEMORY) * 10_000.0 / MEMORY as f64;
+                rate * f64::from(self.terms.routers) > allowance * UNEVEN
+            }
+            _ => false,
         };
+        let contract = now + track.contract + stretch as Tenths;
+        let (came, cut_off) = (now, now + arrival.left);
+        let submission =
+            Submission { arrival, came, contract, cut_off, beyond, since: now, ..Submission::default() };
         self.open.insert(arrival.id, submission);
         true
     }
@@ -340,6 +335,7 @@
 
     fn survey(&mut self, now: Tenths) {
         self.count(now);
+        self.shut = false;
         if self.subscribe.take_if(|at| *at <= now).is_some() {
             self.ready.push_back(Decision::Subscribe);
         }
@@ -355,11 +351,11 @@
         let mut order: Vec<_> = open
             .iter()
             .filter(|(_, s)| !s.ended)
-            .map(|(&id, s)| (s.state.is_none(), s.contract, id))
+            .map(|(&id, s)| (s.state.is_none(), s.beyond, s.contract, id))
             .collect();
         order.sort_unstable();
         let mut waits = false;
-        for (_, _, id) in order {
+        for (.., id) in order {
             let Some(s) = open.get_mut(&id) else { continue };
             if s.out.is_none() {
                 self.forward(now, s);
@@ -584,10 +580,15 @@
     }
 
     fn reader_for(&mut self, now: Tenths, s: &Submission) -> Option<WorkerId> {
+        // Guards against the cost of a flood: with no reader left the rest of the waiting need not look.
+        if self.shut {
+            return None;
+        }
+        self.shut = true;
         let usable_wait = (s.contract - s.came) as f64 * READING;
         let mut past: Option<(f64, WorkerId)> = None;
         for id in self.readers(&s.arrival) {
-            if !self.usable(now, id) || !self.may_run(now, s, id) {
+            if !self.usable(now, id) {
                 continue;
             }
             let Some(w) = self.workers.get_mut(&id) else { continue };
@@ -596,14 +597,19 @@
             let slow =
                 w.read_wait.read(now, MEMORY).unwrap_or(0.0).max((now - w.oldest) as f64) > usable_wait;
             let (cell, mixed) = (w.list.cell, w.role == Role::Mixed);
-            if now < w.full + FULL || w.reads > 0 && (slow || w.tokens + s.arrival.prompt > SPILL * FILLED) {
+            let tokens = if w.reads > 0 { w.tokens + s.arrival.prompt } else { 0.0 };
+            if now < w.full + FULL || w.reads > 0 && w.tokens > SPILL * FILLED {
                 continue;
             }
-            let tokens = if w.reads > 0 { w.tokens + s.arrival.prompt } else { 0.0 };
+            let busy = w.reads > 0 && slow || tokens > SPILL * FILLED;
             // Exception to the wait: a reader further down whose cell grants is taken first.
             if !mixed && !self.grants(now, cell) {
                 continue;
             }
+            self.shut = false;
+            if busy || !self.may_run(now, s, id) {
+                continue;
+            }
             if tokens <= SPILL {
                 return Some(id);
             }
@@ -723,6 +729,7 @@
     fn end_if_hopeless(&mut self, now: Tenths, s: &mut Submission) {
         let usual = self.read_wait.read(now, MEMORY).unwrap_or(0.0);
         let usual = usual + self.token_wait.read(now, MEMORY).unwrap_or(0.0);
+        let usual = if s.beyond { usual * 2.0 } else { usual };
         if now + (usual * SLACK) as Tenths + LOOK > s.contract.min(s.cut_off) {
             self.end(s);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -9,15 +9,17 @@
 pub type SubmissionId = u64;
 
 /// What a machine of one kind does: reads prompts, writes answers, or takes submissions whole.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub enum Role {
+    #[default]
     Reader,
     Writer,
     Mixed,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub enum Standing {
+    #[default]
     Ready,
     Draining,
     Gone,
@@ -91,7 +93,7 @@
 }
 
 /// One worker as the list names it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Listing {
     pub worker: WorkerId,
     pub kind: u16,
@@ -104,7 +106,7 @@
 }
 
 /// One submission as a client hands it over.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Arrival {
     pub id: SubmissionId,
     pub track: u8,
