Traffic beyond a customer's share yields in order only

Cause: in a burst every customer is beyond its share, and ending its submissions sooner turned back what would have fitted.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,8 +39,6 @@
 const PATIENCE_LEAST: Tenths = 3_000;
 /// Part of the release time after which a state that found no writer is let go; the rest covers ticks.
 const PINNED: f64 = 0.7;
-/// A router's part of a customer's traffic may be so many times the even part before it counts as beyond.
-const UNEVEN: f64 = 1.5;
 /// Tenths: how long a session is expected back at its reader, a few times a person's pause for thought.
 const SESSION: Tenths = 400_000;
 /// Tenths: how often undecided submissions are looked at, and how often only workers are watched.
@@ -93,7 +91,7 @@
     contract: Tenths,
     cut_off: Tenths,
     shots: u16,
-    /// Beyond its customer's share: it yields to the rest.
+    /// Beyond its customer's share.
     beyond: bool,
     out: Option<Shot>,
     /// The writer asked for a place, and whether it is known to be held.
@@ -186,13 +184,14 @@
         self.stale = true;
         let Some(track) = self.terms.tracks.get(usize::from(arrival.track)) else { return false };
         let stretch = track.per_thousand as f64 * arrival.prompt.max(0.0) / 1000.0;
-        // The share is the fleet's; this router sees a part of it, which may be more than its even part.
+        // The share is the fleet's and this router sees a part that may be uneven, so being beyond only puts a
+        // submission behind the others that wait.
         let customer = arrival.customer as usize;
         let beyond = match (self.asked.get_mut(customer), self.terms.allowances.get(customer)) {
             (Some(asked), Some(allowance)) => {
                 asked.add(now, MEMORY, 1.0);
                 let rate = asked.read(now, MEMORY) * 10_000.0 / MEMORY as f64;
-                rate * f64::from(self.terms.routers) > allowance * UNEVEN
+                rate * f64::from(self.terms.routers) > *allowance
             }
             _ => false,
         };
@@ -729,7 +728,6 @@
     fn end_if_hopeless(&mut self, now: Tenths, s: &mut Submission) {
         let usual = self.read_wait.read(now, MEMORY).unwrap_or(0.0);
         let usual = usual + self.token_wait.read(now, MEMORY).unwrap_or(0.0);
-        let usual = if s.beyond { usual * 2.0 } else { usual };
         if now + (usual * SLACK) as Tenths + LOOK > s.contract.min(s.cut_off) {
             self.end(s);
         }
