--- a/crates/wirehost/tests/frames.rs
+++ b/crates/wirehost/tests/frames.rs
@@ -123,7 +123,8 @@
     assert!(complaint(&frame(&[vec![99, 0, 0]])).contains("event code 99"));
     assert!(complaint(&frame(&[request(4, 1)])).contains("instance 4 was never enlisted"));
     assert!(complaint(&frame(&[enlist(0, "{")])).contains("do not parse"));
-    assert!(complaint(&frame(&[enlist(0, &SETTINGS.replace("fall_ms", "x"))])).contains("invariants.fall_ms"));
+    let lacking = SETTINGS.replace("fall_ms", "x");
+    assert!(complaint(&frame(&[enlist(0, &lacking)])).contains("invariants.fall_ms"));
     let mut overrun = list(0, 2, &[]);
     overrun[12..16].copy_from_slice(&u32::MAX.to_le_bytes());
     assert!(complaint(&frame(&[enlist(0, SETTINGS), overrun])).contains("bytes"));
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,7 +16,7 @@
 const DENIAL: Tenths = 500;
 /// Tenths: how long a reader's 'full' is believed: its queue holds seconds of work, not moments.
 const FULL: Tenths = 5_000;
-/// Part of the contract time that a read may take, queue included; the rest is for the way to the first token.
+/// Part of the contract time that a read may take, queue included; the rest is for the first token.
 const READING: f64 = 0.5;
 /// What waits is given up when less than so many times the usual way to a first token is left: an overloaded
 /// router would else admit everything just too late.
@@ -184,8 +184,8 @@
         self.stale = true;
         let Some(track) = self.terms.tracks.get(usize::from(arrival.track)) else { return false };
         let stretch = track.per_thousand as f64 * arrival.prompt.max(0.0) / 1000.0;
-        // The share is the fleet's and this router sees a part that may be uneven, so being beyond only puts a
-        // submission behind the others that wait.
+        // The share is the fleet's and this router sees a part that may be uneven, so being beyond only puts
+        // a submission behind the others that wait.
         let customer = arrival.customer as usize;
         let beyond = match (self.asked.get_mut(customer), self.terms.allowances.get(customer)) {
             (Some(asked), Some(allowance)) => {
@@ -461,8 +461,8 @@
         true
     }
 
-    /// Guards against pushing over a cold worker: this router's share of its kind's sends, scaled down to what
-    /// the worker can surely do, leaves the whole multiple as margin when every router does the same.
+    /// Guards against pushing over a cold worker: this router's share of its kind's sends, scaled down to
+    /// what the worker can surely do, leaves the whole multiple as margin when every router does the same.
     fn cold_room(&mut self, now: Tenths, id: WorkerId, age: Tenths) -> bool {
         let (span, warm) = (self.terms.fall_span, self.terms.warm_after);
         let role = self.workers[&id].role;
@@ -480,8 +480,8 @@
         self.workers.get_mut(&id).is_some_and(|w| w.sent.read(now, span) < (mean * present * margin).max(0.5))
     }
 
-    /// Readers and mixed workers, best first, by rendezvous hashing of the prefix or session. A cell's readers
-    /// share the weight of its writers, or a cell with few writers would draw more than they can answer.
+    /// Readers and mixed workers, best first, by rendezvous hashing of the prefix or session. A cell's
+    /// readers share the weight of its writers, or a cell with few writers would draw more than they can answer.
     fn readers(&self, arrival: &Arrival) -> Vec<WorkerId> {
         let key = if arrival.prefix != 0 { arrival.prefix } else { arrival.session };
         let mut cells: BTreeMap<u16, (f64, f64)> = BTreeMap::new();
@@ -493,8 +493,8 @@
         for (&id, w) in self.workers.iter().filter(|(_, w)| w.role != Role::Writer) {
             let (reads, writes) = cells.get(&w.list.cell).copied().unwrap_or_default();
             let share = if w.role == Role::Mixed { 1.0 } else { (writes / reads.max(0.01)).max(0.01) };
-            // Exception to the hash: a session that was read elsewhere goes back to where its own text is kept,
-            // or each spill and each return of a reader would cost one more whole read.
+            // Exception to the hash: a session that was read elsewhere goes back to where its own text is
+            // kept, or each spill and each return of a reader would cost one more whole read.
             let stays = self.lately.get(&arrival.session).is_some_and(|(at, _)| *at == id);
             let rank = if stays { f64::MAX } else { w.list.size.max(0.01) * share / -draw(key, id).ln() };
             ranked.push((rank, id));
@@ -506,7 +506,7 @@
     fn grants(&mut self, now: Tenths, cell: u16) -> bool {
         // A writer that said no gets at most one waiting submission from this router, whose start is the sign
         // that it has room again, and then rests so long that the routers together keep about one there.
-        let others = Tenths::from(self.terms.routers - 1);
+        let others = Tenths::from(self.terms.routers.saturating_sub(1));
         let writers = self.writers(|w| {
             w.list.cell == cell && (!w.tight || w.waits == 0 && now >= w.denied + DENIAL.max(w.lag * others))
         });
@@ -627,8 +627,8 @@
 
     /// The held writer, else the fewest own streams in the reader's cell, else beyond it through the gate.
     fn writer_for(&mut self, now: Tenths, s: &Submission, reader: WorkerId) -> Option<WorkerId> {
-        // A short read may end before the answer on its place: the state may have gone ahead all the same, and
-        // a send elsewhere would find none.
+        // A short read may end before the answer on its place: the state may have gone ahead all the same,
+        // and a send elsewhere would find none.
         if let Some((writer, held)) = s.place {
             if held || self.alive(writer) {
                 return self.alive(writer).then_some(writer);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -63,9 +63,6 @@
     pub contract: Tenths,
     /// Contract time added for every 1,000 prompt tokens.
     pub per_thousand: Tenths,
-    pub earnings: f64,
-    /// The part of the earnings that a late answer still brings.
-    pub late: f64,
 }
 
 /// What a router is told when it starts and works under from then on.
