--- a/src/choice.rs
+++ b/src/choice.rs
@@ -481,7 +481,8 @@
     }
 
     /// Readers and mixed workers, best first, by rendezvous hashing of the prefix or session. A cell's
-    /// readers share the weight of its writers, or a cell with few writers would draw more than they can answer.
+    /// readers share the weight of its writers, or a cell with few writers would draw more than they can
+    /// answer.
     fn readers(&self, arrival: &Arrival) -> Vec<WorkerId> {
         let key = if arrival.prefix != 0 { arrival.prefix } else { arrival.session };
         let mut cells: BTreeMap<u16, (f64, f64)> = BTreeMap::new();
