--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,8 +14,6 @@
 const FILLED: f64 = 2.0;
 /// Tenths: how long a writer's 'not held' or a server's 'full' is believed; the design's 50 ms.
 const DENIAL: Tenths = 500;
-/// Tenths: how long a reader's 'full' is believed: its queue holds seconds of work, not moments.
-const FULL: Tenths = 5_000;
 /// Part of the contract time that a read may take, queue included; the rest is for the first token.
 const READING: f64 = 0.5;
 /// What waits is given up when less than so many times the usual way to a first token is left: an overloaded
@@ -168,7 +166,7 @@
             fresh_from: list.started,
             heard: now,
             denied: now - DENIAL,
-            full: now - FULL,
+            full: now - DENIAL,
             ..Worker::default()
         });
         if worker.list.started != list.started {
@@ -598,7 +596,7 @@
                 w.read_wait.read(now, MEMORY).unwrap_or(0.0).max((now - w.oldest) as f64) > usable_wait;
             let (cell, mixed) = (w.list.cell, w.role == Role::Mixed);
             let tokens = if w.reads > 0 { w.tokens + s.arrival.prompt } else { 0.0 };
-            if now < w.full + FULL || w.reads > 0 && w.tokens > SPILL * FILLED {
+            if now < w.full + DENIAL || w.reads > 0 && w.tokens > SPILL * FILLED {
                 continue;
             }
             let busy = w.reads > 0 && slow || tokens > SPILL * FILLED;
