Fold twins in the decision module: rule 2, letting go, coming back, being well

Rule 2 stands once instead of in two copies; letting go, a worker's return and its being well each have one place; a parameter that nothing read is gone; the bound on places asked joins the constants.

--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -120,7 +120,7 @@
             let terminal = f.u8("terminal")? != 0;
             let info = f.u32("info")?;
             floats(f)?;
-            router.settled(now, id, shot, ending(code, info)?, terminal, f64::from(info));
+            router.settled(now, id, shot, ending(code, info)?, terminal);
         }
         60 => router.dropped(now, f.u64("req")?),
         70 => {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,6 +21,8 @@
 const SLACK: f64 = 3.0;
 /// One pair in so many passes a shut gate, to measure again; the design's value.
 const MEASURE: f64 = 50.0;
+/// Places that a read may ask for, over which it looks no further beyond its cell: each costs a probe.
+const ASKS: usize = 4;
 /// Tenths: the memory of the means, long against one submission and short against a trouble.
 const MEMORY: Tenths = 50_000;
 /// Tenths: the first rest of a worker that failed, about the time in which a process starts again.
@@ -61,7 +63,7 @@
     waits: u32,
     /// Its last answer on a place was no.
     tight: bool,
-    /// How long its last first token took, and when that was.
+    /// How long its last first token took.
     lag: Tenths,
     heard: Tenths,
     denied: Tenths,
@@ -213,7 +215,7 @@
         if let Some(w) = self.workers.get_mut(&worker) {
             w.done.add(now, self.terms.fall_span, 1.0);
             w.lag = now - sent;
-            (w.heard, w.errors, w.rests, w.rests_until) = (now, 0, 0, 0);
+            w.well(now);
         }
     }
 
@@ -229,15 +231,7 @@
         }
     }
 
-    pub fn settled(
-        &mut self,
-        now: Tenths,
-        id: SubmissionId,
-        shot: u16,
-        ending: Ending,
-        terminal: bool,
-        _kept: f64,
-    ) {
+    pub fn settled(&mut self, now: Tenths, id: SubmissionId, shot: u16, ending: Ending, terminal: bool) {
         self.stale = true;
         let Some(submission) = self.open.get_mut(&id) else { return };
         let Some(out) = submission.out.take_if(|out| out.number == shot) else { return };
@@ -270,9 +264,9 @@
             Ending::Read => {
                 worker.done.add(now, self.terms.fall_span, 1.0);
                 worker.read_wait.add(now, MEMORY, (now - out.sent) as f64);
-                self.well(now, out.worker);
+                worker.answered(now);
             }
-            Ending::Honoured | Ending::Stateless => self.well(now, out.worker),
+            Ending::Honoured | Ending::Stateless => worker.answered(now),
             Ending::Full => (worker.heard, worker.denied, worker.full, worker.tight) = (now, now, now, true),
             Ending::Fault => {
                 worker.heard = now;
@@ -308,8 +302,7 @@
         if well {
             w.heard = now;
             if w.rests_until > 0 {
-                // Back through a trickle: the cap on what is in flight starts anew.
-                (w.rests_until, w.answers, w.fresh_from) = (0, 0, now);
+                w.back(now);
             }
         } else {
             w.rest(now, jitter);
@@ -323,13 +316,6 @@
         self.ready.pop_front()
     }
 
-    fn well(&mut self, now: Tenths, worker: WorkerId) {
-        if let Some(w) = self.workers.get_mut(&worker) {
-            (w.heard, w.errors, w.rests, w.rests_until) = (now, 0, 0, 0);
-            w.answers = w.answers.saturating_add(1);
-        }
-    }
-
     fn survey(&mut self, now: Tenths) {
         self.count(now);
         self.shut = false;
@@ -337,10 +323,9 @@
             self.ready.push_back(Decision::Subscribe);
         }
         let mut open = std::mem::take(&mut self.open);
-        for (&id, s) in &mut open {
+        for s in open.values_mut() {
             if s.let_go || (s.ended && s.out.is_none() && (s.state.is_some() || s.place.is_some())) {
-                self.ready.push_back(Decision::LetGo { id });
-                s.let_go = false;
+                self.let_go(s);
             }
         }
         open.retain(|_, s| !s.ended || s.out.is_some());
@@ -426,7 +411,7 @@
                 } else if silent {
                     w.rest(now, 1.0 + self.chance.unit());
                 } else {
-                    (w.rests_until, w.answers, w.fresh_from) = (0, 0, now);
+                    w.back(now);
                 }
             }
         }
@@ -445,18 +430,14 @@
     /// Whether a new shot or place may go to the worker.
     fn usable(&mut self, now: Tenths, id: WorkerId) -> bool {
         let Some(w) = self.workers.get(&id) else { return false };
-        if w.list.standing != Standing::Ready || w.rests_until > 0 {
+        if !w.alive() {
             return false;
         }
         let fresh = now - w.fresh_from < self.terms.warm_after && w.fresh_from > 0;
         if fresh && w.reads + w.streams >= FRESH + w.answers {
             return false;
         }
-        let age = now - w.list.started;
-        if w.list.started > 0 && age < self.terms.warm_after {
-            return self.cold_room(now, id, age);
-        }
-        true
+        !w.cold(now, self.terms.warm_after) || self.cold_room(now, id, now - w.list.started)
     }
 
     /// Guards against pushing over a cold worker: this router's share of its kind's sends, scaled down to
@@ -466,8 +447,7 @@
         let role = self.workers[&id].role;
         let (mut kin, mut sent) = (0.0, 0.0);
         for w in self.workers.values_mut() {
-            let cold = w.list.started > 0 && now - w.list.started < warm;
-            if w.role == role && w.list.standing == Standing::Ready && !cold {
+            if w.role == role && w.list.standing == Standing::Ready && !w.cold(now, warm) {
                 kin += 1.0;
                 sent += w.done.read(now, span);
             }
@@ -539,8 +519,7 @@
 
     /// The next step of a submission that has no shot out.
     fn forward(&mut self, now: Tenths, s: &mut Submission) {
-        let id = s.arrival.id;
-        if now + LOOK >= s.cut_off || s.ran.is_some() && !self.may_repeat(now, s) {
+        if now + LOOK >= s.cut_off || !self.may_repeat(now, s) {
             return self.end(s);
         }
         if let Some(reader) = s.state {
@@ -556,8 +535,7 @@
                     return;
                 }
                 _ if overdue || s.place.is_some_and(|(_, held)| held) => {
-                    self.ready.push_back(Decision::LetGo { id });
-                    (s.state, s.place) = (None, None);
+                    self.let_go(s);
                 }
                 _ => return self.end_if_hopeless(now, s),
             }
@@ -648,7 +626,7 @@
     }
 
     fn alive(&self, id: WorkerId) -> bool {
-        self.workers.get(&id).is_some_and(|w| w.list.standing == Standing::Ready && w.rests_until == 0)
+        self.workers.get(&id).is_some_and(Worker::alive)
     }
 
     /// Asks for a place at the next writer of the reader's cell while the prompt is read.
@@ -663,7 +641,7 @@
         let asked = s.asked.clone();
         let fits = |w: &Worker| !asked.contains(&w.list.worker) && now >= w.denied + DENIAL;
         let mut writer = self.least(now, zone, |w| w.list.cell == cell && fits(w));
-        if writer.is_none() && s.asked.len() < 4 && self.gate(now) {
+        if writer.is_none() && s.asked.len() < ASKS && self.gate(now) {
             writer = self.least(now, zone, |w| w.list.cell != cell && fits(w));
         }
         let Some(worker) = writer.filter(|&w| self.may_run(now, s, w)) else { return };
@@ -696,32 +674,27 @@
         self.ready.push_back(Decision::Send { id: s.arrival.id, worker, within: 0 });
     }
 
-    /// Rule 2: whether the track lets the submission run again at this worker now.
-    fn may_run(&self, now: Tenths, s: &Submission, worker: WorkerId) -> bool {
-        let Some((first, ran_at)) = s.ran else { return true };
-        let (Some(there), Some(here)) = (self.workers.get(&ran_at), self.workers.get(&worker)) else {
-            return false;
-        };
-        match self.terms.tracks[usize::from(s.arrival.track)].repeat {
+    /// Rule 2: whether the track lets the submission run again now, somewhere.
+    fn may_repeat(&self, now: Tenths, s: &Submission) -> bool {
+        s.ran.is_none_or(|(first, _)| match self.terms.tracks[usize::from(s.arrival.track)].repeat {
             Repeat::Replayable => true,
             Repeat::SingleUse => false,
-            Repeat::Referenced { group, window } => {
-                now < first + window
-                    && match group {
-                        Group::All => true,
-                        Group::Zone => there.list.zone == here.list.zone,
-                        Group::Cell => there.list.cell == here.list.cell,
-                    }
-            }
-        }
+            Repeat::Referenced { window, .. } => now < first + window,
+        })
     }
 
-    fn may_repeat(&self, now: Tenths, s: &Submission) -> bool {
-        match self.terms.tracks[usize::from(s.arrival.track)].repeat {
-            Repeat::Replayable => true,
-            Repeat::SingleUse => false,
-            Repeat::Referenced { window, .. } => s.ran.is_none_or(|(first, _)| now < first + window),
-        }
+    /// And whether it may at this worker.
+    fn may_run(&self, now: Tenths, s: &Submission, worker: WorkerId) -> bool {
+        let Some((_, ran_at)) = s.ran else { return true };
+        let (Some(there), Some(here)) = (self.workers.get(&ran_at), self.workers.get(&worker)) else {
+            return false;
+        };
+        let together = match self.terms.tracks[usize::from(s.arrival.track)].repeat {
+            Repeat::Referenced { group: Group::Zone, .. } => there.list.zone == here.list.zone,
+            Repeat::Referenced { group: Group::Cell, .. } => there.list.cell == here.list.cell,
+            _ => true,
+        };
+        together && self.may_repeat(now, s)
     }
 
     fn end_if_hopeless(&mut self, now: Tenths, s: &mut Submission) {
@@ -732,6 +705,11 @@
         }
     }
 
+    fn let_go(&mut self, s: &mut Submission) {
+        self.ready.push_back(Decision::LetGo { id: s.arrival.id });
+        (s.state, s.place, s.let_go) = (None, None, false);
+    }
+
     /// The final answer: a turn-back where its promise is true, else an abandonment.
     fn end(&mut self, s: &mut Submission) {
         let id = s.arrival.id;
@@ -742,8 +720,7 @@
                 Repeat::Referenced { group, .. } => group == Group::All,
             };
         if s.state.is_some() || s.place.is_some() {
-            self.ready.push_back(Decision::LetGo { id });
-            (s.state, s.place) = (None, None);
+            self.let_go(s);
         }
         s.ended = true;
         // Spread out, or all that was turned back in one burst would return as one.
@@ -758,6 +735,28 @@
 }
 
 impl Worker {
+    fn well(&mut self, now: Tenths) {
+        (self.heard, self.errors, self.rests, self.rests_until) = (now, 0, 0, 0);
+    }
+
+    fn answered(&mut self, now: Tenths) {
+        self.well(now);
+        self.answers = self.answers.saturating_add(1);
+    }
+
+    /// Back through a trickle: the cap on what is in flight starts anew.
+    fn back(&mut self, now: Tenths) {
+        (self.rests_until, self.answers, self.fresh_from) = (0, 0, now);
+    }
+
+    fn alive(&self) -> bool {
+        self.list.standing == Standing::Ready && self.rests_until == 0
+    }
+
+    fn cold(&self, now: Tenths, warm: Tenths) -> bool {
+        self.list.started > 0 && now - self.list.started < warm
+    }
+
     /// Out of service for a while, twice as long after each failure; the jitter keeps routers apart.
     fn rest(&mut self, now: Tenths, jitter: f64) {
         if now < self.rests_until {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -164,7 +164,7 @@
         entry.held &= !terminal;
         entry.asked = false;
         (entry.since, entry.ended) = (self.now, entry.ended || terminal);
-        self.router.settled(self.now, id, shot.number, ending, entry.ended, 0.0);
+        self.router.settled(self.now, id, shot.number, ending, entry.ended);
         self.pull();
     }
 
