Without readers, writers that read take all that waits, not one a look

The guard against floods shut the survey before the way for writers that read was tried, so that one submission a survey went out there; found reading the change. Its test failed before (1 sent of 3) and passes now.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -560,10 +560,14 @@
         if self.shut {
             return None;
         }
+        let readers = self.readers(&s.arrival);
+        if readers.is_empty() && self.terms.writers_read {
+            return self.least(now, 0, |w| now >= w.full + DENIAL);
+        }
         self.shut = true;
         let usable_wait = (s.contract - s.came) as f64 * READING;
         let mut past: Option<(f64, WorkerId)> = None;
-        for id in self.readers(&s.arrival) {
+        for id in readers {
             if !self.usable(now, id) {
                 continue;
             }
@@ -593,13 +597,7 @@
                 past = Some((tokens, id));
             }
         }
-        if past.is_some() {
-            return past.map(|(_, id)| id);
-        }
-        if self.terms.writers_read && self.readers(&s.arrival).is_empty() {
-            return self.least(now, 0, |w| now >= w.full + DENIAL);
-        }
-        None
+        past.map(|(_, id)| id)
     }
 
     /// The held writer, else the fewest own streams in the reader's cell, else beyond it through the gate.
--- a/tests/lessons.rs
+++ b/tests/lessons.rs
@@ -196,3 +196,17 @@
     world.pass(1500 * MS);
     assert_eq!(asked(&world), 2);
 }
+
+#[test]
+fn writers_that_read_take_all_that_waits_where_there_is_no_reader() {
+    let mut world = World::new(Terms { writers_read: true, ..terms() }, 0);
+    world.relist(listing(1));
+    let arrive = |world: &mut World, id: SubmissionId| {
+        let (track, customer, session, prefix) = (0, 0, id, 0);
+        let arrival = Arrival { id, track, customer, session, prefix, prompt: 900.0, left: LEFT };
+        assert!(world.router.arrived(world.now, arrival));
+    };
+    (1..=3).for_each(|id| arrive(&mut world, id));
+    let sent = std::iter::from_fn(|| world.router.decide(world.now));
+    assert_eq!(sent.filter(|d| matches!(d, Decision::Send { .. })).count(), 3);
+}
