Ties among writers go by chance, not to the first id

Cause: with one submission a second a router has no stream at most writers, and the first id won every tie. Kept: no herd on one id can come of it; harms only where the order carried sense.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -500,14 +500,16 @@
     fn least(&mut self, now: Tenths, zone: u8, fits: impl Fn(&Worker) -> bool) -> Option<WorkerId> {
         let mut fitting = self.writers(fits);
         fitting.retain(|&id| self.usable(now, id));
-        let rank = |id: &WorkerId| {
-            let w = &self.workers[id];
-            (w.list.zone != zone, f64::from(w.streams) / w.list.size.max(0.01))
-        };
-        fitting.into_iter().min_by(|a, b| {
-            let (a, b) = (rank(a), rank(b));
-            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
-        })
+        // Ties go by chance: most of many routers have no stream at most writers, and the first in the list
+        // would get them all.
+        let mut best: Option<(bool, f64, f64, WorkerId)> = None;
+        for id in fitting {
+            let w = &self.workers[&id];
+            let own = f64::from(w.streams) / w.list.size.max(0.01);
+            let rank = (w.list.zone != zone, own, self.chance.unit(), id);
+            best = Some(best.filter(|b| (b.0, b.1, b.2) <= (rank.0, rank.1, rank.2)).unwrap_or(rank));
+        }
+        best.map(|b| b.3)
     }
 
     /// The gate to another cell: open while first tokens over cells come soon enough, else now and then.
