--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,6 +12,9 @@
 const SPILL: f64 = 4_000.0;
 /// Where every reader is past the bound, the least filled takes up to so many times the bound.
 const FILLED: f64 = 2.0;
+/// A reader's part of all reads follows its cell's writers up to so many times an even part, or down to its
+/// inverse: readers as a whole have about that much to spare over writers.
+const LEAN: f64 = 1.4;
 /// Tenths: how long a writer's 'not held' or a server's 'full' is believed; the design's 50 ms.
 const DENIAL: Tenths = 500;
 /// Part of the contract time that a read may take, queue included; the rest is for the first token.
@@ -464,14 +467,21 @@
     fn readers(&self, arrival: &Arrival) -> Vec<WorkerId> {
         let key = if arrival.prefix != 0 { arrival.prefix } else { arrival.session };
         let mut cells: BTreeMap<u16, (f64, f64)> = BTreeMap::new();
+        let mut all = (0.0, 0.0);
         for w in self.workers.values().filter(|w| w.list.standing == Standing::Ready) {
             let (reads, writes) = cells.entry(w.list.cell).or_default();
-            *if w.role == Role::Reader { reads } else { writes } += w.list.size.max(0.01);
+            let size = w.list.size.max(0.01);
+            *if w.role == Role::Reader { &mut *reads } else { &mut *writes } += size;
+            *if w.role == Role::Reader { &mut all.0 } else { &mut all.1 } += size;
         }
         let mut ranked = Vec::new();
         for (&id, w) in self.workers.iter().filter(|(_, w)| w.role != Role::Writer) {
             let (reads, writes) = cells.get(&w.list.cell).copied().unwrap_or_default();
-            let share = if w.role == Role::Mixed { 1.0 } else { (writes / reads.max(0.01)).max(0.01) };
+            let share = if w.role == Role::Mixed {
+                1.0
+            } else {
+                (writes * all.0 / (reads * all.1).max(0.01)).clamp(1.0 / LEAN, LEAN)
+            };
             // Exception to the hash: a session that was read elsewhere goes back to where its own text is
             // kept, or each spill and each return of a reader would cost one more whole read.
             let stays = self.lately.get(&arrival.session).is_some_and(|(at, _)| *at == id);
