A lost shot is called back by the odds of a loss and counts against its worker for that track

Cause: shots whose answer never comes were held to their client's cut-off. Kept: patience by the log of the odds of a loss.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,10 +41,15 @@
 const SPREAD: f64 = 2.5;
 /// Shots that a fresh worker may have out before its first answer.
 const FRESH: u32 = 2;
-/// A worker is asked whether it lives after being silent for so many times the usual wait.
-const PATIENCE: f64 = 3.0;
-/// Tenths: and not before this, a few connection set-ups across any site.
-const PATIENCE_LEAST: Tenths = 3_000;
+/// A shot counts as lost once its age speaks for that as strongly as losses are rare: after the usual wait times
+/// this and the logarithm of the odds; 1 would hold for waits without long tails.
+const PATIENCE: f64 = 2.0;
+/// The part of shots that are lost while nothing is known.
+const RARE: f64 = 0.01;
+/// And not before this part of its contract time, which leaves time for two more.
+const PATIENCE_LEAST: f64 = 0.25;
+/// A worker is left alone for a track when it loses so much more than all do, of what could be more.
+const DOUBT: f64 = 0.3;
 /// Part of the release time after which a state that found no writer is let go; the rest covers ticks.
 const PINNED: f64 = 0.7;
 /// Tenths: how long a session is expected back at its reader, a few times a person's pause for thought.
@@ -53,6 +58,9 @@
 const LOOK: Tenths = 100;
 const WATCH: Tenths = 500;
 
+/// A submission and its track, as far as they matter to whether a worker may have it.
+type Ticket = (SubmissionId, u8);
+
 #[derive(Default)]
 struct Worker {
     list: Listing,
@@ -77,6 +85,8 @@
     rests: u32,
     rests_until: Tenths,
     probing: bool,
+    /// The part of shots lost there, by track.
+    losses: BTreeMap<u8, FadingMean>,
 }
 
 struct Shot {
@@ -86,6 +96,7 @@
     sent: Tenths,
     started: bool,
     withdrawn: bool,
+    doubted: bool,
     cross: bool,
 }
 
@@ -122,8 +133,8 @@
     wake: Tenths,
     /// When to ask for the list's changes, where they come only when asked for.
     subscribe: Option<Tenths>,
-    read_wait: FadingMean,
-    token_wait: FadingMean,
+    /// By track, how long reads take and, apart, first tokens.
+    waits: [BTreeMap<u8, FadingMean>; 2],
     cross_wait: FadingMean,
     /// Where and when each session was last read.
     lately: BTreeMap<u64, (WorkerId, Tenths)>,
@@ -131,6 +142,8 @@
     asked: Vec<Fading>,
     /// What was lately sent to and answered by writers and by readers.
     flows: [(Fading, Fading); 2],
+    /// The part of all shots lost, by track.
+    losses: BTreeMap<u8, FadingMean>,
 }
 
 impl Router {
@@ -144,12 +157,12 @@
             shut: false,
             wake: Tenths::MAX,
             subscribe: terms.subscribes.then_some(now),
-            read_wait: FadingMean::default(),
-            token_wait: FadingMean::default(),
+            waits: Default::default(),
             cross_wait: FadingMean::default(),
             lately: BTreeMap::new(),
             asked: vec![Fading::default(); terms.allowances.len()],
             flows: Default::default(),
+            losses: BTreeMap::new(),
             terms,
         }
     }
@@ -216,14 +229,18 @@
         let Some(submission) = self.open.get_mut(&id) else { return };
         let Some(out) = submission.out.as_mut().filter(|out| out.number == shot) else { return };
         out.started = true;
-        let mean = if out.cross { &mut self.cross_wait } else { &mut self.token_wait };
-        mean.add(now, MEMORY, (now - out.sent) as f64);
+        if out.cross {
+            self.cross_wait.add(now, MEMORY, (now - out.sent) as f64);
+        }
+        self.waits[0].entry(submission.arrival.track).or_default().add(now, MEMORY, (now - out.sent) as f64);
         (submission.state, submission.place, submission.let_go) = (None, None, false);
-        let (worker, sent) = (out.worker, out.sent);
+        let (worker, sent, track) = (out.worker, out.sent, submission.arrival.track);
         if let Some(w) = self.workers.get_mut(&worker) {
             self.flows[0].1.add(now, KNOWN, 1.0);
             w.lag = now - sent;
             w.well(now);
+            w.losses.entry(track).or_default().add(now, KNOWN, 0.0);
+            self.losses.entry(track).or_default().add(now, KNOWN, 0.0);
         }
     }
 
@@ -258,7 +275,8 @@
             let session = submission.arrival.session;
             self.lately.retain(|_, (_, at)| now - *at < SESSION);
             self.lately.insert(session, (out.worker, now));
-            self.read_wait.add(now, MEMORY, (now - out.sent) as f64);
+            let track = submission.arrival.track;
+            self.waits[1].entry(track).or_default().add(now, MEMORY, (now - out.sent) as f64);
         } else if out.reading || ending == Ending::Stateless || held_there {
             // The state is gone, or went ahead to a writer that failed: only a new read helps.
             submission.let_go |= submission.state.is_some() || submission.place.is_some();
@@ -273,6 +291,8 @@
                 self.flows[1].1.add(now, KNOWN, 1.0);
                 worker.read_wait.add(now, MEMORY, (now - out.sent) as f64);
                 worker.answered(now);
+                worker.losses.entry(submission.arrival.track).or_default().add(now, KNOWN, 0.0);
+                self.losses.entry(submission.arrival.track).or_default().add(now, KNOWN, 0.0);
             }
             Ending::Honoured | Ending::Stateless => worker.answered(now),
             Ending::Full => (worker.heard, worker.denied, worker.full, worker.tight) = (now, now, now, true),
@@ -399,25 +419,16 @@
         }
     }
 
-    /// Tells silence from slowness: a worker that stays silent beyond what is usual is probed, and its shots
-    /// are called back only when the probe fails too.
+    /// Guards against answers that never come, from a worker as a whole or for one track only: a shot out for
+    /// some times the usual wait is called back where its track lets it run again, counts against its worker
+    /// for that track, and a probe tells whether all of the worker is dead. What a lost shot took counts as a
+    /// wait, so that patience grows when everything is slow. Harms when one slow read is taken for lost.
     fn watch(&mut self, now: Tenths, open: &mut BTreeMap<SubmissionId, Submission>) {
-        let usual_read = self.read_wait.read(now, MEMORY).unwrap_or(0.0);
-        let usual_token = self.token_wait.read(now, MEMORY).unwrap_or(0.0);
         for (&id, w) in &mut self.workers {
-            if w.list.standing == Standing::Gone {
-                continue;
-            }
-            let usual = if w.role == Role::Reader { usual_read } else { usual_token };
-            let patience = ((usual * PATIENCE) as Tenths).max(PATIENCE_LEAST);
-            let silent = w.rests_until == 0 && now - w.heard.max(w.oldest) > patience;
-            let rested = w.rests_until > 0 && now >= w.rests_until;
-            if (silent || rested) && !w.probing {
-                if self.terms.probes {
-                    w.probing = true;
+            if w.list.standing != Standing::Gone && w.rests_until > 0 && now >= w.rests_until && !w.probing {
+                w.probing = self.terms.probes;
+                if w.probing {
                     self.ready.push_back(Decision::Probe { worker: id });
-                } else if silent {
-                    w.rest(now, 1.0 + self.chance.unit());
                 } else {
                     w.back(now);
                 }
@@ -426,9 +437,27 @@
         for (&id, s) in open {
             let repeat = self.terms.tracks[usize::from(s.arrival.track)].repeat;
             let Some(out) = s.out.as_mut().filter(|o| !o.started && !o.withdrawn) else { continue };
-            let lost = self.workers.get(&out.worker).is_some_and(|w| w.rests_until > 0);
+            let Some(w) = self.workers.get_mut(&out.worker) else { continue };
+            let waits = self.waits[usize::from(out.reading)].entry(s.arrival.track).or_default();
+            let usual = waits.read(now, MEMORY).unwrap_or(0.0);
+            let mean = usual_loss(self.losses.entry(s.arrival.track).or_default(), now);
+            let odds = mean / (1.0 - mean);
+            let least = (s.contract - s.came) as f64 * PATIENCE_LEAST;
+            let patience = (usual * PATIENCE * -odds.min(1.0).ln()).max(least);
+            let lost = (now - out.sent) as f64 > patience;
+            if lost && !out.doubted {
+                out.doubted = true;
+                waits.add(now, MEMORY, patience);
+                w.losses.entry(s.arrival.track).or_default().add(now, KNOWN, 1.0);
+                self.losses.entry(s.arrival.track).or_default().add(now, KNOWN, 1.0);
+                if self.terms.probes && !w.probing && w.rests_until == 0 {
+                    w.probing = true;
+                    self.ready.push_back(Decision::Probe { worker: out.worker });
+                }
+            }
             let free = out.reading || repeat == Repeat::Replayable;
-            if self.terms.withdrawals && (s.ended || lost && free) {
+            let again = free && (lost || w.rests_until > 0) && s.shots + 1 < self.terms.max_shots;
+            if self.terms.withdrawals && (s.ended || again) {
                 out.withdrawn = true;
                 self.ready.push_back(Decision::Withdraw { id, shot: out.number });
             }
@@ -437,12 +466,23 @@
 
     /// Whether a new shot or place of the submission may go to the worker, which could be a choice for the
     /// part `flow` of all of the fleet's submissions.
-    fn usable(&mut self, now: Tenths, id: WorkerId, ticket: SubmissionId, flow: f64) -> bool {
+    fn usable(&mut self, now: Tenths, id: WorkerId, (ticket, track): Ticket, flow: f64) -> bool {
         let Some(w) = self.workers.get(&id) else { return false };
         let fresh = now - w.fresh_from < self.terms.warm_after && w.fresh_from > 0;
+        let cold = w.cold(now, self.terms.warm_after);
         w.alive()
             && !(fresh && w.reads + w.streams >= FRESH + w.answers)
-            && (!w.cold(now, self.terms.warm_after) || self.lot(now, id, ticket, flow))
+            && !self.doubted(now, id, track)
+            && (!cold || self.lot(now, id, ticket, flow))
+    }
+
+    /// Whether the worker loses clearly more of a track than all workers do; what little is known of it is
+    /// shrunk by one shot towards them, so that one loss among many answers says nothing.
+    fn doubted(&mut self, now: Tenths, id: WorkerId, track: u8) -> bool {
+        let mean = usual_loss(self.losses.entry(track).or_default(), now);
+        let known = self.workers.get_mut(&id).and_then(|w| w.losses.get_mut(&track));
+        let (lost, shots) = known.map_or((0.0, 0.0), |k| k.sums(now, KNOWN));
+        (lost + mean) / (shots + 1.0) - mean > DOUBT * (1.0 - mean)
     }
 
     /// Guards against pushing over a cold worker, by any number of routers: of every router's submissions only
@@ -504,7 +544,7 @@
         ranked.into_iter().map(|(_, id)| id).collect()
     }
 
-    fn grants(&mut self, now: Tenths, cell: u16, ticket: SubmissionId) -> bool {
+    fn grants(&mut self, now: Tenths, cell: u16, ticket: Ticket) -> bool {
         // A writer that said no gets at most one waiting submission from this router, whose start is the sign
         // that it has room again, and then rests so long that the routers together keep about one there.
         let others = Tenths::from(self.terms.routers.saturating_sub(1));
@@ -534,7 +574,7 @@
     fn least(
         &mut self,
         now: Tenths,
-        ticket: SubmissionId,
+        ticket: Ticket,
         (near, cell, zone): (bool, u16, u8),
         fits: impl Fn(&Worker) -> bool,
     ) -> Option<WorkerId> {
@@ -604,7 +644,7 @@
         if self.shut {
             return None;
         }
-        let ticket = s.arrival.id;
+        let ticket = (s.arrival.id, s.arrival.track);
         let readers = self.readers(now, &s.arrival);
         if readers.is_empty() && self.terms.writers_read {
             return self.least(now, ticket, (false, u16::MAX, 0), |w| now >= w.full + DENIAL);
@@ -660,7 +700,8 @@
         let wait = (s.contract - s.came) as f64 * READING;
         let open = |w: &Worker| now >= w.full + DENIAL;
         let soon = |w: &Worker| open(w) && (w.waits == 0 || (w.lag as f64) < wait);
-        let (ticket, near, far) = (s.arrival.id, (true, cell, zone), (false, cell, zone));
+        let ticket = (s.arrival.id, s.arrival.track);
+        let (near, far) = ((true, cell, zone), (false, cell, zone));
         let found = self.least(now, ticket, near, soon);
         if found.is_none() && self.gate(now) {
             let found = self.least(now, ticket, far, soon).or_else(|| self.least(now, ticket, near, open));
@@ -684,9 +725,10 @@
         };
         let asked = s.asked.clone();
         let fits = |w: &Worker| !asked.contains(&w.list.worker) && now >= w.denied + DENIAL;
-        let mut writer = self.least(now, s.arrival.id, (true, cell, zone), fits);
+        let ticket = (s.arrival.id, s.arrival.track);
+        let mut writer = self.least(now, ticket, (true, cell, zone), fits);
         if writer.is_none() && s.asked.len() < ASKS && self.gate(now) {
-            writer = self.least(now, s.arrival.id, (false, cell, zone), fits);
+            writer = self.least(now, ticket, (false, cell, zone), fits);
         }
         let Some(worker) = writer.filter(|&w| self.may_run(now, s, w)) else { return };
         s.asked.push(worker);
@@ -702,8 +744,8 @@
     fn send(&mut self, now: Tenths, s: &mut Submission, worker: WorkerId, reading: bool, cross: bool) {
         let number = s.shots;
         s.shots += 1;
-        let (started, withdrawn) = (false, false);
-        s.out = Some(Shot { number, worker, reading, sent: now, started, withdrawn, cross });
+        let (started, withdrawn, doubted) = (false, false, false);
+        s.out = Some(Shot { number, worker, reading, sent: now, started, withdrawn, doubted, cross });
         if let Some(w) = self.workers.get_mut(&worker) {
             if reading {
                 w.reads += 1;
@@ -740,8 +782,8 @@
     }
 
     fn end_if_hopeless(&mut self, now: Tenths, s: &mut Submission) {
-        let usual = self.read_wait.read(now, MEMORY).unwrap_or(0.0);
-        let usual = usual + self.token_wait.read(now, MEMORY).unwrap_or(0.0);
+        let waits = self.waits.iter_mut().filter_map(|w| w.get_mut(&s.arrival.track)?.read(now, MEMORY));
+        let usual: f64 = waits.sum();
         if now + (usual * SLACK) as Tenths + LOOK > s.contract.min(s.cut_off) {
             self.end(s);
         }
@@ -809,6 +851,12 @@
     }
 }
 
+/// The part of shots that are lost, shrunk by two shots towards what is usual.
+fn usual_loss(losses: &mut FadingMean, now: Tenths) -> f64 {
+    let (lost, shots) = losses.sums(now, KNOWN);
+    (lost + 2.0 * RARE) / (shots + 2.0)
+}
+
 /// A number between 0 and 1 that depends only on the key and the worker.
 fn draw(key: u64, worker: WorkerId) -> f64 {
     let mut x = worker.iter().fold(key, |x, &b| (x ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
--- a/src/fading.rs
+++ b/src/fading.rs
@@ -37,6 +37,11 @@
         self.count.add(now, span, 1.0);
     }
 
+    /// The sum of the readings and how many there are, as of now.
+    pub fn sums(&mut self, now: Tenths, span: Tenths) -> (f64, f64) {
+        (self.total.read(now, span), self.count.read(now, span))
+    }
+
     /// None until there is a reading, and again once all have faded to nothing.
     pub fn read(&mut self, now: Tenths, span: Tenths) -> Option<f64> {
         let count = self.count.read(now, span);
