--- a/src/choice.rs
+++ b/src/choice.rs
@@ -15,6 +15,8 @@
 /// A reader's part of all reads follows its cell's writers up to so many times an even part, or down to its
 /// inverse: readers as a whole have about that much to spare over writers.
 const LEAN: f64 = 1.4;
+/// One prefix may take so many times an even part of the reads at each of its homes.
+const CROWD: f64 = 1.5;
 /// Tenths: how long a writer's 'not held' or a server's 'full' is believed; the design's 50 ms.
 const DENIAL: Tenths = 500;
 /// Part of the contract time that a read may take, queue included; the rest is for the first token.
@@ -138,6 +140,9 @@
     cross_wait: FadingMean,
     /// Where and when each session was last read.
     lately: BTreeMap<u64, (WorkerId, Tenths)>,
+    /// How often each prefix was seen lately, and all submissions.
+    seen: BTreeMap<u64, Fading>,
+    all_seen: Fading,
     /// What each customer has lately asked of this router.
     asked: Vec<Fading>,
     /// What was lately sent to and answered by writers and by readers.
@@ -160,6 +165,8 @@
             waits: Default::default(),
             cross_wait: FadingMean::default(),
             lately: BTreeMap::new(),
+            seen: BTreeMap::new(),
+            all_seen: Fading::default(),
             asked: vec![Fading::default(); terms.allowances.len()],
             flows: Default::default(),
             losses: BTreeMap::new(),
@@ -216,6 +223,11 @@
             }
             _ => false,
         };
+        self.all_seen.add(now, SESSION, 1.0);
+        if arrival.prefix != 0 {
+            self.seen.entry(arrival.prefix).or_default().add(now, SESSION, 1.0);
+            self.seen.retain(|_, s| s.read(now, SESSION) > 0.01);
+        }
         let contract = now + track.contract + stretch as Tenths;
         let (came, cut_off) = (now, now + arrival.left);
         let submission =
@@ -541,9 +553,23 @@
             ranked.push((rank, id));
         }
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
+        // Exception to one home: a prefix with more than a reader's part of all submissions has as many homes
+        // as that takes, and the session says which is whose, the same at every router.
+        let drawn = ranked.iter().take_while(|(rank, _)| *rank == f64::MAX).count();
+        let homes = self.homes(now, arrival.prefix, ranked.len()).min(ranked.len() - drawn);
+        ranked[drawn..drawn + homes]
+            .sort_by(|a, b| draw(arrival.session, b.1).total_cmp(&draw(arrival.session, a.1)));
         ranked.into_iter().map(|(_, id)| id).collect()
     }
 
+    /// How many readers a prefix takes: its part of what this router has seen, less what chance adds to it.
+    fn homes(&mut self, now: Tenths, prefix: u64, readers: usize) -> usize {
+        let seen = self.seen.get_mut(&prefix).map_or(0.0, |s| s.read(now, SESSION));
+        let all = self.all_seen.read(now, SESSION).max(1.0);
+        let part = (seen - seen.sqrt()).max(0.0) / all;
+        (part * readers as f64 / CROWD).ceil().max(1.0) as usize
+    }
+
     fn grants(&mut self, now: Tenths, cell: u16, ticket: Ticket) -> bool {
         // A writer that said no gets at most one waiting submission from this router, whose start is the sign
         // that it has room again, and then rests so long that the routers together keep about one there.
