--- a/src/choice.rs
+++ b/src/choice.rs
@@ -19,6 +19,8 @@
 const CROWD: f64 = 1.5;
 /// Tenths: how long a writer's 'not held' or a server's 'full' is believed; the design's 50 ms.
 const DENIAL: Tenths = 500;
+/// Tenths: how long a writer's 'not held' is believed when another could be asked.
+const BELIEF: Tenths = 5_000;
 /// Part of the contract time that a read may take, queue included; the rest is for the first token.
 const READING: f64 = 0.5;
 /// What waits is given up when less than so many times the usual way to a first token is left: an overloaded
@@ -570,15 +572,14 @@
         (part * readers as f64 / CROWD).ceil().max(1.0) as usize
     }
 
+    /// Whether a writer for a read there may grant: in the cell, or beyond it through the gate.
     fn grants(&mut self, now: Tenths, cell: u16, ticket: Ticket) -> bool {
-        // A writer that said no gets at most one waiting submission from this router, whose start is the sign
-        // that it has room again, and then rests so long that the routers together keep about one there.
-        let others = Tenths::from(self.terms.routers.saturating_sub(1));
-        let writers = self.writers(|w| {
-            w.list.cell == cell && (!w.tight || w.waits == 0 && now >= w.denied + DENIAL.max(w.lag * others))
-        });
         let flow = self.flow(cell);
-        writers.into_iter().any(|id| self.usable(now, id, ticket, flow))
+        let writers = self.writers(|w| !w.tight(now));
+        writers.into_iter().any(|id| {
+            let near = self.workers[&id].list.cell == cell;
+            (near || self.gate(now)) && self.usable(now, id, ticket, if near { flow } else { 1.0 })
+        })
     }
 
     fn writers(&self, fits: impl Fn(&Worker) -> bool) -> Vec<WorkerId> {
@@ -721,19 +722,16 @@
             }
         }
         let (cell, zone) = self.workers.get(&reader).map(|w| (w.list.cell, w.list.zone))?;
-        // Guards against first tokens that come too late: while they take over half of the contract time at a
-        // writer and one of this router's waits there, the others are taken first.
-        let wait = (s.contract - s.came) as f64 * READING;
-        let open = |w: &Worker| now >= w.full + DENIAL;
-        let soon = |w: &Worker| open(w) && (w.waits == 0 || (w.lag as f64) < wait);
-        let ticket = (s.arrival.id, s.arrival.track);
+        // Those that refused this submission a place, or lately any, come last.
+        let (ticket, asked) = ((s.arrival.id, s.arrival.track), s.asked.clone());
         let (near, far) = ((true, cell, zone), (false, cell, zone));
-        let found = self.least(now, ticket, near, soon);
+        let open = |w: &Worker| now >= w.full + DENIAL;
+        let fits = |w: &Worker| open(w) && !w.tight(now) && !asked.contains(&w.list.worker);
+        let mut found = self.least(now, ticket, near, fits);
         if found.is_none() && self.gate(now) {
-            let found = self.least(now, ticket, far, soon).or_else(|| self.least(now, ticket, near, open));
-            return found.or_else(|| self.least(now, ticket, far, open));
+            found = self.least(now, ticket, far, fits);
         }
-        found.or_else(|| self.least(now, ticket, near, open))
+        found.or_else(|| self.least(now, ticket, near, open)).or_else(|| self.least(now, ticket, far, open))
     }
 
     fn alive(&self, id: WorkerId) -> bool {
@@ -750,7 +748,7 @@
             return;
         };
         let asked = s.asked.clone();
-        let fits = |w: &Worker| !asked.contains(&w.list.worker) && now >= w.denied + DENIAL;
+        let fits = |w: &Worker| !asked.contains(&w.list.worker) && !w.tight(now);
         let ticket = (s.arrival.id, s.arrival.track);
         let mut writer = self.least(now, ticket, (true, cell, zone), fits);
         if writer.is_none() && s.asked.len() < ASKS && self.gate(now) {
@@ -863,6 +861,11 @@
         self.list.standing == Standing::Ready && self.rests_until == 0
     }
 
+    /// Its last answer on a place, or to a send, was no, and that is still believed.
+    fn tight(&self, now: Tenths) -> bool {
+        self.tight && now < self.denied + BELIEF
+    }
+
     fn cold(&self, now: Tenths, warm: Tenths) -> bool {
         self.list.started > 0 && now - self.list.started < warm
     }
