--- a/src/choice.rs
+++ b/src/choice.rs
@@ -716,14 +716,19 @@
     fn writer_for(&mut self, now: Tenths, s: &Submission, reader: WorkerId) -> Option<WorkerId> {
         // A short read may end before the answer on its place: the state may have gone ahead all the same,
         // and a send elsewhere would find none.
+        let ticket = (s.arrival.id, s.arrival.track);
         if let Some((writer, held)) = s.place {
-            if held || self.alive(writer) {
-                return self.alive(writer).then_some(writer);
+            // One asked before its restart was told is a send to a cold worker like any other.
+            let flow = self.workers.get(&reader).map_or(1.0, |r| self.flow(r.list.cell));
+            let cold = self.workers.get(&writer).is_some_and(|w| w.cold(now, self.terms.warm_after));
+            let fit = self.alive(writer) && (!cold || self.lot(now, writer, ticket.0, flow));
+            if held || fit {
+                return fit.then_some(writer);
             }
         }
         let (cell, zone) = self.workers.get(&reader).map(|w| (w.list.cell, w.list.zone))?;
         // Those that refused this submission a place, or lately any, come last.
-        let (ticket, asked) = ((s.arrival.id, s.arrival.track), s.asked.clone());
+        let asked = s.asked.clone();
         let (near, far) = ((true, cell, zone), (false, cell, zone));
         let open = |w: &Worker| now >= w.full + DENIAL;
         let fits = |w: &Worker| open(w) && !w.tight(now) && !asked.contains(&w.list.worker);
