--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,9 +12,12 @@
 const SPILL: f64 = 4_000.0;
 /// Where every reader is past the bound, the least filled takes up to so many times the bound.
 const FILLED: f64 = 2.0;
-/// A reader's part of all reads follows its cell's writers up to so many times an even part, or down to its
-/// inverse: readers as a whole have about that much to spare over writers.
-const LEAN: f64 = 1.4;
+/// A reader's part of all reads is at most so many times an even one, which readers as a whole can spare.
+const LEAN: f64 = 1.5;
+/// And at least this part of an even one.
+const LEAN_LEAST: f64 = 0.5;
+/// Steps in which the parts are scaled until they fit between the two bounds; more change little.
+const ROUNDS: u32 = 8;
 /// One prefix may take so many times an even part of the reads at each of its homes.
 const CROWD: f64 = 1.5;
 /// Tenths: how long a writer's 'not held' or a server's 'full' is believed; the design's 50 ms.
@@ -142,6 +145,9 @@
     cross_wait: FadingMean,
     /// Where and when each session was last read.
     lately: BTreeMap<u64, (WorkerId, Tenths)>,
+    /// Readers and mixed workers that are ready, and their parts of all reads.
+    shares: BTreeMap<WorkerId, f64>,
+    relisted: bool,
     /// How often each prefix was seen lately, and all submissions.
     seen: BTreeMap<u64, Fading>,
     all_seen: Fading,
@@ -167,6 +173,8 @@
             waits: Default::default(),
             cross_wait: FadingMean::default(),
             lately: BTreeMap::new(),
+            shares: BTreeMap::new(),
+            relisted: false,
             seen: BTreeMap::new(),
             all_seen: Fading::default(),
             asked: vec![Fading::default(); terms.allowances.len()],
@@ -178,7 +186,7 @@
 
     /// A whole list begins: workers that it does not name are gone.
     pub fn list_anew(&mut self, _now: Tenths) {
-        self.stale = true;
+        (self.stale, self.relisted) = (true, true);
         self.workers.values_mut().for_each(|w| w.list.standing = Standing::Gone);
     }
 
@@ -190,7 +198,7 @@
     }
 
     pub fn listed(&mut self, now: Tenths, list: Listing) {
-        self.stale = true;
+        (self.stale, self.relisted) = (true, true);
         let role = self.terms.roles.get(usize::from(list.kind)).copied();
         let Some(role) = role else { return };
         let worker = self.workers.entry(list.worker).or_insert_with(|| Worker {
@@ -359,6 +367,9 @@
     }
 
     fn survey(&mut self, now: Tenths) {
+        if std::mem::take(&mut self.relisted) {
+            self.share_out();
+        }
         self.count(now);
         self.shut = false;
         if self.subscribe.take_if(|at| *at <= now).is_some() {
@@ -520,38 +531,51 @@
         draw(ticket, id) < share * done / (sent.max(1.0) * all * flow.max(0.001))
     }
 
-    /// Readers and mixed workers, best first, by rendezvous hashing of the prefix or session. A cell's
-    /// readers share the weight of its writers, or a cell with few writers would draw more than they can
-    /// answer.
+    /// Each reader's part of all reads, worked out anew with each list: in proportion to the writers for each
+    /// reader in its cell and in its zone, within bounds, or lone readers among writers would drown and
+    /// readers without writers near them choke their link.
+    fn share_out(&mut self) {
+        let mut around: [BTreeMap<u16, (f64, f64)>; 2] = Default::default();
+        let ready = |w: &&Worker| w.list.standing == Standing::Ready;
+        for w in self.workers.values().filter(ready) {
+            for (map, place) in around.iter_mut().zip([w.list.cell, u16::from(w.list.zone)]) {
+                let (reads, writes) = map.entry(place).or_default();
+                *if w.role == Role::Reader { reads } else { writes } += w.list.size.max(0.01);
+            }
+        }
+        let per_reader = |(reads, writes): (f64, f64)| writes / reads.max(0.01);
+        let lean = |w: &Worker| {
+            let near = [around[0][&w.list.cell], around[1][&u16::from(w.list.zone)]].map(per_reader);
+            if w.role == Role::Mixed {
+                None
+            } else {
+                Some((near[0] * near[1]).sqrt())
+            }
+        };
+        let readers = self.workers.iter().filter(|(_, w)| ready(w) && w.role != Role::Writer);
+        let leans: Vec<_> = readers.map(|(&id, w)| (id, w.list.size.max(0.01), lean(w))).collect();
+        let (mut scale, mut rounds) = (1.0, 0);
+        while rounds < ROUNDS {
+            let share = |lean: Option<f64>| lean.map_or(1.0, |l| (l * scale).clamp(LEAN_LEAST, LEAN));
+            self.shares = leans.iter().map(|&(id, size, lean)| (id, size * share(lean))).collect();
+            let (sizes, sum) = (leans.iter().map(|l| l.1).sum::<f64>(), self.shares.values().sum::<f64>());
+            scale *= sizes / sum.max(0.01);
+            rounds += 1;
+        }
+    }
+
+    /// Readers and mixed workers, best first, by rendezvous hashing of the prefix or session.
     fn readers(&mut self, now: Tenths, arrival: &Arrival) -> Vec<WorkerId> {
         let key = if arrival.prefix != 0 { arrival.prefix } else { arrival.session };
-        let mut cells: BTreeMap<u16, (f64, f64)> = BTreeMap::new();
-        let mut all = (0.0, 0.0);
-        for w in self.workers.values().filter(|w| w.list.standing == Standing::Ready) {
-            let (reads, writes) = cells.entry(w.list.cell).or_default();
-            let size = w.list.size.max(0.01);
-            *if w.role == Role::Reader { &mut *reads } else { &mut *writes } += size;
-            *if w.role == Role::Reader { &mut all.0 } else { &mut all.1 } += size;
-        }
         let mut ranked = Vec::new();
-        let ids: Vec<_> =
-            self.workers.iter().filter(|(_, w)| w.role != Role::Writer).map(|(&i, _)| i).collect();
-        for id in ids {
+        for (id, share) in self.shares.clone() {
             // A cold reader that the submission drew comes first, or its part would fall to the hash again.
             let cold = self.workers[&id].cold(now, self.terms.warm_after);
             let drawn = cold && self.lot(now, id, arrival.id, 1.0);
-            let w = &self.workers[&id];
-            let (reads, writes) = cells.get(&w.list.cell).copied().unwrap_or_default();
-            let share = if w.role == Role::Mixed {
-                1.0
-            } else {
-                (writes * all.0 / (reads * all.1).max(0.01)).clamp(1.0 / LEAN, LEAN)
-            };
             // Exception to the hash: a session that was read elsewhere goes back to where its own text is
             // kept, or each spill and each return of a reader would cost one more whole read.
             let stays = self.lately.get(&arrival.session).is_some_and(|(at, _)| *at == id);
-            let rank =
-                if stays || drawn { f64::MAX } else { w.list.size.max(0.01) * share / -draw(key, id).ln() };
+            let rank = if stays || drawn { f64::MAX } else { share / -draw(key, id).ln() };
             ranked.push((rank, id));
         }
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
@@ -586,14 +610,10 @@
         self.workers.iter().filter(|(_, w)| w.role != Role::Reader && fits(w)).map(|(&id, _)| id).collect()
     }
 
-    /// The part of all reads that a cell's readers take, by their size.
+    /// The part of all reads that a cell's readers take.
     fn flow(&self, cell: u16) -> f64 {
-        let readers = self.workers.values().filter(|w| w.role == Role::Reader);
-        let (all, own) =
-            readers.filter(|w| w.list.standing == Standing::Ready).fold((0.0, 0.0), |(all, own), w| {
-                (all + w.list.size, own + if w.list.cell == cell { w.list.size } else { 0.0 })
-            });
-        own / f64::max(all, 0.01)
+        let own = self.shares.iter().filter(|(id, _)| self.workers[*id].list.cell == cell);
+        own.map(|(_, share)| share).sum::<f64>() / self.shares.values().sum::<f64>().max(0.01)
     }
 
     /// Of the writers that fit, in the reader's cell or beyond it, the usable one with the fewest own streams
