--- a/src/choice.rs
+++ b/src/choice.rs
@@ -19,7 +19,7 @@
 /// Steps in which the parts are scaled until they fit between the two bounds; more change little.
 const ROUNDS: u32 = 8;
 /// One prefix may take so many times an even part of the reads at each of its homes.
-const CROWD: f64 = 1.5;
+const CROWD: f64 = 0.5;
 /// Tenths: how long a writer's 'not held' or a server's 'full' is believed; the design's 50 ms.
 const DENIAL: Tenths = 500;
 /// Tenths: how long a writer's 'not held' is believed when another could be asked.
