--- a/src/choice.rs
+++ b/src/choice.rs
@@ -468,8 +468,7 @@
             let mean = usual_loss(self.losses.entry(s.arrival.track).or_default(), now);
             let odds = mean / (1.0 - mean);
             let least = (s.contract - s.came) as f64 * PATIENCE_LEAST;
-            let most = ((s.contract - s.came) as f64 * READING).max(usual * PATIENCE);
-            let patience = (usual * PATIENCE * -odds.min(1.0).ln()).min(most).max(least);
+            let patience = (usual * PATIENCE * -odds.ln().min(-1.0)).max(least);
             let lost = (now - out.sent) as f64 > patience;
             if lost && !out.doubted {
                 out.doubted = true;
