--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,8 +39,6 @@
 const REST: Tenths = 5_000;
 /// Doublings of the rest at most: a dead worker is tried every eight seconds or so.
 const RESTS: u32 = 4;
-/// Errors in a row that send a worker to rest; single ones belong to any service.
-const ERRORS: u32 = 3;
 /// Tenths: the memory of how much this router sends and has answered, for what it owes cold workers: some
 /// twenty submissions at one a second.
 const KNOWN: Tenths = 200_000;
@@ -79,18 +77,12 @@
     answers: u32,
     fresh_from: Tenths,
     read_wait: FadingMean,
-    /// Own submissions that wait there, sent or read without a place.
-    waits: u32,
-    /// Its last answer on a place was no.
-    tight: bool,
-    /// How long its last first token took.
-    lag: Tenths,
-    heard: Tenths,
+    /// When it last said no to a place or a send, and to a send alone.
     denied: Tenths,
     full: Tenths,
-    errors: u32,
     rests: u32,
     rests_until: Tenths,
+    suspect: bool,
     probing: bool,
     /// The part of shots lost there, by track.
     losses: BTreeMap<u8, FadingMean>,
@@ -204,14 +196,13 @@
         let worker = self.workers.entry(list.worker).or_insert_with(|| Worker {
             list,
             fresh_from: list.started,
-            heard: now,
-            denied: now - DENIAL,
-            full: now - DENIAL,
+            denied: now - BELIEF,
+            full: now - BELIEF,
             ..Worker::default()
         });
         if worker.list.started != list.started {
             (worker.answers, worker.fresh_from) = (0, list.started);
-            (worker.rests, worker.rests_until, worker.errors) = (0, 0, 0);
+            (worker.rests, worker.rests_until) = (0, 0);
         }
         worker.list = list;
         worker.role = role;
@@ -256,14 +247,12 @@
         }
         self.waits[0].entry(submission.arrival.track).or_default().add(now, MEMORY, (now - out.sent) as f64);
         (submission.state, submission.place, submission.let_go) = (None, None, false);
-        let (worker, sent, track) = (out.worker, out.sent, submission.arrival.track);
+        let (worker, track) = (out.worker, submission.arrival.track);
         if let Some(w) = self.workers.get_mut(&worker) {
             self.flows[0].1.add(now, KNOWN, 1.0);
-            w.lag = now - sent;
-            w.well(now);
-            w.losses.entry(track).or_default().add(now, KNOWN, 0.0);
-            self.losses.entry(track).or_default().add(now, KNOWN, 0.0);
+            (w.rests, w.rests_until) = (0, 0);
         }
+        self.judge(now, worker, track, 0.0);
     }
 
     /// The answer comes by the reading shot and names its reader, so the writer is the one asked last.
@@ -273,8 +262,7 @@
         let Some((writer, _)) = submission.place else { return };
         submission.place = held.then_some((writer, true));
         if let Some(w) = self.workers.get_mut(&writer) {
-            w.heard = now;
-            (w.denied, w.tight) = (if held { now - DENIAL } else { now }, !held);
+            w.denied = if held { now - BELIEF } else { now };
         }
     }
 
@@ -306,30 +294,31 @@
         } else {
             submission.place = None;
         }
-        let jitter = 1.0 + self.chance.unit();
+        let track = submission.arrival.track;
         let Some(worker) = self.workers.get_mut(&out.worker) else { return };
         match ending {
             Ending::Read => {
                 self.flows[1].1.add(now, KNOWN, 1.0);
                 worker.read_wait.add(now, MEMORY, (now - out.sent) as f64);
-                worker.answered(now);
-                worker.losses.entry(submission.arrival.track).or_default().add(now, KNOWN, 0.0);
-                self.losses.entry(submission.arrival.track).or_default().add(now, KNOWN, 0.0);
-            }
-            Ending::Honoured | Ending::Stateless => worker.answered(now),
-            Ending::Full => (worker.heard, worker.denied, worker.full, worker.tight) = (now, now, now, true),
-            Ending::Fault => {
-                worker.heard = now;
-                worker.errors += 1;
-                if worker.errors >= ERRORS {
-                    worker.rest(now, jitter);
-                }
+                worker.answered();
+                self.judge(now, out.worker, track, 0.0);
             }
-            Ending::Unreachable | Ending::Broken => worker.rest(now, jitter),
+            Ending::Honoured | Ending::Stateless => worker.answered(),
+            Ending::Full => (worker.denied, worker.full) = (now, now),
+            Ending::Unreachable => worker.rest(now, 1.0 + self.chance.unit()),
+            Ending::Fault | Ending::Broken => self.judge(now, out.worker, track, 1.0),
             Ending::TimedOut | Ending::Withdrawn | Ending::NeverSent => {}
         }
     }
 
+    /// Books an answer, or with 1 a loss, to a worker; after a loss a probe tells whether all of it is dead.
+    fn judge(&mut self, now: Tenths, worker: WorkerId, track: u8, lost: f64) {
+        self.losses.entry(track).or_default().add(now, KNOWN, lost);
+        let Some(w) = self.workers.get_mut(&worker) else { return };
+        w.losses.entry(track).or_default().add(now, KNOWN, lost);
+        w.suspect |= lost > 0.0;
+    }
+
     pub fn dropped(&mut self, _now: Tenths, id: SubmissionId) {
         self.stale = true;
         if let Some(submission) = self.open.get_mut(&id) {
@@ -349,13 +338,10 @@
         let jitter = 1.0 + self.chance.unit();
         let Some(w) = self.workers.get_mut(&worker) else { return };
         w.probing = false;
-        if well {
-            w.heard = now;
-            if w.rests_until > 0 {
-                w.back(now);
-            }
-        } else {
+        if !well {
             w.rest(now, jitter);
+        } else if w.rests_until > 0 {
+            w.back(now);
         }
     }
 
@@ -413,7 +399,7 @@
     /// Counts anew what this router has out at each worker.
     fn count(&mut self, now: Tenths) {
         for w in self.workers.values_mut() {
-            (w.tokens, w.reads, w.streams, w.waits, w.oldest) = (0.0, 0, 0, 0, now);
+            (w.tokens, w.reads, w.streams, w.oldest) = (0.0, 0, 0, now);
         }
         for s in self.open.values() {
             if let Some(out) = &s.out {
@@ -424,22 +410,13 @@
                     } else {
                         w.streams += 1;
                     }
-                    if !out.started {
-                        w.waits += 1;
-                        w.oldest = w.oldest.min(out.sent);
-                    }
+                    w.oldest = if out.started { w.oldest } else { w.oldest.min(out.sent) };
                 }
             }
             if let Some((place, _)) = s.place.filter(|(p, _)| s.out.as_ref().is_none_or(|o| o.worker != *p)) {
                 if let Some(w) = self.workers.get_mut(&place) {
                     w.streams += 1;
                 }
-            } else if let Some(&asked) = s.asked.last().filter(|_| s.out.as_ref().is_some_and(|o| o.reading))
-            {
-                // Read without a place: it will wait at a writer of that cell.
-                if let Some(w) = self.workers.get_mut(&asked) {
-                    w.waits += 1;
-                }
             }
         }
     }
@@ -449,20 +426,10 @@
     /// for that track, and a probe tells whether all of the worker is dead. What a lost shot took counts as a
     /// wait, so that patience grows when everything is slow. Harms when one slow read is taken for lost.
     fn watch(&mut self, now: Tenths, open: &mut BTreeMap<SubmissionId, Submission>) {
-        for (&id, w) in &mut self.workers {
-            if w.list.standing != Standing::Gone && w.rests_until > 0 && now >= w.rests_until && !w.probing {
-                w.probing = self.terms.probes;
-                if w.probing {
-                    self.ready.push_back(Decision::Probe { worker: id });
-                } else {
-                    w.back(now);
-                }
-            }
-        }
         for (&id, s) in open {
             let repeat = self.terms.tracks[usize::from(s.arrival.track)].repeat;
             let Some(out) = s.out.as_mut().filter(|o| !o.started && !o.withdrawn) else { continue };
-            let Some(w) = self.workers.get_mut(&out.worker) else { continue };
+            let resting = self.workers.get(&out.worker).is_some_and(|w| w.rests_until > 0);
             let waits = self.waits[usize::from(out.reading)].entry(s.arrival.track).or_default();
             let usual = waits.read(now, MEMORY).unwrap_or(0.0);
             let mean = usual_loss(self.losses.entry(s.arrival.track).or_default(), now);
@@ -473,20 +440,24 @@
             if lost && !out.doubted {
                 out.doubted = true;
                 waits.add(now, MEMORY, patience);
-                w.losses.entry(s.arrival.track).or_default().add(now, KNOWN, 1.0);
-                self.losses.entry(s.arrival.track).or_default().add(now, KNOWN, 1.0);
-                if self.terms.probes && !w.probing && w.rests_until == 0 {
-                    w.probing = true;
-                    self.ready.push_back(Decision::Probe { worker: out.worker });
-                }
+                self.judge(now, out.worker, s.arrival.track, 1.0);
             }
             let free = out.reading || repeat == Repeat::Replayable;
-            let again = free && (lost || w.rests_until > 0) && s.shots + 1 < self.terms.max_shots;
+            let again = free && (lost || resting) && s.shots + 1 < self.terms.max_shots;
             if self.terms.withdrawals && (s.ended || again) {
                 out.withdrawn = true;
                 self.ready.push_back(Decision::Withdraw { id, shot: out.number });
             }
         }
+        for (&id, w) in self.workers.iter_mut().filter(|(_, w)| w.list.standing != Standing::Gone) {
+            let rested = w.rests_until > 0 && now >= w.rests_until;
+            if self.terms.probes && !w.probing && (rested || w.suspect && w.rests_until == 0) {
+                (w.probing, w.suspect) = (true, false);
+                self.ready.push_back(Decision::Probe { worker: id });
+            } else if !self.terms.probes && rested {
+                w.back(now);
+            }
+        }
     }
 
     /// Whether a new shot or place of the submission may go to the worker, which could be a choice for the
@@ -785,7 +756,6 @@
         if let Some(w) = self.workers.get_mut(&worker) {
             // A place is a send to come: a cold writer's cap must know of it from the start.
             w.streams += 1;
-            w.waits += u32::from(w.tight);
         }
         self.ready.push_back(Decision::Hold { id: s.arrival.id, worker });
     }
@@ -868,12 +838,8 @@
 }
 
 impl Worker {
-    fn well(&mut self, now: Tenths) {
-        (self.heard, self.errors, self.rests, self.rests_until) = (now, 0, 0, 0);
-    }
-
-    fn answered(&mut self, now: Tenths) {
-        self.well(now);
+    fn answered(&mut self) {
+        (self.rests, self.rests_until) = (0, 0);
         self.answers = self.answers.saturating_add(1);
     }
 
@@ -888,7 +854,7 @@
 
     /// Its last answer on a place, or to a send, was no, and that is still believed.
     fn tight(&self, now: Tenths) -> bool {
-        self.tight && now < self.denied + BELIEF
+        now < self.denied + BELIEF
     }
 
     fn cold(&self, now: Tenths, warm: Tenths) -> bool {
