--- a/src/choice.rs
+++ b/src/choice.rs
@@ -559,11 +559,11 @@
         ranked.into_iter().map(|(_, id)| id).collect()
     }
 
-    /// How many readers a prefix takes: its part of what this router has seen, itself counted.
+    /// How many readers a prefix takes: its part of what this router has seen, less what chance adds to it.
     fn homes(&mut self, now: Tenths, prefix: u64, readers: usize) -> usize {
         let seen = self.seen.get_mut(&prefix).map_or(0.0, |s| s.read(now, SESSION));
         let all = self.all_seen.read(now, SESSION).max(1.0);
-        let part = seen / all;
+        let part = (seen - seen.sqrt()).max(0.0) / all;
         (part * readers as f64 / CROWD).ceil().max(1.0) as usize
     }
 
