--- a/src/choice.rs
+++ b/src/choice.rs
@@ -76,9 +76,7 @@
     oldest: Tenths,
     answers: u32,
     fresh_from: Tenths,
-    /// How long its last read took, and until when that is believed.
-    lag: Tenths,
-    lag_until: Tenths,
+    read_wait: FadingMean,
     /// When it last said no to a place or a send, and to a send alone.
     denied: Tenths,
     full: Tenths,
@@ -301,7 +299,7 @@
         match ending {
             Ending::Read => {
                 self.flows[1].1.add(now, KNOWN, 1.0);
-                worker.lags(now, now - out.sent);
+                worker.read_wait.add(now, MEMORY, (now - out.sent) as f64);
                 worker.answered();
                 self.judge(now, out.worker, track, 0.0);
             }
@@ -443,9 +441,6 @@
                 out.doubted = true;
                 waits.add(now, MEMORY, patience);
                 self.judge(now, out.worker, s.arrival.track, 1.0);
-                if let Some(w) = self.workers.get_mut(&out.worker) {
-                    w.lags(now, now - out.sent);
-                }
             }
             let free = out.reading || repeat == Repeat::Replayable;
             let again = free && (lost || resting) && s.shots + 1 < self.terms.max_shots;
@@ -680,16 +675,16 @@
                 continue;
             }
             let Some(w) = self.workers.get_mut(&id) else { continue };
-            // Guards against a queue of reads that clients leave before they are done: a reader whose last read
-            // took too much of the contract time is passed over for as long as that read took.
-            let lag = if now < w.lag_until { w.lag } else { 0 };
-            let slow = lag.max(now - w.oldest) as f64 > usable_wait;
+            // Guards against a queue of reads that clients leave before they are done: while reads there take
+            // too much of the contract time, only one of this router's is out to see whether it has passed.
+            let slow =
+                w.read_wait.read(now, MEMORY).unwrap_or(0.0).max((now - w.oldest) as f64) > usable_wait;
             let (cell, mixed) = (w.list.cell, w.role == Role::Mixed);
             let tokens = if w.reads > 0 { w.tokens + s.arrival.prompt } else { 0.0 };
             if now < w.full + DENIAL || w.reads > 0 && w.tokens > SPILL * FILLED {
                 continue;
             }
-            let busy = slow || tokens > SPILL * FILLED;
+            let busy = w.reads > 0 && slow || tokens > SPILL * FILLED;
             // Exception to the wait: a reader further down whose cell grants is taken first.
             if !mixed && !self.grants(now, cell, ticket) {
                 continue;
@@ -848,10 +843,6 @@
         self.answers = self.answers.saturating_add(1);
     }
 
-    fn lags(&mut self, now: Tenths, took: Tenths) {
-        (self.lag, self.lag_until) = (took, now + took);
-    }
-
     /// Back through a trickle: the cap on what is in flight starts anew.
     fn back(&mut self, now: Tenths) {
         (self.rests_until, self.answers, self.fresh_from) = (0, 0, now);
