--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -94,7 +94,8 @@
         }
         30 => {
             let (id, track) = (f.u64("req")?, f.u8("service")?);
-            let (customer, session) = (f.u32("user_group")?, f.u64("session")?);
+            f.u32("user_group")?;
+            let session = f.u64("session")?;
             let left = tenths(f.f64("grace_ms")?);
             f.f64("predicted_ms")?;
             let prefix = f.u64("prefix_id")?;
@@ -102,7 +103,7 @@
             f.f32("prefix_tokens")?;
             f.f32("n_max")?;
             f.u8("marks")?;
-            if !router.arrived(now, Arrival { id, track, customer, session, prefix, prompt, left }) {
+            if !router.arrived(now, Arrival { id, track, session, prefix, prompt, left }) {
                 return Err(format!("class {track} of request {id} is not in the settings"));
             }
         }
--- a/crates/wirehost/src/terms.rs
+++ b/crates/wirehost/src/terms.rs
@@ -57,7 +57,6 @@
     let stretch = list(&root, "family_info.aim_us_per_1000_prompt_tokens").cloned().unwrap_or_default();
     let tracks = list(&root, "classes")?.iter().enumerate();
     let tracks = tracks.map(|(i, class)| track(class, stretch.get(i).and_then(Value::as_f64).unwrap_or(0.0)));
-    let tenants = list(&root, "tenants").cloned().unwrap_or_default();
     let role = |kind: &Value| match kind.as_str() {
         Some("read") => Ok(Role::Reader),
         Some("write") => Ok(Role::Writer),
@@ -67,7 +66,6 @@
     Ok(Terms {
         routers: number(&root, "balancers")?.max(1.0) as u32,
         tracks: tracks.collect::<Result<_, _>>()?,
-        allowances: tenants.iter().map(|t| number(t, "allowance_per_s")).collect::<Result<_, _>>()?,
         roles: list(&root, "family_info.kind_role")?.iter().map(role).collect::<Result<_, _>>()?,
         places: flag(&root, "family_info.ahead"),
         writers_read: flag(&root, "family_info.writers_read"),
--- a/src/chance.rs
+++ b/src/chance.rs
@@ -1,5 +1,6 @@
 //! Random numbers: Marsaglia's multiply with carry, started from a seed.
 
+#[derive(Default)]
 pub struct Chance {
     state: u64,
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,8 +26,7 @@
 const BELIEF: Tenths = 5_000;
 /// Part of the contract time that a read may take, queue included; the rest is for the first token.
 const READING: f64 = 0.5;
-/// What waits is given up when less than so many times the usual way to a first token is left: an overloaded
-/// router would else admit everything just too late.
+/// What waits is given up when less than so many times the usual way to a first token is left.
 const SLACK: f64 = 3.0;
 /// One pair in so many passes a shut gate, to measure again; the design's value.
 const MEASURE: f64 = 50.0;
@@ -39,15 +38,13 @@
 const REST: Tenths = 5_000;
 /// Doublings of the rest at most: a dead worker is tried every eight seconds or so.
 const RESTS: u32 = 4;
-/// Tenths: the memory of how much this router sends and has answered, for what it owes cold workers: some
-/// twenty submissions at one a second.
+/// Tenths: the memory of losses and flows, some twenty submissions at one a second.
 const KNOWN: Tenths = 200_000;
 /// Standard deviations of a sum of many routers' chances that stay free at a cold worker.
 const SPREAD: f64 = 2.5;
 /// Shots that a fresh worker may have out before its first answer.
 const FRESH: u32 = 2;
-/// A shot counts as lost once its age speaks for that as strongly as losses are rare: after the usual wait times
-/// this and the logarithm of the odds; 1 would hold for waits without long tails.
+/// A shot counts as lost after the usual wait times this and the logarithm of the odds of a loss.
 const PATIENCE: f64 = 2.0;
 /// The part of shots that are lost while nothing is known.
 const RARE: f64 = 0.01;
@@ -57,8 +54,8 @@
 const DOUBT: f64 = 0.3;
 /// Part of the release time after which a state that found no writer is let go; the rest covers ticks.
 const PINNED: f64 = 0.7;
-/// Tenths: how long a session is expected back at its reader, a few times a person's pause for thought.
-const SESSION: Tenths = 400_000;
+/// Tenths: the memory of which prefixes come, long enough to tell a hot one at one submission a second.
+const SEEN: Tenths = 400_000;
 /// Tenths: how often undecided submissions are looked at, and how often only workers are watched.
 const LOOK: Tenths = 100;
 const WATCH: Tenths = 500;
@@ -77,9 +74,8 @@
     answers: u32,
     fresh_from: Tenths,
     read_wait: FadingMean,
-    /// When it last said no to a place or a send, and to a send alone.
+    /// When it last said no to a place or a send.
     denied: Tenths,
-    full: Tenths,
     rests: u32,
     rests_until: Tenths,
     suspect: bool,
@@ -106,8 +102,6 @@
     contract: Tenths,
     cut_off: Tenths,
     shots: u16,
-    /// Beyond its customer's share.
-    beyond: bool,
     out: Option<Shot>,
     /// The writer asked for a place, and whether it is known to be held.
     place: Option<(WorkerId, bool)>,
@@ -120,6 +114,7 @@
     ended: bool,
 }
 
+#[derive(Default)]
 pub struct Router {
     terms: Terms,
     chance: Chance,
@@ -135,16 +130,12 @@
     /// By track, how long reads take and, apart, first tokens.
     waits: [BTreeMap<u8, FadingMean>; 2],
     cross_wait: FadingMean,
-    /// Where and when each session was last read.
-    lately: BTreeMap<u64, (WorkerId, Tenths)>,
     /// Readers and mixed workers that are ready, and their parts of all reads.
     shares: BTreeMap<WorkerId, f64>,
     relisted: bool,
     /// How often each prefix was seen lately, and all submissions.
     seen: BTreeMap<u64, Fading>,
     all_seen: Fading,
-    /// What each customer has lately asked of this router.
-    asked: Vec<Fading>,
     /// What was lately sent to and answered by writers and by readers.
     flows: [(Fading, Fading); 2],
     /// The part of all shots lost, by track.
@@ -153,27 +144,8 @@
 
 impl Router {
     pub fn new(terms: Terms, seed: u64, now: Tenths) -> Self {
-        Router {
-            chance: Chance::new(seed),
-            workers: BTreeMap::new(),
-            open: BTreeMap::new(),
-            ready: VecDeque::new(),
-            stale: false,
-            shut: false,
-            wake: Tenths::MAX,
-            subscribe: terms.subscribes.then_some(now),
-            waits: Default::default(),
-            cross_wait: FadingMean::default(),
-            lately: BTreeMap::new(),
-            shares: BTreeMap::new(),
-            relisted: false,
-            seen: BTreeMap::new(),
-            all_seen: Fading::default(),
-            asked: vec![Fading::default(); terms.allowances.len()],
-            flows: Default::default(),
-            losses: BTreeMap::new(),
-            terms,
-        }
+        let subscribe = terms.subscribes.then_some(now);
+        Router { chance: Chance::new(seed), wake: Tenths::MAX, subscribe, terms, ..Router::default() }
     }
 
     /// A whole list begins: workers that it does not name are gone.
@@ -197,7 +169,6 @@
             list,
             fresh_from: list.started,
             denied: now - BELIEF,
-            full: now - BELIEF,
             ..Worker::default()
         });
         if worker.list.started != list.started {
@@ -213,26 +184,14 @@
         self.stale = true;
         let Some(track) = self.terms.tracks.get(usize::from(arrival.track)) else { return false };
         let stretch = track.per_thousand as f64 * arrival.prompt.max(0.0) / 1000.0;
-        // The share is the fleet's and this router sees a part that may be uneven, so being beyond only puts
-        // a submission behind the others that wait.
-        let customer = arrival.customer as usize;
-        let beyond = match (self.asked.get_mut(customer), self.terms.allowances.get(customer)) {
-            (Some(asked), Some(allowance)) => {
-                asked.add(now, MEMORY, 1.0);
-                let rate = asked.read(now, MEMORY) * 10_000.0 / MEMORY as f64;
-                rate * f64::from(self.terms.routers) > *allowance
-            }
-            _ => false,
-        };
-        self.all_seen.add(now, SESSION, 1.0);
+        self.all_seen.add(now, SEEN, 1.0);
         if arrival.prefix != 0 {
-            self.seen.entry(arrival.prefix).or_default().add(now, SESSION, 1.0);
-            self.seen.retain(|_, s| s.read(now, SESSION) > 0.01);
+            self.seen.entry(arrival.prefix).or_default().add(now, SEEN, 1.0);
+            self.seen.retain(|_, s| s.read(now, SEEN) > 0.01);
         }
         let contract = now + track.contract + stretch as Tenths;
         let (came, cut_off) = (now, now + arrival.left);
-        let submission =
-            Submission { arrival, came, contract, cut_off, beyond, since: now, ..Submission::default() };
+        let submission = Submission { arrival, came, contract, cut_off, since: now, ..Submission::default() };
         self.open.insert(arrival.id, submission);
         true
     }
@@ -282,9 +241,6 @@
         let held_there = submission.place.is_some_and(|(w, held)| held && w == out.worker);
         if ending == Ending::Read {
             submission.state = Some(out.worker);
-            let session = submission.arrival.session;
-            self.lately.retain(|_, (_, at)| now - *at < SESSION);
-            self.lately.insert(session, (out.worker, now));
             let track = submission.arrival.track;
             self.waits[1].entry(track).or_default().add(now, MEMORY, (now - out.sent) as f64);
         } else if out.reading || ending == Ending::Stateless || held_there {
@@ -304,7 +260,7 @@
                 self.judge(now, out.worker, track, 0.0);
             }
             Ending::Honoured | Ending::Stateless => worker.answered(),
-            Ending::Full => (worker.denied, worker.full) = (now, now),
+            Ending::Full => worker.denied = now,
             Ending::Unreachable => worker.rest(now, 1.0 + self.chance.unit()),
             Ending::Fault | Ending::Broken => self.judge(now, out.worker, track, 1.0),
             Ending::TimedOut | Ending::Withdrawn | Ending::NeverSent => {}
@@ -372,7 +328,7 @@
         let mut order: Vec<_> = open
             .iter()
             .filter(|(_, s)| !s.ended)
-            .map(|(&id, s)| (s.state.is_none(), s.beyond, s.contract, id))
+            .map(|(&id, s)| (s.state.is_none(), s.contract, id))
             .collect();
         order.sort_unstable();
         let mut waits = false;
@@ -511,27 +467,22 @@
         for w in self.workers.values().filter(ready) {
             for (map, place) in around.iter_mut().zip([w.list.cell, u16::from(w.list.zone)]) {
                 let (reads, writes) = map.entry(place).or_default();
-                *if w.role == Role::Reader { reads } else { writes } += w.list.size.max(0.01);
+                *reads += if w.role == Role::Writer { 0.0 } else { w.list.size.max(0.01) };
+                *writes += if w.role == Role::Reader { 0.0 } else { w.list.size.max(0.01) };
             }
         }
         let per_reader = |(reads, writes): (f64, f64)| writes / reads.max(0.01);
         let lean = |w: &Worker| {
             let near = [around[0][&w.list.cell], around[1][&u16::from(w.list.zone)]].map(per_reader);
-            if w.role == Role::Mixed {
-                None
-            } else {
-                Some((near[0] * near[1]).sqrt())
-            }
+            (near[0] * near[1]).sqrt()
         };
         let readers = self.workers.iter().filter(|(_, w)| ready(w) && w.role != Role::Writer);
         let leans: Vec<_> = readers.map(|(&id, w)| (id, w.list.size.max(0.01), lean(w))).collect();
-        let (mut scale, mut rounds) = (1.0, 0);
-        while rounds < ROUNDS {
-            let share = |lean: Option<f64>| lean.map_or(1.0, |l| (l * scale).clamp(LEAN_LEAST, LEAN));
-            self.shares = leans.iter().map(|&(id, size, lean)| (id, size * share(lean))).collect();
-            let (sizes, sum) = (leans.iter().map(|l| l.1).sum::<f64>(), self.shares.values().sum::<f64>());
-            scale *= sizes / sum.max(0.01);
-            rounds += 1;
+        let mut scale = 1.0;
+        for _ in 0..ROUNDS {
+            let parts = leans.iter().map(|&(id, size, l)| (id, size * (l * scale).clamp(LEAN_LEAST, LEAN)));
+            self.shares = parts.collect();
+            scale *= leans.iter().map(|l| l.1).sum::<f64>() / self.shares.values().sum::<f64>().max(0.01);
         }
     }
 
@@ -543,10 +494,7 @@
             // A cold reader that the submission drew comes first, or its part would fall to the hash again.
             let cold = self.workers[&id].cold(now, self.terms.warm_after);
             let drawn = cold && self.lot(now, id, arrival.id, 1.0);
-            // Exception to the hash: a session that was read elsewhere goes back to where its own text is
-            // kept, or each spill and each return of a reader would cost one more whole read.
-            let stays = self.lately.get(&arrival.session).is_some_and(|(at, _)| *at == id);
-            let rank = if stays || drawn { f64::MAX } else { share / -draw(key, id).ln() };
+            let rank = if drawn { f64::MAX } else { share / -draw(key, id).ln() };
             ranked.push((rank, id));
         }
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
@@ -561,8 +509,8 @@
 
     /// How many readers a prefix takes: its part of what this router has seen, less what chance adds to it.
     fn homes(&mut self, now: Tenths, prefix: u64, readers: usize) -> usize {
-        let seen = self.seen.get_mut(&prefix).map_or(0.0, |s| s.read(now, SESSION));
-        let all = self.all_seen.read(now, SESSION).max(1.0);
+        let seen = self.seen.get_mut(&prefix).map_or(0.0, |s| s.read(now, SEEN));
+        let all = self.all_seen.read(now, SEEN).max(1.0);
         let part = (seen - seen.sqrt()).max(0.0) / all;
         (part * readers as f64 / CROWD).ceil().max(1.0) as usize
     }
@@ -665,7 +613,7 @@
         let ticket = (s.arrival.id, s.arrival.track);
         let readers = self.readers(now, &s.arrival);
         if readers.is_empty() && self.terms.writers_read {
-            return self.least(now, ticket, (false, u16::MAX, 0), |w| now >= w.full + DENIAL);
+            return self.least(now, ticket, (false, u16::MAX, 0), |w| now >= w.denied + DENIAL);
         }
         self.shut = true;
         let usable_wait = (s.contract - s.came) as f64 * READING;
@@ -681,7 +629,7 @@
                 w.read_wait.read(now, MEMORY).unwrap_or(0.0).max((now - w.oldest) as f64) > usable_wait;
             let (cell, mixed) = (w.list.cell, w.role == Role::Mixed);
             let tokens = if w.reads > 0 { w.tokens + s.arrival.prompt } else { 0.0 };
-            if now < w.full + DENIAL || w.reads > 0 && w.tokens > SPILL * FILLED {
+            if now < w.denied + DENIAL || w.reads > 0 && w.tokens > SPILL * FILLED {
                 continue;
             }
             let busy = w.reads > 0 && slow || tokens > SPILL * FILLED;
@@ -712,7 +660,8 @@
             // One asked before its restart was told is a send to a cold worker like any other.
             let flow = self.workers.get(&reader).map_or(1.0, |r| self.flow(r.list.cell));
             let cold = self.workers.get(&writer).is_some_and(|w| w.cold(now, self.terms.warm_after));
-            let fit = self.alive(writer) && (!cold || self.lot(now, writer, ticket.0, flow));
+            let alive = self.workers.get(&writer).is_some_and(Worker::alive);
+            let fit = alive && (!cold || self.lot(now, writer, ticket.0, flow));
             if held || fit {
                 return fit.then_some(writer);
             }
@@ -721,7 +670,7 @@
         // Those that refused this submission a place, or lately any, come last.
         let asked = s.asked.clone();
         let (near, far) = ((true, cell, zone), (false, cell, zone));
-        let open = |w: &Worker| now >= w.full + DENIAL;
+        let open = |w: &Worker| now >= w.denied + DENIAL;
         let fits = |w: &Worker| open(w) && !w.tight(now) && !asked.contains(&w.list.worker);
         let mut found = self.least(now, ticket, near, fits);
         if found.is_none() && self.gate(now) {
@@ -730,10 +679,6 @@
         found.or_else(|| self.least(now, ticket, near, open)).or_else(|| self.least(now, ticket, far, open))
     }
 
-    fn alive(&self, id: WorkerId) -> bool {
-        self.workers.get(&id).is_some_and(Worker::alive)
-    }
-
     /// Asks for a place at the next writer of the reader's cell while the prompt is read.
     fn ask(&mut self, now: Tenths, s: &mut Submission) {
         let Some(out) = s.out.as_ref().filter(|o| o.reading && !o.withdrawn) else { return };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -66,12 +66,10 @@
 }
 
 /// What a router is told when it starts and works under from then on.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Terms {
     pub routers: u32,
     pub tracks: Vec<Track>,
-    /// Submissions a second inside each customer's share, over all routers.
-    pub allowances: Vec<f64>,
     pub roles: Vec<Role>,
     pub places: bool,
     pub writers_read: bool,
@@ -107,7 +105,6 @@
 pub struct Arrival {
     pub id: SubmissionId,
     pub track: u8,
-    pub customer: u32,
     pub session: u64,
     pub prefix: u64,
     pub prompt: f64,
