Fewer are let in the more of the contract time the usual way takes

Cause: queues of reads that all end after the contract time, refilled by clients' later tries. Told from lost answers: read times grow everywhere at once. Change: each new submission is let in with a chance that falls with the square of that part; full readers count as all of it. Harms a site whose reads are always slow.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -111,6 +111,7 @@
     /// When and where the first shot went that may have run.
     ran: Option<(Tenths, WorkerId)>,
     let_go: bool,
+    let_in: bool,
     ended: bool,
 }
 
@@ -260,7 +261,13 @@
                 self.judge(now, out.worker, track, 0.0);
             }
             Ending::Honoured | Ending::Stateless => worker.answered(),
-            Ending::Full => worker.denied = now,
+            Ending::Full => {
+                worker.denied = now;
+                if out.reading {
+                    let all = (submission.contract - submission.came) as f64;
+                    self.waits[1].entry(track).or_default().add(now, MEMORY, all);
+                }
+            }
             Ending::Unreachable => worker.rest(now, 1.0 + self.chance.unit()),
             Ending::Fault | Ending::Broken => self.judge(now, out.worker, track, 1.0),
             Ending::TimedOut | Ending::Withdrawn | Ending::NeverSent => {}
@@ -593,6 +600,14 @@
         if s.shots + 2 > self.terms.max_shots {
             return self.end(s);
         }
+        // Guards against a jam that feeds itself, queues of reads that all end too late: the more of the contract
+        // time the usual way takes, full readers counted as all of it, the fewer are let in, each asked once.
+        if s.shots == 0 && !std::mem::replace(&mut s.let_in, true) {
+            let part = self.usual(now, s.arrival.track) / (s.contract - s.came) as f64;
+            if self.chance.unit() > (READING / part).powi(2) {
+                return self.end(s);
+            }
+        }
         if let Some(worker) = self.reader_for(now, s) {
             let reading = self.workers.get(&worker).is_some_and(|w| w.role == Role::Reader);
             s.asked.clear();
@@ -745,9 +760,13 @@
         together && self.may_repeat(now, s)
     }
 
+    /// The usual way to a first token: read and wait at the writer.
+    fn usual(&mut self, now: Tenths, track: u8) -> f64 {
+        self.waits.iter_mut().filter_map(|w| w.get_mut(&track)?.read(now, MEMORY)).sum()
+    }
+
     fn end_if_hopeless(&mut self, now: Tenths, s: &mut Submission) {
-        let waits = self.waits.iter_mut().filter_map(|w| w.get_mut(&s.arrival.track)?.read(now, MEMORY));
-        let usual: f64 = waits.sum();
+        let usual = self.usual(now, s.arrival.track);
         if now + (usual * SLACK) as Tenths + LOOK > s.contract.min(s.cut_off) {
             self.end(s);
         }
