--- a/src/choice.rs
+++ b/src/choice.rs
@@ -128,8 +128,8 @@
     wake: Tenths,
     /// When to ask for the list's changes, where they come only when asked for.
     subscribe: Option<Tenths>,
-    /// By track, how long first tokens and reads take, and the same with shots called back counted in.
-    waits: [BTreeMap<u8, FadingMean>; 4],
+    /// By track, how long reads take and, apart, first tokens.
+    waits: [BTreeMap<u8, FadingMean>; 2],
     cross_wait: FadingMean,
     /// Readers and mixed workers that are ready, and their parts of all reads.
     shares: BTreeMap<WorkerId, f64>,
@@ -205,10 +205,7 @@
         if out.cross {
             self.cross_wait.add(now, MEMORY, (now - out.sent) as f64);
         }
-        for kind in [0, 2] {
-            let waits = self.waits[kind].entry(submission.arrival.track).or_default();
-            waits.add(now, MEMORY, (now - out.sent) as f64);
-        }
+        self.waits[0].entry(submission.arrival.track).or_default().add(now, MEMORY, (now - out.sent) as f64);
         (submission.state, submission.place, submission.let_go) = (None, None, false);
         let (worker, track) = (out.worker, submission.arrival.track);
         if let Some(w) = self.workers.get_mut(&worker) {
@@ -245,10 +242,8 @@
         let held_there = submission.place.is_some_and(|(w, held)| held && w == out.worker);
         if ending == Ending::Read {
             submission.state = Some(out.worker);
-            for kind in [1, 3] {
-                let waits = self.waits[kind].entry(submission.arrival.track).or_default();
-                waits.add(now, MEMORY, (now - out.sent) as f64);
-            }
+            let track = submission.arrival.track;
+            self.waits[1].entry(track).or_default().add(now, MEMORY, (now - out.sent) as f64);
         } else if out.reading || ending == Ending::Stateless || held_there {
             // The state is gone, or went ahead to a writer that failed: only a new read helps.
             submission.let_go |= submission.state.is_some() || submission.place.is_some();
@@ -398,7 +393,7 @@
             let repeat = self.terms.tracks[usize::from(s.arrival.track)].repeat;
             let Some(out) = s.out.as_mut().filter(|o| !o.started && !o.withdrawn) else { continue };
             let resting = self.workers.get(&out.worker).is_some_and(|w| w.rests_until > 0);
-            let waits = self.waits[2 + usize::from(out.reading)].entry(s.arrival.track).or_default();
+            let waits = self.waits[usize::from(out.reading)].entry(s.arrival.track).or_default();
             let usual = waits.read(now, MEMORY).unwrap_or(0.0);
             let mean = usual_loss(self.losses.entry(s.arrival.track).or_default(), now);
             let odds = mean / (1.0 - mean);
@@ -767,7 +762,7 @@
 
     /// The usual way to a first token: read and wait at the writer.
     fn usual(&mut self, now: Tenths, track: u8) -> f64 {
-        self.waits[..2].iter_mut().filter_map(|w| w.get_mut(&track)?.read(now, MEMORY)).sum()
+        self.waits.iter_mut().filter_map(|w| w.get_mut(&track)?.read(now, MEMORY)).sum()
     }
 
     fn end_if_hopeless(&mut self, now: Tenths, s: &mut Submission) {
