--- a/src/choice.rs
+++ b/src/choice.rs
@@ -70,10 +70,8 @@
     tokens: f64,
     reads: u32,
     streams: u32,
-    oldest: Tenths,
     answers: u32,
     fresh_from: Tenths,
-    read_wait: FadingMean,
     /// When it last said no to a place or a send.
     denied: Tenths,
     rests: u32,
@@ -256,7 +254,6 @@
         match ending {
             Ending::Read => {
                 self.flows[1].1.add(now, KNOWN, 1.0);
-                worker.read_wait.add(now, MEMORY, (now - out.sent) as f64);
                 worker.answered();
                 self.judge(now, out.worker, track, 0.0);
             }
@@ -319,7 +316,7 @@
         if std::mem::take(&mut self.relisted) {
             self.share_out();
         }
-        self.count(now);
+        self.count();
         self.shut = false;
         if self.subscribe.take_if(|at| *at <= now).is_some() {
             self.ready.push_back(Decision::Subscribe);
@@ -360,9 +357,9 @@
     }
 
     /// Counts anew what this router has out at each worker.
-    fn count(&mut self, now: Tenths) {
+    fn count(&mut self) {
         for w in self.workers.values_mut() {
-            (w.tokens, w.reads, w.streams, w.oldest) = (0.0, 0, 0, now);
+            (w.tokens, w.reads, w.streams) = (0.0, 0, 0);
         }
         for s in self.open.values() {
             if let Some(out) = &s.out {
@@ -373,7 +370,6 @@
                     } else {
                         w.streams += 1;
                     }
-                    w.oldest = if out.started { w.oldest } else { w.oldest.min(out.sent) };
                 }
             }
             if let Some((place, _)) = s.place.filter(|(p, _)| s.out.as_ref().is_none_or(|o| o.worker != *p)) {
@@ -631,23 +627,18 @@
             return self.least(now, ticket, (false, u16::MAX, 0), |w| now >= w.denied + DENIAL);
         }
         self.shut = true;
-        let usable_wait = (s.contract - s.came) as f64 * READING;
         let mut past: Option<(f64, WorkerId)> = None;
         for id in readers {
             if !self.usable(now, id, ticket, 1.0) {
                 continue;
             }
             let Some(w) = self.workers.get_mut(&id) else { continue };
-            // Guards against a queue of reads that clients leave before they are done: while reads there take
-            // too much of the contract time, only one of this router's is out to see whether it has passed.
-            let slow =
-                w.read_wait.read(now, MEMORY).unwrap_or(0.0).max((now - w.oldest) as f64) > usable_wait;
             let (cell, mixed) = (w.list.cell, w.role == Role::Mixed);
             let tokens = if w.reads > 0 { w.tokens + s.arrival.prompt } else { 0.0 };
             if now < w.denied + DENIAL || w.reads > 0 && w.tokens > SPILL * FILLED {
                 continue;
             }
-            let busy = w.reads > 0 && slow || tokens > SPILL * FILLED;
+            let busy = tokens > SPILL * FILLED;
             // Exception to the wait: a reader further down whose cell grants is taken first.
             if !mixed && !self.grants(now, cell, ticket) {
                 continue;
