--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,7 +10,7 @@
 
 /// Prompt tokens of this router that may wait at a reader before reads spill.
 const SPILL: f64 = 4_000.0;
-/// Where every reader is past the bound, the least filled takes up to so many times the bound.
+/// The least filled takes up to so many times the bound where all are past it.
 const FILLED: f64 = 2.0;
 /// A reader's part of all reads is at most so many times an even one, which readers as a whole can spare.
 const LEAN: f64 = 1.5;
@@ -24,7 +24,7 @@
 const DENIAL: Tenths = 500;
 /// Tenths: how long a writer's 'not held' is believed when another could be asked.
 const BELIEF: Tenths = 5_000;
-/// Part of the contract time that a read may take, queue included; the rest is for the first token.
+/// Part of the contract time that the way to a first token may take before less is sent that way.
 const READING: f64 = 0.5;
 /// What waits is given up when less than so many times the usual way to a first token is left.
 const SLACK: f64 = 3.0;
@@ -60,7 +60,6 @@
 const LOOK: Tenths = 100;
 const WATCH: Tenths = 500;
 
-/// A submission and its track, as far as they matter to whether a worker may have it.
 type Ticket = (SubmissionId, u8);
 
 #[derive(Default)]
@@ -70,9 +69,10 @@
     tokens: f64,
     reads: u32,
     streams: u32,
+    oldest: Tenths,
     answers: u32,
     fresh_from: Tenths,
-    /// When it last said no to a place or a send.
+    read_wait: FadingMean,
     denied: Tenths,
     rests: u32,
     rests_until: Tenths,
@@ -82,6 +82,7 @@
     losses: BTreeMap<u8, FadingMean>,
 }
 
+#[derive(Default)]
 struct Shot {
     number: u16,
     worker: WorkerId,
@@ -120,11 +121,10 @@
     workers: BTreeMap<WorkerId, Worker>,
     open: BTreeMap<SubmissionId, Submission>,
     ready: VecDeque<Decision>,
-    stale: bool,
-    /// No reader takes any more in this survey.
+    surveyed: bool,
     shut: bool,
     wake: Tenths,
-    /// When to ask for the list's changes, where they come only when asked for.
+    /// When to ask for the list's changes.
     subscribe: Option<Tenths>,
     /// By track, how long reads take and, apart, first tokens.
     waits: [BTreeMap<u8, FadingMean>; 2],
@@ -149,19 +149,18 @@
 
     /// A whole list begins: workers that it does not name are gone.
     pub fn list_anew(&mut self, _now: Tenths) {
-        (self.stale, self.relisted) = (true, true);
+        self.relisted = true;
         self.workers.values_mut().for_each(|w| w.list.standing = Standing::Gone);
     }
 
     /// The call for the list failed; the old list stays in force, and the next call keeps apart from others'.
     pub fn list_failed(&mut self, now: Tenths) {
-        self.stale = true;
         let pause = REST as f64 * (1.0 + self.chance.unit());
         self.subscribe = self.terms.subscribes.then_some(now + pause as Tenths);
     }
 
     pub fn listed(&mut self, now: Tenths, list: Listing) {
-        (self.stale, self.relisted) = (true, true);
+        self.relisted = true;
         let role = self.terms.roles.get(usize::from(list.kind)).copied();
         let Some(role) = role else { return };
         let worker = self.workers.entry(list.worker).or_insert_with(|| Worker {
@@ -171,16 +170,13 @@
             ..Worker::default()
         });
         if worker.list.started != list.started {
-            (worker.answers, worker.fresh_from) = (0, list.started);
-            (worker.rests, worker.rests_until) = (0, 0);
+            (worker.answers, worker.fresh_from, worker.rests, worker.rests_until) = (0, list.started, 0, 0);
         }
-        worker.list = list;
-        worker.role = role;
+        (worker.list, worker.role) = (list, role);
     }
 
     /// False if the submission names a track that the terms do not have.
     pub fn arrived(&mut self, now: Tenths, arrival: Arrival) -> bool {
-        self.stale = true;
         let Some(track) = self.terms.tracks.get(usize::from(arrival.track)) else { return false };
         let stretch = track.per_thousand as f64 * arrival.prompt.max(0.0) / 1000.0;
         self.all_seen.add(now, SEEN, 1.0);
@@ -196,26 +192,30 @@
     }
 
     pub fn started(&mut self, now: Tenths, id: SubmissionId, shot: u16) {
-        self.stale = true;
         let Some(submission) = self.open.get_mut(&id) else { return };
         let Some(out) = submission.out.as_mut().filter(|out| out.number == shot) else { return };
         out.started = true;
         if out.cross {
             self.cross_wait.add(now, MEMORY, (now - out.sent) as f64);
         }
-        self.waits[0].entry(submission.arrival.track).or_default().add(now, MEMORY, (now - out.sent) as f64);
         (submission.state, submission.place, submission.let_go) = (None, None, false);
-        let (worker, track) = (out.worker, submission.arrival.track);
-        if let Some(w) = self.workers.get_mut(&worker) {
-            self.flows[0].1.add(now, KNOWN, 1.0);
-            (w.rests, w.rests_until) = (0, 0);
-        }
+        let (worker, sent, track) = (out.worker, out.sent, submission.arrival.track);
+        self.answered(now, worker, track, 0, now - sent);
+    }
+
+    /// A writer, 0, began to answer, or a reader, 1, read.
+    fn answered(&mut self, now: Tenths, worker: WorkerId, track: u8, stage: usize, took: Tenths) {
+        self.waits[stage].entry(track).or_default().add(now, MEMORY, took as f64);
+        self.flows[stage].1.add(now, KNOWN, 1.0);
         self.judge(now, worker, track, 0.0);
+        let Some(w) = self.workers.get_mut(&worker) else { return };
+        w.read_wait.add(now, MEMORY, took as f64);
+        (w.rests, w.rests_until) = (0, 0);
+        w.answers += stage as u32;
     }
 
-    /// The answer comes by the reading shot and names its reader, so the writer is the one asked last.
+    /// The answer names the reader, so the writer is the one asked last.
     pub fn answered_ahead(&mut self, now: Tenths, id: SubmissionId, held: bool) {
-        self.stale = true;
         let Some(submission) = self.open.get_mut(&id) else { return };
         let Some((writer, _)) = submission.place else { return };
         submission.place = held.then_some((writer, true));
@@ -225,7 +225,6 @@
     }
 
     pub fn settled(&mut self, now: Tenths, id: SubmissionId, shot: u16, ending: Ending, terminal: bool) {
-        self.stale = true;
         let Some(submission) = self.open.get_mut(&id) else { return };
         let Some(out) = submission.out.take_if(|out| out.number == shot) else { return };
         submission.since = now;
@@ -240,8 +239,6 @@
         let held_there = submission.place.is_some_and(|(w, held)| held && w == out.worker);
         if ending == Ending::Read {
             submission.state = Some(out.worker);
-            let track = submission.arrival.track;
-            self.waits[1].entry(track).or_default().add(now, MEMORY, (now - out.sent) as f64);
         } else if out.reading || ending == Ending::Stateless || held_there {
             // The state is gone, or went ahead to a writer that failed: only a new read helps.
             submission.let_go |= submission.state.is_some() || submission.place.is_some();
@@ -252,12 +249,8 @@
         let track = submission.arrival.track;
         let Some(worker) = self.workers.get_mut(&out.worker) else { return };
         match ending {
-            Ending::Read => {
-                self.flows[1].1.add(now, KNOWN, 1.0);
-                worker.answered();
-                self.judge(now, out.worker, track, 0.0);
-            }
-            Ending::Honoured | Ending::Stateless => worker.answered(),
+            Ending::Read => self.answered(now, out.worker, track, 1, now - out.sent),
+            Ending::Honoured | Ending::Stateless => worker.answers += 1,
             Ending::Full => {
                 worker.denied = now;
                 if out.reading {
@@ -280,43 +273,38 @@
     }
 
     pub fn dropped(&mut self, _now: Tenths, id: SubmissionId) {
-        self.stale = true;
-        if let Some(submission) = self.open.get_mut(&id) {
-            submission.ended = true;
-        }
+        self.open.get_mut(&id).into_iter().for_each(|s| s.ended = true);
     }
 
     pub fn woken(&mut self, now: Tenths) {
-        if now >= self.wake {
-            self.wake = Tenths::MAX;
-        }
-        self.stale = true;
+        self.wake = if now >= self.wake { Tenths::MAX } else { self.wake };
     }
 
     pub fn probed(&mut self, now: Tenths, worker: WorkerId, well: bool) {
-        self.stale = true;
-        let jitter = 1.0 + self.chance.unit();
         let Some(w) = self.workers.get_mut(&worker) else { return };
         w.probing = false;
         if !well {
-            w.rest(now, jitter);
+            w.rest(now, 1.0 + self.chance.unit());
         } else if w.rests_until > 0 {
             w.back(now);
         }
     }
 
     pub fn decide(&mut self, now: Tenths) -> Option<Decision> {
-        if self.ready.is_empty() && std::mem::take(&mut self.stale) {
+        // One survey a round of pulls, which ends with None.
+        if self.ready.is_empty() && !std::mem::replace(&mut self.surveyed, true) {
             self.survey(now);
         }
-        self.ready.pop_front()
+        let next = self.ready.pop_front();
+        self.surveyed = next.is_some();
+        next
     }
 
     fn survey(&mut self, now: Tenths) {
         if std::mem::take(&mut self.relisted) {
             self.share_out();
         }
-        self.count();
+        self.count(now);
         self.shut = false;
         if self.subscribe.take_if(|at| *at <= now).is_some() {
             self.ready.push_back(Decision::Subscribe);
@@ -357,9 +345,9 @@
     }
 
     /// Counts anew what this router has out at each worker.
-    fn count(&mut self) {
+    fn count(&mut self, now: Tenths) {
         for w in self.workers.values_mut() {
-            (w.tokens, w.reads, w.streams) = (0.0, 0, 0);
+            (w.tokens, w.reads, w.streams, w.oldest) = (0.0, 0, 0, now);
         }
         for s in self.open.values() {
             if let Some(out) = &s.out {
@@ -370,6 +358,7 @@
                     } else {
                         w.streams += 1;
                     }
+                    w.oldest = if out.started { w.oldest } else { w.oldest.min(out.sent) };
                 }
             }
             if let Some((place, _)) = s.place.filter(|(p, _)| s.out.as_ref().is_none_or(|o| o.worker != *p)) {
@@ -380,10 +369,9 @@
         }
     }
 
-    /// Guards against answers that never come, from a worker as a whole or for one track only: a shot out for
-    /// some times the usual wait is called back where its track lets it run again, counts against its worker
-    /// for that track, and a probe tells whether all of the worker is dead. What a lost shot took counts as a
-    /// wait, so that patience grows when everything is slow. Harms when one slow read is taken for lost.
+    /// Guards against answers that never come, of a worker or of one track there: a shot out for some times
+    /// the usual wait is called back where it may run again and counts against its worker there. Its age is
+    /// a wait too, so that patience grows when all is slow. Harms when a slow read is taken for lost.
     fn watch(&mut self, now: Tenths, open: &mut BTreeMap<SubmissionId, Submission>) {
         for (&id, s) in open {
             let repeat = self.terms.tracks[usize::from(s.arrival.track)].repeat;
@@ -419,8 +407,7 @@
         }
     }
 
-    /// Whether a new shot or place of the submission may go to the worker, which could be a choice for the
-    /// part `flow` of all of the fleet's submissions.
+    /// Whether a shot or place may go to the worker, a choice for the part `flow` of all submissions.
     fn usable(&mut self, now: Tenths, id: WorkerId, (ticket, track): Ticket, flow: f64) -> bool {
         let Some(w) = self.workers.get(&id) else { return false };
         let fresh = now - w.fresh_from < self.terms.warm_after && w.fresh_from > 0;
@@ -431,8 +418,7 @@
             && (!cold || self.lot(now, id, ticket, flow))
     }
 
-    /// Whether the worker loses clearly more of a track than all workers do; what little is known of it is
-    /// shrunk by one shot towards them, so that one loss among many answers says nothing.
+    /// Whether the worker loses clearly more of a track than all do; what is known is shrunk by one shot.
     fn doubted(&mut self, now: Tenths, id: WorkerId, track: u8) -> bool {
         let mean = usual_loss(self.losses.entry(track).or_default(), now);
         let known = self.workers.get_mut(&id).and_then(|w| w.losses.get_mut(&track));
@@ -440,10 +426,9 @@
         (lost + mean) / (shots + 1.0) - mean > DOUBT * (1.0 - mean)
     }
 
-    /// Guards against pushing over a cold worker, by any number of routers: of every router's submissions only
-    /// those that draw the worker go there, so many that their sum stays under the stated multiple of what it
-    /// can surely do by some times the sum's own spread, reckoned from what this router's warm peers answer.
-    /// Harms where many are cold at once: they do little until they are warm.
+    /// Guards against pushing over a cold worker, by any number of routers: only submissions that draw it go
+    /// there, so few that their sum stays under the stated multiple of what it can do by some times its own
+    /// spread, reckoned from what warm peers answer. Harms where many are cold: they do little till warm.
     fn lot(&mut self, now: Tenths, id: WorkerId, ticket: SubmissionId, flow: f64) -> bool {
         let (t, w) = (&self.terms, &self.workers[&id]);
         let kin = self.workers.values().filter(|k| k.role == w.role && k.list.standing == Standing::Ready);
@@ -461,9 +446,8 @@
         draw(ticket, id) < share * done / (sent.max(1.0) * all * flow.max(0.001))
     }
 
-    /// Each reader's part of all reads, worked out anew with each list: in proportion to the writers for each
-    /// reader in its cell and in its zone, within bounds, or lone readers among writers would drown and
-    /// readers without writers near them choke their link.
+    /// Each reader's part of all reads follows the writers for each reader in its cell and zone, in bounds:
+    /// lone readers among writers would drown, and readers with no writers near choke their link.
     fn share_out(&mut self) {
         let mut around: [BTreeMap<u16, (f64, f64)>; 2] = Default::default();
         let ready = |w: &&Worker| w.list.standing == Standing::Ready;
@@ -501,8 +485,7 @@
             ranked.push((rank, id));
         }
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
-        // Exception to one home: a prefix with more than a reader's part of all submissions has as many homes
-        // as that takes, and the session says which is whose, the same at every router.
+        // Exception to one home: a prefix has as many as its part of all needs, shared out by session.
         let drawn = ranked.iter().take_while(|(rank, _)| *rank == f64::MAX).count();
         let homes = self.homes(now, arrival.prefix, ranked.len()).min(ranked.len() - drawn);
         ranked[drawn..drawn + homes]
@@ -518,7 +501,7 @@
         (part * readers as f64 / CROWD).ceil().max(1.0) as usize
     }
 
-    /// Whether a writer for a read there may grant: in the cell, or beyond it through the gate.
+    /// Whether a writer in the cell, or beyond it through the gate, may grant.
     fn grants(&mut self, now: Tenths, cell: u16, ticket: Ticket) -> bool {
         let flow = self.flow(cell);
         let writers = self.writers(|w| !w.tight(now));
@@ -550,8 +533,7 @@
         let mut fitting = self.writers(|w| (w.list.cell == cell) == near && fits(w));
         let flow = if near { self.flow(cell) } else { 1.0 };
         fitting.retain(|&id| self.usable(now, id, ticket, flow));
-        // Ties go by chance: most of many routers have no stream at most writers, and the first in the list
-        // would get them all.
+        // Ties go by chance: of many routers most have no stream there, and the first id would get them all.
         let mut best: Option<((bool, bool, f64, f64), WorkerId)> = None;
         for id in fitting {
             let w = &self.workers[&id];
@@ -584,20 +566,17 @@
                     if s.place.is_some_and(|(w, _)| w != writer) {
                         s.place = None;
                     }
-                    self.send(now, s, writer, false, cross);
-                    return;
-                }
-                _ if overdue || s.place.is_some_and(|(_, held)| held) => {
-                    self.let_go(s);
+                    return self.send(now, s, writer, false, cross);
                 }
+                _ if overdue || s.place.is_some_and(|(_, held)| held) => self.let_go(s),
                 _ => return self.end_if_hopeless(now, s),
             }
         }
         if s.shots + 2 > self.terms.max_shots {
             return self.end(s);
         }
-        // Guards against a jam that feeds itself, queues of reads that all end too late: the more of the contract
-        // time the usual way takes, full readers counted as all of it, the fewer are let in, each asked once.
+        // Guards against a jam that feeds itself, queues of reads that all end too late: the more of the
+        // contract time the usual way takes, a full reader counted as all of it, the fewer are let in.
         if s.shots == 0 && !std::mem::replace(&mut s.let_in, true) {
             let part = self.usual(now, s.arrival.track) / (s.contract - s.came) as f64;
             if self.chance.unit() > (READING / part).powi(2) {
@@ -608,16 +587,13 @@
             let reading = self.workers.get(&worker).is_some_and(|w| w.role == Role::Reader);
             s.asked.clear();
             self.send(now, s, worker, reading, false);
-            if reading {
-                self.ask(now, s);
-            }
-            return;
+            return self.ask(now, s);
         }
         self.end_if_hopeless(now, s);
     }
 
     fn reader_for(&mut self, now: Tenths, s: &Submission) -> Option<WorkerId> {
-        // Guards against the cost of a flood: with no reader left the rest of the waiting need not look.
+        // With no reader left the rest of a flood need not look.
         if self.shut {
             return None;
         }
@@ -627,18 +603,22 @@
             return self.least(now, ticket, (false, u16::MAX, 0), |w| now >= w.denied + DENIAL);
         }
         self.shut = true;
+        let usable_wait = (s.contract - s.came) as f64 * READING;
         let mut past: Option<(f64, WorkerId)> = None;
         for id in readers {
             if !self.usable(now, id, ticket, 1.0) {
                 continue;
             }
             let Some(w) = self.workers.get_mut(&id) else { continue };
+            // Guards against queues of reads that end too late: one is out there to see whether it passed.
+            let slow =
+                w.read_wait.read(now, MEMORY).unwrap_or(0.0).max((now - w.oldest) as f64) > usable_wait;
             let (cell, mixed) = (w.list.cell, w.role == Role::Mixed);
             let tokens = if w.reads > 0 { w.tokens + s.arrival.prompt } else { 0.0 };
             if now < w.denied + DENIAL || w.reads > 0 && w.tokens > SPILL * FILLED {
                 continue;
             }
-            let busy = tokens > SPILL * FILLED;
+            let busy = w.reads > 0 && slow || tokens > SPILL * FILLED;
             // Exception to the wait: a reader further down whose cell grants is taken first.
             if !mixed && !self.grants(now, cell, ticket) {
                 continue;
@@ -659,8 +639,7 @@
 
     /// The held writer, else the fewest own streams in the reader's cell, else beyond it through the gate.
     fn writer_for(&mut self, now: Tenths, s: &Submission, reader: WorkerId) -> Option<WorkerId> {
-        // A short read may end before the answer on its place: the state may have gone ahead all the same,
-        // and a send elsewhere would find none.
+        // A short read ends before the answer on its place, but the state may have gone ahead all the same.
         let ticket = (s.arrival.id, s.arrival.track);
         if let Some((writer, held)) = s.place {
             // One asked before its restart was told is a send to a cold worker like any other.
@@ -691,9 +670,7 @@
         if s.place.is_some() || !self.terms.places {
             return;
         }
-        let Some((cell, zone)) = self.workers.get(&out.worker).map(|w| (w.list.cell, w.list.zone)) else {
-            return;
-        };
+        let Some(Listing { cell, zone, .. }) = self.workers.get(&out.worker).map(|w| w.list) else { return };
         let asked = s.asked.clone();
         let fits = |w: &Worker| !asked.contains(&w.list.worker) && !w.tight(now);
         let ticket = (s.arrival.id, s.arrival.track);
@@ -714,8 +691,7 @@
     fn send(&mut self, now: Tenths, s: &mut Submission, worker: WorkerId, reading: bool, cross: bool) {
         let number = s.shots;
         s.shots += 1;
-        let (started, withdrawn, doubted) = (false, false, false);
-        s.out = Some(Shot { number, worker, reading, sent: now, started, withdrawn, doubted, cross });
+        s.out = Some(Shot { number, worker, reading, sent: now, cross, ..Shot::default() });
         if let Some(w) = self.workers.get_mut(&worker) {
             if reading {
                 w.reads += 1;
@@ -781,7 +757,7 @@
             self.let_go(s);
         }
         s.ended = true;
-        // Spread out, or all that was turned back in one burst would return as one.
+        // Spread out, or a burst would return as one.
         let spread = 0.5 + self.chance.unit() / 2.0;
         let after = if self.terms.advice { (self.terms.longest_advice as f64 * spread) as Tenths } else { 0 };
         self.ready.push_back(if harmless {
@@ -793,11 +769,6 @@
 }
 
 impl Worker {
-    fn answered(&mut self) {
-        (self.rests, self.rests_until) = (0, 0);
-        self.answers = self.answers.saturating_add(1);
-    }
-
     /// Back through a trickle: the cap on what is in flight starts anew.
     fn back(&mut self, now: Tenths) {
         (self.rests_until, self.answers, self.fresh_from) = (0, 0, now);
@@ -816,7 +787,7 @@
         self.list.started > 0 && now - self.list.started < warm
     }
 
-    /// Out of service for a while, twice as long after each failure; the jitter keeps routers apart.
+    /// Out of service, twice as long after each failure; the jitter keeps routers apart.
     fn rest(&mut self, now: Tenths, jitter: f64) {
         if now < self.rests_until {
             return;
