--- a/src/choice.rs
+++ b/src/choice.rs
@@ -46,6 +46,8 @@
 const FRESH: u32 = 2;
 /// A shot counts as lost after the usual wait times this and the logarithm of the odds of a loss.
 const PATIENCE: f64 = 2.0;
+/// A worker is probed at this part of the patience with a shot: a dead one need not be waited for.
+const EARLY: f64 = 3.0;
 /// The part of shots that are lost while nothing is known.
 const RARE: f64 = 0.01;
 /// And not before this part of its contract time, which leaves time for two more.
@@ -90,6 +92,7 @@
     sent: Tenths,
     started: bool,
     withdrawn: bool,
+    probed: bool,
     doubted: bool,
     cross: bool,
 }
@@ -383,7 +386,11 @@
             let odds = mean / (1.0 - mean);
             let least = (s.contract - s.came) as f64 * PATIENCE_LEAST;
             let patience = (usual * PATIENCE * -odds.ln().min(-1.0)).max(least);
-            let lost = (now - out.sent) as f64 > patience;
+            let age = (now - out.sent) as f64;
+            let lost = age > patience;
+            if age * EARLY > patience && !std::mem::replace(&mut out.probed, true) {
+                self.workers.entry(out.worker).or_default().suspect = true;
+            }
             if lost && !out.doubted {
                 out.doubted = true;
                 waits.add(now, MEMORY, patience);
