--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,6 +28,8 @@
 const READING: f64 = 0.5;
 /// What waits is given up when less than so many times the usual way to a first token is left.
 const SLACK: f64 = 3.0;
+/// Part of the contract time that the usual way to a first token may take before fewer are let in.
+const LET_IN: f64 = 0.65;
 /// One pair in so many passes a shut gate, to measure again; the design's value.
 const MEASURE: f64 = 50.0;
 /// Places that a read may ask for, over which it looks no further beyond its cell: each costs a probe.
@@ -46,8 +48,6 @@
 const FRESH: u32 = 2;
 /// A shot counts as lost after the usual wait times this and the logarithm of the odds of a loss.
 const PATIENCE: f64 = 2.0;
-/// A worker is probed at this part of the patience with a shot: a dead one need not be waited for.
-const EARLY: f64 = 3.0;
 /// The part of shots that are lost while nothing is known.
 const RARE: f64 = 0.01;
 /// And not before this part of its contract time, which leaves time for two more.
@@ -92,7 +92,6 @@
     sent: Tenths,
     started: bool,
     withdrawn: bool,
-    probed: bool,
     doubted: bool,
     cross: bool,
 }
@@ -386,11 +385,7 @@
             let odds = mean / (1.0 - mean);
             let least = (s.contract - s.came) as f64 * PATIENCE_LEAST;
             let patience = (usual * PATIENCE * -odds.ln().min(-1.0)).max(least);
-            let age = (now - out.sent) as f64;
-            let lost = age > patience;
-            if age * EARLY > patience && !std::mem::replace(&mut out.probed, true) {
-                self.workers.entry(out.worker).or_default().suspect = true;
-            }
+            let lost = (now - out.sent) as f64 > patience;
             if lost && !out.doubted {
                 out.doubted = true;
                 waits.add(now, MEMORY, patience);
@@ -586,7 +581,7 @@
         // contract time the usual way takes, a full reader counted as all of it, the fewer are let in.
         if s.shots == 0 && !std::mem::replace(&mut s.let_in, true) {
             let part = self.usual(now, s.arrival.track) / (s.contract - s.came) as f64;
-            if self.chance.unit() > (READING / part).powi(2) {
+            if self.chance.unit() > (LET_IN / part).powi(2) {
                 return self.end(s);
             }
         }
