--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,8 +28,6 @@
 const READING: f64 = 0.5;
 /// What waits is given up when less than so many times the usual way to a first token is left.
 const SLACK: f64 = 3.0;
-/// Part of the contract time that the usual way to a first token may take before fewer are let in.
-const LET_IN: f64 = 0.65;
 /// One pair in so many passes a shut gate, to measure again; the design's value.
 const MEASURE: f64 = 50.0;
 /// Places that a read may ask for, over which it looks no further beyond its cell: each costs a probe.
@@ -260,8 +258,8 @@
                     self.waits[1].entry(track).or_default().add(now, MEMORY, all);
                 }
             }
-            Ending::Unreachable => worker.rest(now, 1.0 + self.chance.unit()),
-            Ending::Fault | Ending::Broken => self.judge(now, out.worker, track, 1.0),
+            Ending::Unreachable | Ending::Broken => worker.rest(now, 1.0 + self.chance.unit()),
+            Ending::Fault => self.judge(now, out.worker, track, 1.0),
             Ending::TimedOut | Ending::Withdrawn | Ending::NeverSent => {}
         }
     }
@@ -581,7 +579,7 @@
         // contract time the usual way takes, a full reader counted as all of it, the fewer are let in.
         if s.shots == 0 && !std::mem::replace(&mut s.let_in, true) {
             let part = self.usual(now, s.arrival.track) / (s.contract - s.came) as f64;
-            if self.chance.unit() > (LET_IN / part).powi(2) {
+            if self.chance.unit() > (READING / part).powi(2) {
                 return self.end(s);
             }
         }
