--- a/tests/lessons.rs
+++ b/tests/lessons.rs
@@ -249,3 +249,48 @@
     let sent = std::iter::from_fn(|| world.router.decide(world.now));
     assert_eq!(sent.filter(|d| matches!(d, Decision::Send { .. })).count(), 3);
 }
+
+#[test]
+fn ties_spread_over_the_writers_of_a_cell_and_a_hot_prefix_over_its_readers() {
+    let mut world = World::new(terms(), 6);
+    honour(&mut world, 120);
+    for n in 0..6 {
+        let sends = world.log.iter().filter(|(_, d)| sent_to(d) == Some(worker(n))).count();
+        assert!(sends > if n % 3 == 0 { 30 } else { 15 }, "{n}: {sends}");
+    }
+}
+
+#[test]
+fn a_paused_worker_keeps_its_shots() {
+    let mut world = World::new(terms(), 3);
+    let id = world.arrive(0, 1, 1000.0, LEFT);
+    world.pass(350 * MS);
+    world.settle(id, Ending::Read);
+    assert!(world.probes.is_empty() && !world.logged(&Decision::Withdraw { id, shot: 0 }));
+    let next = world.arrive(0, 1, 1000.0, LEFT);
+    assert_eq!(at(&world, next), worker(0));
+}
+
+#[test]
+fn full_readers_close_the_door_to_most_and_a_quick_read_opens_it() {
+    let mut world = World::new(terms(), 3);
+    let turned_away = |world: &mut World| {
+        let ids: Vec<_> = (0..40).map(|_| world.arrive(0, 1, 10.0, LEFT)).collect();
+        ids.iter().filter(|id| world.open[id].shots == 0 && world.open[id].ended).count()
+    };
+    let id = world.arrive(0, 1, 10.0, LEFT);
+    world.settle(id, Ending::Full);
+    let shut = turned_away(&mut world);
+    world.pass(20_000 * MS);
+    for _ in 0..40 {
+        let id = world.arrive(0, 1, 10.0, LEFT);
+        if world.open[&id].out.is_some() {
+            world.settle(id, Ending::Read);
+            world.start(id);
+            world.settle(id, Ending::Honoured);
+        }
+        world.pass(1000 * MS);
+    }
+    let open = turned_away(&mut world);
+    assert!(shut > 20 && open < 5, "{shut} then {open}");
+}
