--- a/src/choice.rs
+++ b/src/choice.rs
@@ -19,7 +19,7 @@
 /// Steps in which the parts are scaled until they fit between the two bounds; more change little.
 const ROUNDS: u32 = 8;
 /// One prefix may take so many times an even part of the reads at each of its homes.
-const CROWD: f64 = 0.5;
+const CROWD: f64 = 1.0;
 /// Tenths: how long a writer's 'not held' or a server's 'full' is believed; the design's 50 ms.
 const DENIAL: Tenths = 500;
 /// Tenths: how long a writer's 'not held' is believed when another could be asked.
@@ -39,7 +39,7 @@
 /// Doublings of the rest at most: a dead worker is tried every eight seconds or so.
 const RESTS: u32 = 4;
 /// Tenths: the memory of losses and flows, some twenty submissions at one a second.
-const KNOWN: Tenths = 200_000;
+const KNOWN: Tenths = 400_000;
 /// Standard deviations of a sum of many routers' chances that stay free at a cold worker.
 const SPREAD: f64 = 2.5;
 /// Shots that a fresh worker may have out before its first answer.
