--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,7 +39,7 @@
 /// Doublings of the rest at most: a dead worker is tried every eight seconds or so.
 const RESTS: u32 = 4;
 /// Tenths: the memory of losses and flows, some twenty submissions at one a second.
-const KNOWN: Tenths = 200_000;
+const KNOWN: Tenths = 400_000;
 /// Standard deviations of a sum of many routers' chances that stay free at a cold worker.
 const SPREAD: f64 = 2.5;
 /// Shots that a fresh worker may have out before its first answer.
