--- a/src/choice.rs
+++ b/src/choice.rs
@@ -257,8 +257,6 @@
                     let all = (submission.contract - submission.came) as f64;
                     self.waits[1].entry(track).or_default().add(now, MEMORY, all);
                 }
-                // One that is full for a track alone has room for others, and is left for that track.
-                self.judge(now, out.worker, track, 1.0);
             }
             Ending::Unreachable | Ending::Broken => worker.rest(now, 1.0 + self.chance.unit()),
             Ending::Fault => self.judge(now, out.worker, track, 1.0),
@@ -266,11 +264,12 @@
         }
     }
 
-    /// Books an answer, or with 1 a loss, to a worker.
+    /// Books an answer, or with 1 a loss, to a worker; after a loss a probe tells whether all of it is dead.
     fn judge(&mut self, now: Tenths, worker: WorkerId, track: u8, lost: f64) {
         self.losses.entry(track).or_default().add(now, KNOWN, lost);
         let Some(w) = self.workers.get_mut(&worker) else { return };
         w.losses.entry(track).or_default().add(now, KNOWN, lost);
+        w.suspect |= lost > 0.0;
     }
 
     pub fn dropped(&mut self, _now: Tenths, id: SubmissionId) {
@@ -389,7 +388,6 @@
                 out.doubted = true;
                 waits.add(now, MEMORY, patience);
                 self.judge(now, out.worker, s.arrival.track, 1.0);
-                self.workers.entry(out.worker).or_default().suspect = true;
             }
             let free = out.reading || repeat == Repeat::Replayable;
             let again = free && (lost || resting) && s.shots + 1 < self.terms.max_shots;
