--- a/src/choice.rs
+++ b/src/choice.rs
@@ -432,15 +432,18 @@
     fn lot(&mut self, now: Tenths, id: WorkerId, ticket: SubmissionId, flow: f64) -> bool {
         let (t, w) = (&self.terms, &self.workers[&id]);
         let kin = self.workers.values().filter(|k| k.role == w.role && k.list.standing == Standing::Ready);
-        let (all, able) = kin.fold((0.0, 0.0), |(all, able), k| (all + 1.0, able + k.present(now, t)));
-        let (able, present) = (f64::max(able, all / 2.0), w.present(now, t));
+        let (all, warm) = kin.fold((0.0, 0.0), |(all, warm), k| {
+            (all + 1.0, warm + f64::from(u8::from(!k.cold(now, t.warm_after))))
+        });
         let (sent, done) = &mut self.flows[usize::from(w.role == Role::Reader)];
         let (sent, done) = (sent.read(now, KNOWN), done.read(now, KNOWN));
+        let part = (now - w.list.started) as f64 / t.warm_after as f64;
+        let present = t.cold_share + (1.0 - t.cold_share) * part;
         // Fleet-wide, a warm peer answers so many within the stated span.
-        let peer = done * t.fall_span as f64 / KNOWN as f64 * f64::from(t.routers) / able;
+        let peer = done * t.fall_span as f64 / KNOWN as f64 * f64::from(t.routers) / f64::max(warm, 1.0);
         let spread = (SPREAD * SPREAD + 4.0 * t.fall_multiple * present * peer).sqrt() - SPREAD;
         let share = (spread * spread / 4.0 / peer.max(0.001)).min(present);
-        draw(ticket, id) < share * done / (sent.max(1.0) * able * flow.max(0.001))
+        draw(ticket, id) < share * done / (sent.max(1.0) * all * flow.max(0.001))
     }
 
     /// Each reader's part of all reads follows the writers for each reader in its cell and zone, in bounds:
@@ -784,16 +787,6 @@
         self.list.started > 0 && now - self.list.started < warm
     }
 
-    /// The part of a warm one's work that it surely can do.
-    fn present(&self, now: Tenths, terms: &Terms) -> f64 {
-        let part = (now - self.list.started) as f64 / terms.warm_after as f64;
-        if self.cold(now, terms.warm_after) {
-            terms.cold_share + (1.0 - terms.cold_share) * part
-        } else {
-            1.0
-        }
-    }
-
     /// Out of service, twice as long after each failure; the jitter keeps routers apart.
     fn rest(&mut self, now: Tenths, jitter: f64) {
         if now < self.rests_until {
