--- a/src/choice.rs
+++ b/src/choice.rs
@@ -576,9 +576,11 @@
             return self.end(s);
         }
         // Guards against a jam that feeds itself, queues of reads that all end too late: the more of the
-        // contract time the usual way takes, a full reader counted as all of it, the fewer are let in.
+        // shortest contract time the usual way takes, a full reader counted as all, the fewer are let in.
         if s.shots == 0 && !std::mem::replace(&mut s.let_in, true) {
-            let part = self.usual(now, s.arrival.track) / (s.contract - s.came) as f64;
+            let shortest = self.terms.tracks.iter().map(|t| t.contract).min().unwrap_or(0);
+            let spare = self.terms.tracks[usize::from(s.arrival.track)].contract - shortest;
+            let part = self.usual(now, s.arrival.track) / (s.contract - s.came - spare) as f64;
             if self.chance.unit() > (READING / part).powi(2) {
                 return self.end(s);
             }
