Letting in goes by the shortest contract time of the tracks that earn as much or more

Told apart: both wait in the same queues, one is served twice as often. Harms a low track when a short one that earns more is jammed.

--- a/crates/wirehost/src/terms.rs
+++ b/crates/wirehost/src/terms.rs
@@ -49,6 +49,7 @@
         repeat,
         contract: tenths(number(class, "on_time_ms")?),
         per_thousand: tenths(per_thousand_us / 1000.0),
+        earnings: number(class, "worth")?,
     })
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -50,7 +50,7 @@
 const RARE: f64 = 0.01;
 /// And not before this part of its contract time, which leaves time for two more.
 const PATIENCE_LEAST: f64 = 0.25;
-/// A worker is left alone for a track when it loses so much more than all do, of what could be more.
+/// A worker is left alone for a track if it loses so much more than all, as a part of what could be more.
 const DOUBT: f64 = 0.3;
 /// Part of the release time after which a state that found no writer is let go; the rest covers ticks.
 const PINNED: f64 = 0.7;
@@ -122,9 +122,9 @@
     open: BTreeMap<SubmissionId, Submission>,
     ready: VecDeque<Decision>,
     surveyed: bool,
+    /// No reader takes any more: the rest of a flood need not look.
     shut: bool,
     wake: Tenths,
-    /// When to ask for the list's changes.
     subscribe: Option<Tenths>,
     /// By track, how long reads take and, apart, first tokens.
     waits: [BTreeMap<u8, FadingMean>; 2],
@@ -575,11 +575,12 @@
         if s.shots + 2 > self.terms.max_shots {
             return self.end(s);
         }
-        // Guards against a jam that feeds itself, queues of reads that all end too late: the more of the
-        // shortest contract time the usual way takes, a full reader counted as all, the fewer are let in.
+        // Guards against a jam that feeds itself, reads that all end too late: the more of the contract time, its
+        // own or that of tracks that earn more, the usual way takes, a full reader all, the fewer are let in.
         if s.shots == 0 && !std::mem::replace(&mut s.let_in, true) {
-            let shortest = self.terms.tracks.iter().map(|t| t.contract).min().unwrap_or(0);
-            let spare = self.terms.tracks[usize::from(s.arrival.track)].contract - shortest;
+            let own = &self.terms.tracks[usize::from(s.arrival.track)];
+            let above = self.terms.tracks.iter().filter(|t| t.earnings >= own.earnings);
+            let spare = own.contract - above.map(|t| t.contract).min().unwrap_or(own.contract);
             let part = self.usual(now, s.arrival.track) / (s.contract - s.came - spare) as f64;
             if self.chance.unit() > (READING / part).powi(2) {
                 return self.end(s);
@@ -595,7 +596,6 @@
     }
 
     fn reader_for(&mut self, now: Tenths, s: &Submission) -> Option<WorkerId> {
-        // With no reader left the rest of a flood need not look.
         if self.shut {
             return None;
         }
@@ -612,7 +612,6 @@
                 continue;
             }
             let Some(w) = self.workers.get_mut(&id) else { continue };
-            // Guards against queues of reads that end too late: one is out there to see whether it passed.
             let slow =
                 w.read_wait.read(now, MEMORY).unwrap_or(0.0).max((now - w.oldest) as f64) > usable_wait;
             let (cell, mixed) = (w.list.cell, w.role == Role::Mixed);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -63,6 +63,7 @@
     pub contract: Tenths,
     /// Contract time added for every 1,000 prompt tokens.
     pub per_thousand: Tenths,
+    pub earnings: f64,
 }
 
 /// What a router is told when it starts and works under from then on.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -9,7 +9,7 @@
 pub const MS: Tenths = 10;
 
 pub fn track(repeat: Repeat) -> Track {
-    Track { repeat, contract: 1500 * MS, per_thousand: 40 * MS }
+    Track { repeat, contract: 1500 * MS, per_thousand: 40 * MS, earnings: 1.0 }
 }
 
 pub fn terms() -> Terms {
