--- a/src/choice.rs
+++ b/src/choice.rs
@@ -408,15 +408,24 @@
     }
 
     /// Whether a shot or place may go to the worker, a choice for the part `flow` of all submissions.
-    fn usable(&mut self, now: Tenths, id: WorkerId, (ticket, _): Ticket, flow: f64) -> bool {
+    fn usable(&mut self, now: Tenths, id: WorkerId, (ticket, track): Ticket, flow: f64) -> bool {
         let Some(w) = self.workers.get(&id) else { return false };
         let fresh = now - w.fresh_from < self.terms.warm_after && w.fresh_from > 0;
         let cold = w.cold(now, self.terms.warm_after);
         w.alive()
             && !(fresh && w.reads + w.streams >= FRESH + w.answers)
+            && !self.doubted(now, id, track)
             && (!cold || self.lot(now, id, ticket, flow))
     }
 
+    /// Whether the worker loses clearly more of a track than all do; what is known is shrunk by one shot.
+    fn doubted(&mut self, now: Tenths, id: WorkerId, track: u8) -> bool {
+        let mean = usual_loss(self.losses.entry(track).or_default(), now);
+        let known = self.workers.get_mut(&id).and_then(|w| w.losses.get_mut(&track));
+        let (lost, shots) = known.map_or((0.0, 0.0), |k| k.sums(now, KNOWN));
+        (lost + mean) / (shots + 1.0) - mean > DOUBT * (1.0 - mean)
+    }
+
     /// Guards against pushing over a cold worker, by any number of routers: only submissions that draw it go
     /// there, so few that their sum stays under the stated multiple of what it can do by some times its own
     /// spread, reckoned from what warm peers answer. Harms where many are cold: they do little till warm.
