--- a/src/choice.rs
+++ b/src/choice.rs
@@ -51,7 +51,7 @@
 /// And not before this part of its contract time, which leaves time for two more.
 const PATIENCE_LEAST: f64 = 0.25;
 /// A worker is left alone for a track if it loses so much more than all, as a part of what could be more.
-const DOUBT: f64 = 0.3;
+const DOUBT: f64 = 0.2;
 /// Part of the release time after which a state that found no writer is let go; the rest covers ticks.
 const PINNED: f64 = 0.7;
 /// Tenths: the memory of which prefixes come, long enough to tell a hot one at one submission a second.
@@ -575,8 +575,8 @@
         if s.shots + 2 > self.terms.max_shots {
             return self.end(s);
         }
-        // Guards against a jam that feeds itself, reads that all end too late: the more of the contract time, its
-        // own or that of tracks that earn more, the usual way takes, a full reader all, the fewer are let in.
+        // Guards against a jam that feeds itself, reads that all end too late: the more of the contract time,
+        // its own or of tracks that earn more, the usual way takes, a full reader all, the fewer are let in.
         if s.shots == 0 && !std::mem::replace(&mut s.let_in, true) {
             let own = &self.terms.tracks[usize::from(s.arrival.track)];
             let above = self.terms.tracks.iter().filter(|t| t.earnings >= own.earnings);
