--- a/src/choice.rs
+++ b/src/choice.rs
@@ -581,8 +581,7 @@
             let own = &self.terms.tracks[usize::from(s.arrival.track)];
             let above = self.terms.tracks.iter().filter(|t| t.earnings >= own.earnings);
             let spare = own.contract - above.map(|t| t.contract).min().unwrap_or(own.contract);
-            let read = self.waits[1].entry(s.arrival.track).or_default().read(now, MEMORY).unwrap_or(0.0);
-            let part = read / (s.contract - s.came - spare) as f64;
+            let part = self.usual(now, s.arrival.track) / (s.contract - s.came - spare) as f64;
             if self.chance.unit() > (READING / part).powi(2) {
                 return self.end(s);
             }
