--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,7 +23,7 @@
 /// Tenths: how long a writer's 'not held' or a server's 'full' is believed; the design's 50 ms.
 const DENIAL: Tenths = 500;
 /// Tenths: how long a writer's 'not held' is believed when another could be asked.
-const BELIEF: Tenths = 5_000;
+const BELIEF: Tenths = 10_000;
 /// Part of the contract time that the way to a first token may take before less is sent that way.
 const READING: f64 = 0.5;
 /// What waits is given up when less than so many times the usual way to a first token is left.
