Clean up: the flow of a cell only where a cold worker needs it, one memory, no copy of the shares

The part of all reads that a cell takes was summed for every writer looked for, now only in a cold worker's lot; the readers' parts were copied for every submission; two memories of 40 s are one, and its comment says forty submissions, not twenty; 'not tight' already implies 'not denied lately'.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,7 +38,7 @@
 const REST: Tenths = 5_000;
 /// Doublings of the rest at most: a dead worker is tried every eight seconds or so.
 const RESTS: u32 = 4;
-/// Tenths: the memory of losses and flows, some twenty submissions at one a second.
+/// Tenths: the memory of losses, flows and which prefixes come: some forty submissions at one a second.
 const KNOWN: Tenths = 400_000;
 /// Standard deviations of a sum of many routers' chances that stay free at a cold worker.
 const SPREAD: f64 = 2.5;
@@ -54,8 +54,6 @@
 const DOUBT: f64 = 0.2;
 /// Part of the release time after which a state that found no writer is let go; the rest covers ticks.
 const PINNED: f64 = 0.7;
-/// Tenths: the memory of which prefixes come, long enough to tell a hot one at one submission a second.
-const SEEN: Tenths = 400_000;
 /// Tenths: how often undecided submissions are looked at, and how often only workers are watched.
 const LOOK: Tenths = 100;
 const WATCH: Tenths = 500;
@@ -126,7 +124,7 @@
     shut: bool,
     wake: Tenths,
     subscribe: Option<Tenths>,
-    /// By track, how long reads take and, apart, first tokens.
+    /// By track, how long first tokens take and, apart, reads.
     waits: [BTreeMap<u8, FadingMean>; 2],
     cross_wait: FadingMean,
     /// Readers and mixed workers that are ready, and their parts of all reads.
@@ -179,10 +177,10 @@
     pub fn arrived(&mut self, now: Tenths, arrival: Arrival) -> bool {
         let Some(track) = self.terms.tracks.get(usize::from(arrival.track)) else { return false };
         let stretch = track.per_thousand as f64 * arrival.prompt.max(0.0) / 1000.0;
-        self.all_seen.add(now, SEEN, 1.0);
+        self.all_seen.add(now, KNOWN, 1.0);
         if arrival.prefix != 0 {
-            self.seen.entry(arrival.prefix).or_default().add(now, SEEN, 1.0);
-            self.seen.retain(|_, s| s.read(now, SEEN) > 0.01);
+            self.seen.entry(arrival.prefix).or_default().add(now, KNOWN, 1.0);
+            self.seen.retain(|_, s| s.read(now, KNOWN) > 0.01);
         }
         let contract = now + track.contract + stretch as Tenths;
         let (came, cut_off) = (now, now + arrival.left);
@@ -407,15 +405,15 @@
         }
     }
 
-    /// Whether a shot or place may go to the worker, a choice for the part `flow` of all submissions.
-    fn usable(&mut self, now: Tenths, id: WorkerId, (ticket, track): Ticket, flow: f64) -> bool {
+    /// Whether a shot or place may go to the worker, a choice for all or for those read in one cell.
+    fn usable(&mut self, now: Tenths, id: WorkerId, (ticket, track): Ticket, cell: Option<u16>) -> bool {
         let Some(w) = self.workers.get(&id) else { return false };
         let fresh = now - w.fresh_from < self.terms.warm_after && w.fresh_from > 0;
         let cold = w.cold(now, self.terms.warm_after);
         w.alive()
             && !(fresh && w.reads + w.streams >= FRESH + w.answers)
             && !self.doubted(now, id, track)
-            && (!cold || self.lot(now, id, ticket, flow))
+            && (!cold || self.lot(now, id, ticket, cell))
     }
 
     /// Whether the worker loses clearly more of a track than all do; what is known is shrunk by one shot.
@@ -429,7 +427,8 @@
     /// Guards against pushing over a cold worker, by any number of routers: only submissions that draw it go
     /// there, so few that their sum stays under the stated multiple of what it can do by some times its own
     /// spread, reckoned from what warm peers answer. Harms where many are cold: they do little till warm.
-    fn lot(&mut self, now: Tenths, id: WorkerId, ticket: SubmissionId, flow: f64) -> bool {
+    fn lot(&mut self, now: Tenths, id: WorkerId, ticket: SubmissionId, cell: Option<u16>) -> bool {
+        let flow = cell.map_or(1.0, |cell| self.flow(cell));
         let (t, w) = (&self.terms, &self.workers[&id]);
         let kin = self.workers.values().filter(|k| k.role == w.role && k.list.standing == Standing::Ready);
         let (all, warm) = kin.fold((0.0, 0.0), |(all, warm), k| {
@@ -477,13 +476,15 @@
     fn readers(&mut self, now: Tenths, arrival: &Arrival) -> Vec<WorkerId> {
         let key = if arrival.prefix != 0 { arrival.prefix } else { arrival.session };
         let mut ranked = Vec::new();
-        for (id, share) in self.shares.clone() {
+        let shares = std::mem::take(&mut self.shares);
+        for (&id, share) in &shares {
             // A cold reader that the submission drew comes first, or its part would fall to the hash again.
             let cold = self.workers[&id].cold(now, self.terms.warm_after);
-            let drawn = cold && self.lot(now, id, arrival.id, 1.0);
+            let drawn = cold && self.lot(now, id, arrival.id, None);
             let rank = if drawn { f64::MAX } else { share / -draw(key, id).ln() };
             ranked.push((rank, id));
         }
+        self.shares = shares;
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
         // Exception to one home: a prefix has as many as its part of all needs, shared out by session.
         let drawn = ranked.iter().take_while(|(rank, _)| *rank == f64::MAX).count();
@@ -495,19 +496,18 @@
 
     /// How many readers a prefix takes: its part of what this router has seen, less what chance adds to it.
     fn homes(&mut self, now: Tenths, prefix: u64, readers: usize) -> usize {
-        let seen = self.seen.get_mut(&prefix).map_or(0.0, |s| s.read(now, SEEN));
-        let all = self.all_seen.read(now, SEEN).max(1.0);
+        let seen = self.seen.get_mut(&prefix).map_or(0.0, |s| s.read(now, KNOWN));
+        let all = self.all_seen.read(now, KNOWN).max(1.0);
         let part = (seen - seen.sqrt()).max(0.0) / all;
         (part * readers as f64 / CROWD).ceil().max(1.0) as usize
     }
 
     /// Whether a writer in the cell, or beyond it through the gate, may grant.
     fn grants(&mut self, now: Tenths, cell: u16, ticket: Ticket) -> bool {
-        let flow = self.flow(cell);
         let writers = self.writers(|w| !w.tight(now));
         writers.into_iter().any(|id| {
             let near = self.workers[&id].list.cell == cell;
-            (near || self.gate(now)) && self.usable(now, id, ticket, if near { flow } else { 1.0 })
+            (near || self.gate(now)) && self.usable(now, id, ticket, near.then_some(cell))
         })
     }
 
@@ -531,8 +531,7 @@
         fits: impl Fn(&Worker) -> bool,
     ) -> Option<WorkerId> {
         let mut fitting = self.writers(|w| (w.list.cell == cell) == near && fits(w));
-        let flow = if near { self.flow(cell) } else { 1.0 };
-        fitting.retain(|&id| self.usable(now, id, ticket, flow));
+        fitting.retain(|&id| self.usable(now, id, ticket, near.then_some(cell)));
         // Ties go by chance: of many routers most have no stream there, and the first id would get them all.
         let mut best: Option<((bool, bool, f64, f64), WorkerId)> = None;
         for id in fitting {
@@ -608,7 +607,7 @@
         let usable_wait = (s.contract - s.came) as f64 * READING;
         let mut past: Option<(f64, WorkerId)> = None;
         for id in readers {
-            if !self.usable(now, id, ticket, 1.0) {
+            if !self.usable(now, id, ticket, None) {
                 continue;
             }
             let Some(w) = self.workers.get_mut(&id) else { continue };
@@ -644,10 +643,10 @@
         let ticket = (s.arrival.id, s.arrival.track);
         if let Some((writer, held)) = s.place {
             // One asked before its restart was told is a send to a cold worker like any other.
-            let flow = self.workers.get(&reader).map_or(1.0, |r| self.flow(r.list.cell));
-            let cold = self.workers.get(&writer).is_some_and(|w| w.cold(now, self.terms.warm_after));
-            let alive = self.workers.get(&writer).is_some_and(Worker::alive);
-            let fit = alive && (!cold || self.lot(now, writer, ticket.0, flow));
+            let cell = self.workers.get(&reader).map(|r| r.list.cell);
+            let w = self.workers.get(&writer).filter(|w| w.alive());
+            let cold = w.map(|w| w.cold(now, self.terms.warm_after));
+            let fit = cold.is_some_and(|cold| !cold || self.lot(now, writer, ticket.0, cell));
             if held || fit {
                 return fit.then_some(writer);
             }
@@ -657,7 +656,7 @@
         let asked = s.asked.clone();
         let (near, far) = ((true, cell, zone), (false, cell, zone));
         let open = |w: &Worker| now >= w.denied + DENIAL;
-        let fits = |w: &Worker| open(w) && !w.tight(now) && !asked.contains(&w.list.worker);
+        let fits = |w: &Worker| !w.tight(now) && !asked.contains(&w.list.worker);
         let mut found = self.least(now, ticket, near, fits);
         if found.is_none() && self.gate(now) {
             found = self.least(now, ticket, far, fits);
