--- a/check.sh
+++ b/check.sh
@@ -3,5 +3,5 @@
 set -eu
 cargo fmt --all --check
 cargo clippy --workspace --all-targets --locked -- -D warnings
-cargo test --workspace --locked
 cargo build --release --locked
+cargo test --workspace --locked
--- /dev/null
+++ b/crates/command/src/convert.rs
@@ -0,0 +1,140 @@
+//! Records as the terms of the parts that they configure.
+
+use std::net::SocketAddrV4;
+
+use tideroute::interface::{self, Group, Repeat};
+use tideroute_records::kinds::{Able, List, Role, Router, Step, Terms, Track, Worker};
+use tideroute_standins::{Does, ListTerms, Trouble, WorkerTerms};
+use tideroute_wire::{Address, Micros};
+
+/// Microseconds in one of the module's tenths of a millisecond.
+const TENTH: u64 = 100;
+
+pub fn socket(text: &str) -> Result<SocketAddrV4, String> {
+    text.parse().map_err(|_| format!("{text:?} is no address"))
+}
+
+pub fn address(text: &str) -> Result<Address, String> {
+    let parsed = socket(text)?;
+    let ([a, b, c, d], [high, low]) = (parsed.ip().octets(), parsed.port().to_be_bytes());
+    Ok([a, b, c, d, high, low])
+}
+
+fn tenths(micros: u64) -> interface::Tenths {
+    (micros / TENTH) as interface::Tenths
+}
+
+fn track(t: &Track) -> interface::Track {
+    let group = match t.group.as_str() {
+        "zone" => Group::Zone,
+        "cell" => Group::Cell,
+        _ => Group::All,
+    };
+    let repeat = match t.repeat.as_str() {
+        "replayable" => Repeat::Replayable,
+        "referenced" => Repeat::Referenced { group, window: tenths(t.window) },
+        _ => Repeat::SingleUse,
+    };
+    let (contract, per_thousand) = (tenths(t.contract), tenths(t.per_thousand));
+    interface::Track { repeat, contract, per_thousand, earnings: t.earnings }
+}
+
+fn module(terms: &Terms, r: &Router) -> interface::Terms {
+    let role = |role: &Role| match role {
+        Role::Reader => interface::Role::Reader,
+        Role::Writer => interface::Role::Writer,
+        Role::Mixed => interface::Role::Mixed,
+    };
+    interface::Terms {
+        routers: terms.routers,
+        tracks: r.tracks.iter().map(track).collect(),
+        roles: r.kinds.iter().map(|k| role(&k.role)).collect(),
+        places: terms.places,
+        writers_read: terms.writers_read,
+        release: tenths(terms.release),
+        cold_share: terms.cold_share,
+        warm_after: tenths(terms.warm_after),
+        fall_multiple: terms.fall_multiple,
+        fall_span: tenths(terms.fall_span),
+        max_shots: terms.most_shots,
+        withdrawals: terms.withdrawals,
+        probes: terms.probes,
+        // The list is asked for once, and again whenever it was lost.
+        subscribes: true,
+        advice: terms.advice,
+        longest_advice: tenths(terms.longest_advice),
+    }
+}
+
+pub fn router(r: &Router, seed: u64) -> Result<tideroute_host::Terms, String> {
+    Ok(tideroute_host::Terms {
+        name: r.name.clone(),
+        module: module(&r.terms, r),
+        tracks: r.tracks.iter().map(|t| t.name.clone()).collect(),
+        list: address(&r.list)?,
+        unheard: r.terms.unheard,
+        travel: r.terms.travel,
+        window: r.terms.window,
+        most_open: r.terms.most_open,
+        most_a_client: r.terms.most_a_client,
+        most_clients: r.terms.most_clients,
+        seed,
+    })
+}
+
+/// What of a script is still to come, from `now` on.
+fn to_come<T>(from: Micros, now: Micros, steps: Vec<(u64, T)>) -> Vec<(Micros, T)> {
+    let later = steps.into_iter().map(|(at, what)| (from + at, what)).filter(|(at, _)| *at >= now);
+    later.map(|(at, what)| (at - now, what)).collect()
+}
+
+fn steps(step: &Step) -> Vec<(u64, Trouble)> {
+    let (begin, end) = match step.act.as_str() {
+        "refuse" => (Trouble::Refuse(true), Some(Trouble::Refuse(false))),
+        "fault" => (Trouble::Fault(true), Some(Trouble::Fault(false))),
+        "slow" => (Trouble::Slow(step.times), Some(Trouble::Slow(1.0))),
+        "corrupt" => (Trouble::Corrupt(true), Some(Trouble::Corrupt(false))),
+        "silent" => (Trouble::Silent, Some(Trouble::Die)),
+        "drain" => (Trouble::Drain, None),
+        _ => (Trouble::Die, None),
+    };
+    let end = end.zip(step.lasts).map(|(end, lasts)| (step.at + lasts, end));
+    [(step.at, begin)].into_iter().chain(end).collect()
+}
+
+pub fn worker(w: &Worker, cold: bool, from: Micros, now: Micros) -> Result<WorkerTerms, String> {
+    let able: &Able = &w.does;
+    Ok(WorkerTerms {
+        name: w.name.clone(),
+        address: address(&w.listen)?,
+        list: address(&w.list)?,
+        does: match able.role {
+            Role::Reader => Does::Read,
+            Role::Writer => Does::Write,
+            Role::Mixed => Does::Both,
+        },
+        kind: w.kind,
+        size: able.size,
+        cell: w.cell,
+        zone: w.zone,
+        warm: w.warm && !cold,
+        reads_at_once: able.reads_at_once,
+        reads_waiting: able.reads_waiting,
+        read_rate: able.read_rate,
+        streams_at_once: able.streams_at_once,
+        streams_waiting: able.streams_waiting,
+        token_gap: able.token_gap,
+        state_bytes_a_token: able.state_bytes_a_token,
+        cold_share: w.terms.cold_share,
+        warm_after: w.terms.warm_after,
+        fall_multiple: w.terms.fall_multiple,
+        fall_span: w.terms.fall_span,
+        keeps: able.keeps,
+        script: to_come(from, now, w.script.iter().flat_map(steps).collect()),
+    })
+}
+
+pub fn list(l: &List, from: Micros, now: Micros) -> ListTerms {
+    let late = l.late.iter().flat_map(|late| [(late.at, late.lag), (late.at + late.lasts, l.lag)]);
+    ListTerms { lag: l.lag, script: to_come(from, now, late.collect()) }
+}
--- /dev/null
+++ b/crates/command/src/serve.rs
@@ -0,0 +1,139 @@
+//! Commands that run one program on the loop.
+
+use std::io::IsTerminal;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tideroute_host::Host;
+use tideroute_lab::load::Load;
+use tideroute_reactor::{Ended as Loop, Reactor, Tap};
+use tideroute_records::File;
+use tideroute_standins::{List, Worker};
+use tideroute_wire::link::Program;
+use tideroute_wire::tap::Who;
+use tideroute_wire::Micros;
+
+use crate::{convert, figures, Ended, Run};
+
+/// Between two progress lines.
+const PROGRESS: Duration = Duration::from_millis(500);
+/// Bytes: a larger file is none of ours.
+const LARGEST: u64 = 1 << 20;
+
+/// Reads and checks a file of records.
+pub fn read(path: &Path) -> Result<File, String> {
+    let named = |e: std::io::Error| format!("{}: {e}", path.display());
+    let size = std::fs::metadata(path).map_err(named)?.len();
+    if size > LARGEST {
+        return Err(format!("{}: {size} bytes are more than a file of records may have", path.display()));
+    }
+    let text = std::fs::read_to_string(path).map_err(named)?;
+    tideroute_records::read(&path.display().to_string(), &text).map_err(|p| p.report())
+}
+
+fn part<T>(path: &Path, part: Option<T>, name: &str) -> Result<T, String> {
+    part.ok_or_else(|| format!("{}: it has no part `{name}`, which this command needs", path.display()))
+}
+
+/// A loop that listens at the address, with the record and the tether that a day asks for.
+fn reactor(addresses: &[SocketAddr], run: &Run, name: &str, role: &str) -> Result<Reactor, String> {
+    let mut reactor = Reactor::new(addresses).map_err(|e| e.to_string())?;
+    reactor.catch_signals().map_err(|e| e.to_string())?;
+    if let Some(path) = &run.tap {
+        let address = addresses.first().and_then(|a| convert::address(&a.to_string()).ok());
+        let who = Who { number: run.process, name: name.into(), role: role.into(), address };
+        let tap = Tap::begin(path, &who).map_err(|e| format!("{}: {e}", path.display()))?;
+        reactor.tap(tap);
+    }
+    if run.tethered {
+        std::thread::spawn(|| {
+            let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+            std::process::exit(3);
+        });
+    }
+    Ok(reactor)
+}
+
+/// Drives the program; false if it ended by a crash of its own or by force.
+fn drive(mut reactor: Reactor, program: &mut impl Program) -> Ended {
+    Ok(reactor.run(program).map_err(|e| e.to_string())? == Loop::Done)
+}
+
+pub fn router(path: &Path, run: &Run) -> Ended {
+    let record = part(path, read(path)?.router, "router")?;
+    let listen = convert::socket(&record.listen)?;
+    let metrics = record.metrics.as_deref().map(convert::socket).transpose()?;
+    figures::serve(metrics.map(SocketAddr::from))?;
+    let mut reactor = reactor(&[listen.into()], run, &record.name, "router")?;
+    let now = reactor.clock().now();
+    // No two starts of any router have the same ids: time and process tell them apart.
+    let seed = record.seed.unwrap_or(now ^ u64::from(std::process::id()) << 8);
+    let keep = record.keep.as_ref().map(std::path::PathBuf::from);
+    let kept = keep.as_ref().and_then(|path| std::fs::read(path).ok());
+    if let Some(path) = keep {
+        reactor.keep(path);
+    }
+    let mut host = Host::new(convert::router(&record, seed)?, kept.map(bytes::Bytes::from), now);
+    tracing::info!(name = record.name, listen = %listen, "the router is there");
+    drive(reactor, &mut host)
+}
+
+pub fn worker(path: &Path, cold: bool, run: &Run) -> Ended {
+    let record = part(path, read(path)?.worker, "worker")?;
+    let listen = convert::socket(&record.listen)?;
+    let reactor = reactor(&[listen.into()], run, &record.name, "worker")?;
+    let now = reactor.clock().now();
+    let terms = convert::worker(&record, cold, run.script_from.unwrap_or(now), now)?;
+    drive(reactor, &mut Worker::new(terms, now))
+}
+
+pub fn list(path: &Path, run: &Run) -> Ended {
+    let record = part(path, read(path)?.list, "list")?;
+    let listen = convert::socket(&record.listen)?;
+    let reactor = reactor(&[listen.into()], run, "list", "list")?;
+    let now = reactor.clock().now();
+    drive(reactor, &mut List::new(convert::list(&record, run.script_from.unwrap_or(now), now)))
+}
+
+pub fn load(
+    path: &Path,
+    json: Option<&Path>,
+    table: Option<&Path>,
+    begin_at: Option<Micros>,
+    run: &Run,
+) -> Ended {
+    let record = part(path, read(path)?.load, "load")?;
+    let routers = record.routers.iter().map(|r| convert::address(r)).collect::<Result<_, _>>()?;
+    let reactor = reactor(&[], run, "load", "client")?;
+    if let Some(at) = begin_at {
+        std::thread::sleep(Duration::from_micros(at.saturating_sub(reactor.clock().now())));
+    }
+    let mut load = Load::new(record, routers);
+    let over = Arc::new(AtomicBool::new(false));
+    let shown = std::io::stderr().is_terminal().then(|| {
+        let (progress, over) = (load.progress(), over.clone());
+        std::thread::spawn(move || {
+            while !over.load(Ordering::Relaxed) {
+                eprint!("\r\x1b[K{}", progress.line());
+                std::thread::sleep(PROGRESS);
+            }
+            eprintln!("\r\x1b[K{}", progress.line());
+        })
+    });
+    let ended = drive(reactor, &mut load)?;
+    over.store(true, Ordering::Relaxed);
+    shown.map(std::thread::JoinHandle::join);
+    let write =
+        |path: &Path, text: &str| std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()));
+    match table {
+        Some(path) => write(path, &load.tally.table())?,
+        None => println!("{}", load.tally.table()),
+    }
+    if let Some(path) = json {
+        write(path, &load.tally.json().to_string())?;
+    }
+    Ok(ended && load.tally.unanswered == 0 && load.tally.wrong == 0)
+}
--- /dev/null
+++ b/crates/host/src/hear.rs
@@ -0,0 +1,230 @@
+//! What is heard on each kind of link, as calls on the host.
+
+use bytes::Bytes;
+use metrics::histogram;
+use tideroute::interface::{Ending, Listing, Standing, Tenths};
+use tideroute_wire::link::{Link, Outbox};
+use tideroute_wire::{client, list, worker, Address, Malformed, Micros};
+
+use crate::host::{tenths, Host};
+use crate::submissions::Submission;
+
+pub(crate) struct ClientLink<'a> {
+    pub host: &'a mut Host,
+    pub now: Micros,
+    pub link: Link,
+    pub out: &'a mut Outbox,
+}
+
+impl client::Router for ClientLink<'_> {
+    fn submit(
+        &mut self,
+        number: u64,
+        track: u8,
+        session: u64,
+        prefix: u64,
+        prompt_tokens: u32,
+        prefix_tokens: u32,
+        most_tokens: u32,
+        left: Micros,
+        mark: u64,
+        prompt: Bytes,
+    ) -> Result<(), Malformed> {
+        if prefix_tokens > prompt_tokens {
+            return Err(Malformed::Range("prefix_tokens"));
+        }
+        if most_tokens == 0 {
+            return Err(Malformed::Range("most_tokens"));
+        }
+        // A day is longer than any client waits, and keeps sums of times far from their ends.
+        let left = left.min(DAY).saturating_sub(self.host.terms.travel);
+        let submission = Submission {
+            client: self.link,
+            number,
+            track,
+            session,
+            prefix,
+            prompt_tokens,
+            prefix_tokens,
+            most_tokens,
+            mark,
+            prompt,
+            came: self.now,
+            cut_off: self.now + left,
+            shots: 0,
+            shot: None,
+            state: None,
+            places: vec![],
+            over: false,
+        };
+        self.host.submitted(self.now, submission, left, self.out)
+    }
+
+    /// A number that is not open was answered a moment ago.
+    fn leave(&mut self, number: u64) -> Result<(), Malformed> {
+        let client = self.host.clients.get_mut(self.link).ok_or(Malformed::Hello)?;
+        if let Some(id) = client.open.remove(&number) {
+            self.host.dropped(self.now, id, self.out);
+        }
+        Ok(())
+    }
+}
+
+/// Microseconds.
+const DAY: Micros = 86_400_000_000;
+
+pub(crate) struct WorkerLink<'a> {
+    pub host: &'a mut Host,
+    pub now: Micros,
+    pub link: Link,
+    pub out: &'a mut Outbox,
+}
+
+impl WorkerLink<'_> {
+    fn worker(&self) -> Result<Address, Malformed> {
+        self.host.lines.worker_of(self.link).ok_or(Malformed::Hello)
+    }
+
+    /// Whether the shot is the one that is out, at this worker. What comes for another was called back.
+    fn is_out(&self, id: u64, shot: u16) -> Result<bool, Malformed> {
+        let worker = self.worker()?;
+        let s = self.host.submissions.get(id).and_then(|s| s.shot.as_ref());
+        Ok(s.is_some_and(|s| s.number == shot && s.worker == worker))
+    }
+}
+
+impl worker::Router for WorkerLink<'_> {
+    fn hold_answer(&mut self, id: u64, held: bool) -> Result<(), Malformed> {
+        let worker = self.worker()?;
+        let Some(s) = self.host.submissions.get_mut(id) else { return Ok(()) };
+        if s.places.last() != Some(&worker) {
+            return Ok(());
+        }
+        if !held {
+            s.places.clear();
+            self.host.lines.at(worker).places.remove(&id);
+        }
+        // The module hears it while the read is out; after that it has gone by what it knew then.
+        if s.shot.as_ref().is_some_and(|s| s.reading) {
+            self.host.module.answered_ahead(tenths(self.now), id, held);
+            self.host.stirred = true;
+        }
+        Ok(())
+    }
+
+    fn read_done(
+        &mut self,
+        id: u64,
+        shot: u16,
+        _kept_tokens: u32,
+        _state_bytes: u64,
+    ) -> Result<(), Malformed> {
+        if self.is_out(id, shot)? {
+            let reading =
+                self.host.submissions.get(id).and_then(|s| s.shot.as_ref()).is_some_and(|s| s.reading);
+            if !reading {
+                return Err(Malformed::Order("a state from a shot that writes"));
+            }
+            self.host.settle(self.now, id, shot, Ending::Read, self.out);
+        }
+        Ok(())
+    }
+
+    fn token(&mut self, id: u64, shot: u16, index: u32, text: Bytes) -> Result<(), Malformed> {
+        if !self.is_out(id, shot)? {
+            return Ok(());
+        }
+        let worker = self.worker()?;
+        let Some(s) = self.host.submissions.get_mut(id) else { return Ok(()) };
+        let (client, number, came) = (s.client, s.number, s.came);
+        let Some(out) = s.shot.as_mut() else { return Ok(()) };
+        if out.reading || index != out.tokens {
+            return Err(Malformed::Order("a token"));
+        }
+        (out.tokens, out.owed) = (out.tokens + 1, out.owed + 1);
+        let first = !std::mem::replace(&mut out.started, true);
+        if first {
+            s.state = None;
+            for place in std::mem::take(&mut s.places) {
+                self.host.lines.at(place).places.remove(&id);
+                if place != worker {
+                    self.host.lines.send_if_there(place, worker::let_go(id), self.out);
+                }
+            }
+            self.host.module.started(tenths(self.now), id, shot);
+            self.host.stirred = true;
+            histogram!("tideroute_first_token_seconds").record((self.now - came) as f64 / 1e6);
+        }
+        self.out.send(client, client::token(number, index, text));
+        let half = self.host.terms.window / 2;
+        self.host.pay(id, half, self.out);
+        Ok(())
+    }
+
+    fn finished(&mut self, id: u64, shot: u16, tokens: u32) -> Result<(), Malformed> {
+        if self.is_out(id, shot)? {
+            let s = self.host.submissions.get(id).and_then(|s| s.shot.as_ref());
+            if s.is_none_or(|s| s.tokens != tokens || tokens == 0) {
+                return Err(Malformed::Order("the end of a stream"));
+            }
+            self.host.settle(self.now, id, shot, Ending::Honoured, self.out);
+        }
+        Ok(())
+    }
+
+    fn ended(&mut self, id: u64, shot: u16, how: worker::How) -> Result<(), Malformed> {
+        if self.is_out(id, shot)? {
+            let ending = match how {
+                worker::How::Full => Ending::Full,
+                worker::How::Stateless => Ending::Stateless,
+                worker::How::Fault => Ending::Fault,
+            };
+            self.host.settle(self.now, id, shot, ending, self.out);
+        }
+        Ok(())
+    }
+
+    fn probed(&mut self, nonce: u64, _reads: u32, _streams: u32, _waiting: u32) -> Result<(), Malformed> {
+        let worker = self.worker()?;
+        if self.host.lines.at(worker).probe == Some(nonce) {
+            self.host.probed(self.now, nonce, true);
+        }
+        Ok(())
+    }
+}
+
+pub(crate) struct ListLink<'a> {
+    pub host: &'a mut Host,
+    pub now: Micros,
+}
+
+impl list::Router for ListLink<'_> {
+    fn page(&mut self, version: u64, whole: bool) -> Result<(), Malformed> {
+        if !whole && version <= self.host.version {
+            return Err(Malformed::Order("a page"));
+        }
+        self.host.page(self.now, version, whole);
+        Ok(())
+    }
+
+    fn entry(
+        &mut self,
+        worker: Address,
+        kind: u16,
+        size: f64,
+        standing: list::Standing,
+        cell: u16,
+        zone: u8,
+        started: Micros,
+    ) -> Result<(), Malformed> {
+        let standing = match standing {
+            list::Standing::Gone => Standing::Gone,
+            list::Standing::Ready => Standing::Ready,
+            list::Standing::Draining => Standing::Draining,
+        };
+        // No worker starts in the future; one whose clock says so started now.
+        let started = (started.min(self.now) / 100) as Tenths;
+        self.host.entry(self.now, Listing { worker, kind, size, standing, cell, zone, started });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,18 @@
+//! The router between its connections and the decision module. [`Host`] is a
+//! [`Program`](tideroute_wire::link::Program): it is told what happened on links, keeps submissions, shots and
+//! workers as plain data, hands the module what happened, and carries out what the module decides. It has no
+//! socket and no clock, so several can run in one process, in virtual time.
+//!
+//! It decides nothing. What it must know beyond the module's terms (how long a dial may take, how many
+//! submissions may be open) stands in its own [`Terms`], which the operator gives.
+
+mod carry;
+mod clients;
+mod hear;
+mod host;
+mod lines;
+mod submissions;
+mod terms;
+
+pub use host::Host;
+pub use terms::Terms;
--- /dev/null
+++ b/crates/host/src/terms.rs
@@ -0,0 +1,28 @@
+//! What a router is told when it starts.
+
+use tideroute_wire::{Address, Micros};
+
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// How it names itself to workers and the list.
+    pub name: String,
+    /// What the decision module works under.
+    pub module: tideroute::interface::Terms,
+    /// Names of the tracks, for figures and logs.
+    pub tracks: Vec<String>,
+    pub list: Address,
+    /// A connection or a probe that takes longer has failed.
+    pub unheard: Micros,
+    /// What an answer needs on its way to the client: cut-offs are kept so much earlier.
+    pub travel: Micros,
+    /// Tokens of one stream that may be under way before its client has taken them.
+    pub window: u32,
+    /// Submissions open at once; what comes beyond is turned back before the module hears of it.
+    pub most_open: usize,
+    /// And from one client.
+    pub most_a_client: usize,
+    /// Clients connected at once; one more is sent away.
+    pub most_clients: usize,
+    /// Where the module's chance and the ids start.
+    pub seed: u64,
+}
--- /dev/null
+++ b/crates/lab/src/day.rs
@@ -0,0 +1,361 @@
+//! Plays one scripted day on real processes and judges it.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddrV4, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use rustix::process::Signal;
+use tideroute_reactor::clock::Clock;
+use tideroute_records::kinds::{Day, Trouble};
+use tideroute_records::Problems;
+use tideroute_rules::{CheckError, Report};
+use tideroute_wire::tap::TapError;
+use tideroute_wire::{Address, Micros};
+
+use crate::files::{self, Ports};
+use crate::parts;
+use crate::processes::{Processes, Recipe};
+
+/// Microseconds: how long everybody has to start before the load begins, beyond the list's lag.
+const START: Micros = 1_500_000;
+/// How often the player looks for what is to be done.
+const STEP: Duration = Duration::from_millis(5);
+/// Microseconds from the end of a silence or a drain to the new start.
+const STARTS_AGAIN: Micros = 500_000;
+/// Microseconds between two looks at the memory of all processes.
+const MEMORY: Micros = 500_000;
+/// Microseconds that a router told to stop may take, beyond the longest cut-off.
+const STOPPING: Micros = 10_000_000;
+
+#[derive(Debug, thiserror::Error)]
+pub enum DayError {
+    #[error("{0}: {1}")]
+    File(String, io::Error),
+    #[error("a process could not be started: {0}")]
+    Start(io::Error),
+    #[error("{0} does not listen")]
+    Deaf(String),
+    #[error("{0}")]
+    Printed(#[from] Problems),
+    #[error("the record could not be merged: {0}")]
+    Record(#[from] TapError),
+    #[error(transparent)]
+    Check(#[from] CheckError),
+    #[error("the load ended without its figures")]
+    NoFigures,
+    #[error("interrupted")]
+    Interrupted,
+}
+
+/// What a day came to.
+pub struct Played {
+    pub report: Report,
+    /// The load's figures, as `tideroute load --json` writes them.
+    pub figures: serde_json::Value,
+    pub table: String,
+    /// Expectations of the day, each with what was seen and whether it held.
+    pub expected: Vec<(String, String, bool)>,
+    pub memory: BTreeMap<String, u64>,
+    pub record: PathBuf,
+}
+
+impl Played {
+    pub fn passed(&self) -> bool {
+        self.report.kept() && self.expected.iter().all(|(.., held)| *held)
+    }
+}
+
+/// Plays the day in a folder of its own. `program` is the program itself; `interrupted` ends the day early.
+pub fn play(day: &Day, program: &Path, folder: &Path, interrupted: &AtomicBool) -> Result<Played, DayError> {
+    std::fs::create_dir_all(folder).map_err(|e| DayError::File(folder.display().to_string(), e))?;
+    let ports = free_ports(day).map_err(DayError::Start)?;
+    let clock = Clock::start();
+    let begins = clock.now() + START + day.lag;
+    let mut player = Player {
+        day,
+        folder,
+        begins,
+        processes: Processes::new(program, folder, clock),
+        recipes: BTreeMap::new(),
+        fallen: vec![],
+        interrupted,
+    };
+    player.write_files(&ports)?;
+    player.start_all()?;
+    let table = player.run()?;
+    let exits = player.stop_all()?;
+    let fallen = std::mem::take(&mut player.fallen);
+    let (memory, all) = (player.processes.memory.clone(), &player.processes.parts);
+    let record = folder.join("day.record.zst");
+    let terms = serde_json::to_string(&files::rules(day, &ports)).unwrap_or_default();
+    parts::merge(all, &terms, &record)?;
+    let report = check(&record)?;
+    let figures = std::fs::read(folder.join("load.json")).map_err(|_| DayError::NoFigures)?;
+    let figures = serde_json::from_slice(&figures).map_err(|_| DayError::NoFigures)?;
+    let expected = expectations(day, &figures, &memory, &exits, &fallen, &report);
+    Ok(Played { report, figures, table, expected, memory, record })
+}
+
+/// Checks the rules on a record that was kept.
+pub fn check(record: &Path) -> Result<Report, DayError> {
+    let named = |e| DayError::File(record.display().to_string(), e);
+    let file = std::fs::File::open(record).map_err(named)?;
+    let reader = zstd::Decoder::new(file).map_err(named)?;
+    Ok(tideroute_rules::check(reader)?)
+}
+
+fn free_ports(day: &Day) -> io::Result<Ports> {
+    let workers = day.workers().count();
+    // All are bound at once, so that none is given out twice, and let go of just before they are used.
+    let all: io::Result<Vec<_>> =
+        (0..1 + day.routers + workers).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
+    let all = all?;
+    let mut names = Vec::new();
+    for listener in &all {
+        names.push(listener.local_addr()?.to_string());
+    }
+    let workers = names.split_off(1 + day.routers);
+    let routers = names.split_off(1);
+    Ok(Ports { list: names.remove(0), routers, workers })
+}
+
+pub(crate) fn address(text: &str) -> Option<Address> {
+    let parsed: SocketAddrV4 = text.parse().ok()?;
+    let ([a, b, c, d], [high, low]) = (parsed.ip().octets(), parsed.port().to_be_bytes());
+    Some([a, b, c, d, high, low])
+}
+
+struct Player<'a> {
+    day: &'a Day,
+    folder: &'a Path,
+    begins: Micros,
+    processes: Processes,
+    recipes: BTreeMap<String, Recipe>,
+    /// Workers that ended without being killed.
+    fallen: Vec<String>,
+    interrupted: &'a AtomicBool,
+}
+
+/// Something to be done at a time of the day.
+enum Deed<'a> {
+    Kill(&'a str),
+    Start(&'a str),
+    Halt(&'a str),
+    GoOn(&'a str),
+}
+
+fn write(folder: &Path, name: &str, file: &tideroute_records::File) -> Result<String, DayError> {
+    let path = folder.join(format!("{name}.cue"));
+    let text = tideroute_records::print(file)?;
+    std::fs::write(&path, text).map_err(|e| DayError::File(path.display().to_string(), e))?;
+    Ok(path.display().to_string())
+}
+
+impl Player<'_> {
+    fn add(&mut self, name: &str, role: &str, at: Option<&String>, arguments: &[&str]) {
+        let recipe = Recipe {
+            name: name.to_string(),
+            role: role.to_string(),
+            address: at.and_then(|a| address(a)),
+            arguments: arguments.iter().map(|a| a.to_string()).collect(),
+            speaks: role == "client",
+        };
+        self.recipes.insert(name.to_string(), recipe);
+    }
+
+    fn write_files(&mut self, ports: &Ports) -> Result<(), DayError> {
+        let (day, folder, begins) = (self.day, self.folder, self.begins.to_string());
+        let path = write(folder, "list", &files::list(day, ports))?;
+        self.add("list", "list", Some(&ports.list), &["list", &path, "--script-from", &begins]);
+        for (place, (name, group, n)) in day.workers().enumerate() {
+            let path = write(folder, &name, &files::worker(day, ports, place, &name, group, n))?;
+            let arguments = ["worker", &path, "--script-from", &begins];
+            self.add(&name, "worker", Some(&ports.workers[place]), &arguments);
+        }
+        for (n, name) in day.router_names().enumerate() {
+            let keep = folder.join(format!("{name}.list")).display().to_string();
+            let path = write(folder, &name, &files::router(day, ports, n, keep))?;
+            self.add(&name, "router", Some(&ports.routers[n]), &["router", &path]);
+        }
+        let path = write(folder, "load", &files::load(day, ports))?;
+        let [json, table] = ["load.json", "load.txt"].map(|f| folder.join(f).display().to_string());
+        let arguments = ["load", &path, "--json", &json, "--table", &table, "--begin-at", &begins];
+        self.add("load", "client", None, &arguments);
+        Ok(())
+    }
+
+    fn start(&mut self, name: &str, cold: bool) -> Result<(), DayError> {
+        let Some(mut recipe) = self.recipes.get(name).cloned() else { return Ok(()) };
+        if cold && recipe.role == "worker" {
+            recipe.arguments.push("--cold".into());
+        }
+        self.processes.start(&recipe).map_err(DayError::Start)
+    }
+
+    fn start_all(&mut self) -> Result<(), DayError> {
+        let mut names: Vec<_> = self.recipes.keys().cloned().collect();
+        // The list first, then those that call it, then those that call them.
+        let order = ["list", "worker", "router", "client"];
+        names.sort_by_key(|n| order.iter().position(|r| *r == self.recipes[n].role));
+        for name in &names {
+            self.start(name, false)?;
+        }
+        for name in names.iter().filter(|n| self.recipes[*n].address.is_some()) {
+            let Some([a, b, c, d, high, low]) = self.recipes[name].address else { continue };
+            let at = SocketAddrV4::new([a, b, c, d].into(), u16::from_be_bytes([high, low]));
+            while TcpStream::connect(at).is_err() {
+                self.pause()?;
+                if self.processes.ended(name).is_some() || self.processes.now() > self.begins {
+                    return Err(DayError::Deaf(name.clone()));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn pause(&self) -> Result<(), DayError> {
+        std::thread::sleep(STEP);
+        if self.interrupted.load(Ordering::Relaxed) {
+            return Err(DayError::Interrupted);
+        }
+        Ok(())
+    }
+
+    /// Lets the day pass and makes go wrong what is to go wrong, until the load has ended. The load prints its
+    /// own table, which comes back.
+    fn run(&mut self) -> Result<String, DayError> {
+        let mut deeds = deeds(&self.day.troubles);
+        deeds.sort_by_key(|(at, _)| *at);
+        let mut deeds = deeds.into_iter().peekable();
+        let mut looked = 0;
+        let longest = self.day.tracks.iter().map(|t| t.cut_off).max().unwrap_or(0);
+        let latest = self.begins + self.day.load.lasts + 4 * longest + STOPPING;
+        loop {
+            self.pause()?;
+            let now = self.processes.now();
+            while let Some((_, deed)) = deeds.next_if(|(at, _)| self.begins + at <= now) {
+                match deed {
+                    Deed::Kill(who) => self.processes.kill(who),
+                    Deed::Start(who) if !self.processes.runs(who) => self.start(who, true)?,
+                    Deed::Start(_) => {}
+                    Deed::Halt(who) => self.processes.signal(who, Signal::STOP),
+                    Deed::GoOn(who) => self.processes.signal(who, Signal::CONT),
+                }
+            }
+            if now > looked + MEMORY {
+                self.processes.look();
+                looked = now;
+                for name in self.processes.names() {
+                    if self.recipes[&name].role != "client" && self.processes.ended(&name).is_some() {
+                        self.fallen.push(name);
+                    }
+                }
+            }
+            if self.processes.ended("load").is_some() {
+                let path = self.folder.join("load.txt");
+                return std::fs::read_to_string(path).map_err(|_| DayError::NoFigures);
+            }
+            if now > latest {
+                return Err(DayError::NoFigures);
+            }
+        }
+    }
+
+    /// Tells all to end, routers first; how each router ended comes back.
+    fn stop_all(&mut self) -> Result<BTreeMap<String, bool>, DayError> {
+        self.processes.look();
+        let routers: Vec<_> = self.day.router_names().filter(|n| self.processes.runs(n)).collect();
+        let mut exits = BTreeMap::new();
+        let longest = self.day.tracks.iter().map(|t| t.cut_off).max().unwrap_or(0);
+        for first in [true, false] {
+            let names = if first { routers.clone() } else { self.processes.names() };
+            for name in &names {
+                self.processes.signal(name, Signal::CONT);
+                self.processes.signal(name, Signal::TERM);
+            }
+            let until = self.processes.now() + longest + STOPPING;
+            let mut left = names;
+            while !left.is_empty() && self.processes.now() < until {
+                left.retain(|name| match self.processes.ended(name) {
+                    Some(status) => {
+                        exits.insert(name.clone(), status.success());
+                        false
+                    }
+                    None => true,
+                });
+                self.pause()?;
+            }
+            for name in left {
+                self.processes.kill(&name);
+                exits.insert(name, false);
+            }
+        }
+        exits.retain(|name, _| self.recipes[name].role == "router");
+        Ok(exits)
+    }
+}
+
+fn deeds(troubles: &[Trouble]) -> Vec<(Micros, Deed<'_>)> {
+    let mut deeds = Vec::new();
+    for t in troubles {
+        for who in &t.who {
+            match t.act.as_str() {
+                "kill" => {
+                    deeds.push((t.at, Deed::Kill(who)));
+                    deeds.extend(t.back.map(|back| (t.at + back, Deed::Start(who))));
+                }
+                "halt" => {
+                    deeds.push((t.at, Deed::Halt(who)));
+                    deeds.push((t.at + t.lasts.unwrap_or(0), Deed::GoOn(who)));
+                }
+                // What was silent or has drained is started anew.
+                "silent" | "drain" => {
+                    let Some(lasts) = t.lasts else { continue };
+                    deeds.push((t.at + lasts, Deed::Kill(who)));
+                    deeds.push((t.at + lasts + STARTS_AGAIN, Deed::Start(who)));
+                }
+                _ => {}
+            }
+        }
+    }
+    deeds
+}
+
+fn expectations(
+    day: &Day,
+    figures: &serde_json::Value,
+    memory: &BTreeMap<String, u64>,
+    exits: &BTreeMap<String, bool>,
+    fallen: &[String],
+    report: &Report,
+) -> Vec<(String, String, bool)> {
+    let number = |name: &str| figures[name].as_f64().unwrap_or(f64::NAN);
+    let least = |name: &str, seen: f64, least: f64| {
+        let wanted = format!("{name} of at least {:.0}%", 100.0 * least);
+        (wanted, format!("{:.1}%", 100.0 * seen), seen >= least)
+    };
+    let (most, mib) = (memory.iter().max_by_key(|(_, bytes)| **bytes), |b: u64| b as f64 / 1048576.0);
+    let (name, bytes) = most.map_or(("nobody", 0), |(name, bytes)| (name.as_str(), *bytes));
+    let unlike = exits.values().filter(|well| !**well).count();
+    let wrong = number("wrong") + number("unanswered");
+    vec![
+        least("a service", number("service"), day.expect.service),
+        least("an honoured part", number("honoured_part"), day.expect.honoured),
+        (
+            format!("no process over {:.0} MiB", mib(day.expect.memory)),
+            format!("{:.1} MiB, {name}", mib(bytes)),
+            bytes <= day.expect.memory,
+        ),
+        ("routers end in order when told".into(), format!("{unlike} did not"), unlike == 0),
+        ("nobody fell over".into(), fallen.join(", "), fallen.is_empty()),
+        ("every answer right and in time".into(), format!("{wrong:.0} not"), wrong == 0.0),
+        (
+            "a record with something in it".into(),
+            format!("{} events", report.counts.events),
+            report.counts.taken > 0 && report.counts.honoured > 0,
+        ),
+    ]
+}
--- /dev/null
+++ b/crates/lab/src/files.rs
@@ -0,0 +1,134 @@
+//! The files that a day gives to its processes.
+
+use std::collections::BTreeMap;
+
+use tideroute_records::kinds::{
+    Burst, Day, File, Group, Late, List, Load, Role, Router, Step, Terms, Worker,
+};
+use tideroute_rules::{Group as Among, Repeat, TrackTerms, WorkerTerms};
+
+/// Where everybody listens.
+pub struct Ports {
+    pub list: String,
+    pub routers: Vec<String>,
+    pub workers: Vec<String>,
+}
+
+pub fn terms(day: &Day) -> Terms {
+    Terms { routers: day.routers as u32, ..day.terms.clone() }
+}
+
+fn zone(day: &Day, cell: u16) -> u8 {
+    (cell % u16::from(day.zones)) as u8
+}
+
+pub fn list(day: &Day, ports: &Ports) -> File {
+    let late = day.troubles.iter().filter(|t| t.act == "list-late").map(|t| Late {
+        at: t.at,
+        lasts: t.lasts.unwrap_or(0),
+        lag: t.lag.unwrap_or(0),
+    });
+    let list = List { listen: ports.list.clone(), lag: day.lag, late: late.collect() };
+    File { list: Some(list), ..File::default() }
+}
+
+pub fn router(day: &Day, ports: &Ports, n: usize, keep: String) -> File {
+    let router = Router {
+        name: format!("router{n}"),
+        listen: ports.routers[n].clone(),
+        list: ports.list.clone(),
+        metrics: None,
+        keep: Some(keep),
+        seed: None,
+        tracks: day.tracks.clone(),
+        kinds: day.kinds.clone(),
+        terms: terms(day),
+    };
+    File { router: Some(router), ..File::default() }
+}
+
+/// The worker that stands at a place among all of the day's.
+pub fn worker(day: &Day, ports: &Ports, place: usize, name: &str, group: &Group, n: usize) -> File {
+    let cell = (n % usize::from(day.cells)) as u16;
+    let mine = |t: &&tideroute_records::kinds::Trouble| t.who.iter().any(|w| w == name);
+    let scripted = day.troubles.iter().filter(mine).filter(|t| t.act != "kill" && t.act != "halt");
+    let script = scripted.map(|t| Step { at: t.at, act: t.act.clone(), lasts: t.lasts, times: t.times });
+    let worker = Worker {
+        name: name.to_string(),
+        listen: ports.workers[place].clone(),
+        list: ports.list.clone(),
+        kind: day.kinds.iter().position(|k| k.name == group.kind).unwrap_or(0) as u16,
+        cell,
+        zone: zone(day, cell),
+        warm: true,
+        does: group.does.clone(),
+        terms: terms(day),
+        script: script.collect(),
+    };
+    File { worker: Some(worker), ..File::default() }
+}
+
+pub fn load(day: &Day, ports: &Ports) -> File {
+    let bursts = day.troubles.iter().filter(|t| t.act == "burst");
+    let bursts = bursts.map(|t| Burst { at: t.at, lasts: t.lasts.unwrap_or(0), times: t.times }).collect();
+    let bytes = day.fleet.first().map_or(16, |g| g.does.state_bytes_a_token);
+    let load = Load {
+        routers: ports.routers.clone(),
+        seed: day.seed,
+        rate: day.load.rate,
+        lasts: day.load.lasts,
+        clients: day.load.clients,
+        tracks: day.tracks.clone(),
+        traffic: day.load.traffic.clone(),
+        retries: day.load.retries,
+        retry_wait: day.load.retry_wait,
+        leaves: day.load.leaves,
+        sluggish: day.load.sluggish,
+        bursts,
+        state_bytes_a_token: bytes,
+    };
+    File { load: Some(load), ..File::default() }
+}
+
+/// What the rules are read by.
+pub fn rules(day: &Day, ports: &Ports) -> tideroute_rules::Terms {
+    let tracks = day.tracks.iter().map(|t| TrackTerms {
+        name: t.name.clone(),
+        repeat: match t.repeat.as_str() {
+            "replayable" => Repeat::Replayable,
+            "referenced" => Repeat::Referenced,
+            _ => Repeat::SingleUse,
+        },
+        group: match t.group.as_str() {
+            "zone" => Among::Zone,
+            "cell" => Among::Cell,
+            _ => Among::All,
+        },
+        window: t.window,
+    });
+    let workers: BTreeMap<_, _> = day
+        .workers()
+        .enumerate()
+        .map(|(place, (_, group, n))| {
+            let cell = (n % usize::from(day.cells)) as u16;
+            let does = &group.does;
+            let rate = match does.role {
+                Role::Reader => does.read_rate * does.reads_at_once as f64,
+                _ => does.streams_at_once as f64 * 1e6 / does.token_gap as f64,
+            };
+            let reader = does.role == Role::Reader;
+            (ports.workers[place].clone(), WorkerTerms { rate, reader, cell, zone: zone(day, cell) })
+        })
+        .collect();
+    tideroute_rules::Terms {
+        tracks: tracks.collect(),
+        workers,
+        release: day.terms.release,
+        drain_grace: day.terms.drain_grace,
+        cold_share: day.terms.cold_share,
+        warm_after: day.terms.warm_after,
+        fall_multiple: day.terms.fall_multiple,
+        fall_span: day.terms.fall_span,
+        most_shots: day.terms.most_shots,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,14 @@
+//! The laboratory: load as clients bring it, and whole scripted days.
+//!
+//! [`load::Load`] is a [`Program`](tideroute_wire::link::Program) that plays clients in open loop: when each
+//! submission comes is drawn ahead and never waits for an answer. [`day::play`] starts a fleet of processes on
+//! free loopback ports, makes things go wrong as a day file says, collects the record of what passed, and has
+//! the rules checked.
+
+pub mod day;
+mod files;
+pub mod load;
+mod parts;
+mod processes;
+pub mod tally;
+pub mod traffic;
--- /dev/null
+++ b/crates/lab/src/parts.rs
@@ -0,0 +1,81 @@
+//! The parts that processes wrote, merged by time into the record of a day.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::fs::File;
+use std::io::{BufReader, BufWriter, Write};
+use std::path::{Path, PathBuf};
+
+use tideroute_wire::tap::{self, Passed, Reader, TapError, What, Who};
+use tideroute_wire::Micros;
+
+/// How hard records are compressed: zstd's default.
+const LEVEL: i32 = 3;
+
+/// One process's part.
+pub struct Part {
+    pub who: Who,
+    pub path: PathBuf,
+    /// When it was killed from outside; its part may end in the middle of a frame.
+    pub killed: Option<Micros>,
+}
+
+/// What a part still has to give: its next event first.
+struct Stream {
+    reader: Reader<BufReader<File>>,
+    killed: Option<Micros>,
+    process: u32,
+}
+
+impl Stream {
+    fn next(&mut self) -> Result<Option<Passed>, TapError> {
+        match self.reader.next_passed() {
+            Ok(Some(passed)) => return Ok(Some(passed)),
+            Ok(None) => {}
+            // Killed while it wrote: what it wrote before counts.
+            Err(TapError::CutOff { .. }) if self.killed.is_some() => {}
+            Err(problem) => return Err(problem),
+        }
+        let killed = self.killed.take().map(|at| Passed {
+            at,
+            process: self.process,
+            link: 0,
+            what: What::Killed,
+            place: 0,
+            frame: bytes::Bytes::new(),
+        });
+        Ok(killed)
+    }
+}
+
+/// Writes the record of a whole day, compressed, and tells how many events it has.
+pub fn merge(parts: &[Part], terms: &str, to: &Path) -> Result<u64, TapError> {
+    let file = BufWriter::new(File::create(to)?);
+    let mut out = zstd::Encoder::new(file, LEVEL)?;
+    let processes: Vec<Who> = parts.iter().map(|p| p.who.clone()).collect();
+    tap::write_head(&mut out, &processes, terms)?;
+    let (mut streams, mut heap) = (Vec::new(), BinaryHeap::new());
+    let mut pending: Vec<Option<Passed>> = Vec::new();
+    for part in parts {
+        let mut reader = Reader::new(BufReader::new(File::open(&part.path)?));
+        reader.head()?;
+        let mut stream = Stream { reader, killed: part.killed, process: part.who.number };
+        let first = stream.next()?;
+        heap.extend(first.iter().map(|p| Reverse((p.at, streams.len()))));
+        pending.push(first);
+        streams.push(stream);
+    }
+    let (mut events, mut last) = (0, 0);
+    while let Some(Reverse((_, n))) = heap.pop() {
+        let Some(mut passed) = pending[n].take() else { continue };
+        // A kill is noted by who killed, whose clock may be a moment behind the last word of the killed.
+        passed.at = passed.at.max(last);
+        last = passed.at;
+        tap::write(&mut out, &passed)?;
+        events += 1;
+        pending[n] = streams[n].next()?;
+        heap.extend(pending[n].iter().map(|p| Reverse((p.at.max(last), n))));
+    }
+    out.finish().and_then(|mut file| file.flush())?;
+    Ok(events)
+}
--- /dev/null
+++ b/crates/reactor/src/conn.rs
@@ -0,0 +1,127 @@
+//! One connection: a socket, what has arrived on it and what waits to be sent.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, SocketAddrV4, TcpStream};
+
+use bytes::{Buf, Bytes, BytesMut};
+use socket2::{Domain, Protocol, Socket, Type};
+use tideroute_wire::link::Link;
+use tideroute_wire::{frame, Address, Malformed, Micros};
+
+/// Bytes read from one connection before others have their turn.
+pub const PIECE: usize = 64 << 10;
+/// Bytes waiting to be sent over which the program is told that the link is crowded; about what a slow
+/// reader's kernel buffer holds too.
+pub const HIGH: usize = 256 << 10;
+/// And under which it is told that it no longer is.
+pub const LOW: usize = 64 << 10;
+/// Bytes waiting over which a connection is closed: room for four of the largest frames.
+pub const MOST: usize = 4 << 20;
+
+/// How far a connection has come.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Stage {
+    Dialling {
+        until: Micros,
+    },
+    Open,
+    /// To be ended once all has been sent, or at that time.
+    Closing {
+        until: Micros,
+    },
+    Dead,
+}
+
+pub struct Conn {
+    pub link: Link,
+    pub stream: TcpStream,
+    pub stage: Stage,
+    pub hushed: bool,
+    pub crowded: bool,
+    /// Frames that passed, each way.
+    pub sent: u64,
+    pub heard: u64,
+    arrived: BytesMut,
+    waiting: BytesMut,
+}
+
+/// What reading brought.
+pub enum Got {
+    Frames(Vec<Bytes>),
+    /// Frames up to the one that could not be taken.
+    Bad(Vec<Bytes>, Malformed),
+    /// The peer ended the connection after these.
+    End(Vec<Bytes>),
+}
+
+impl Conn {
+    pub fn new(link: Link, stream: TcpStream, stage: Stage) -> Conn {
+        let (arrived, waiting) = (BytesMut::new(), BytesMut::new());
+        Conn { link, stream, stage, hushed: false, crowded: false, sent: 0, heard: 0, arrived, waiting }
+    }
+
+    /// Begins to connect; whether it led anywhere is known once the socket can be written to.
+    pub fn dial(link: Link, to: Address, until: Micros) -> io::Result<Conn> {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.set_tcp_nodelay(true)?;
+        let ip = [to[0], to[1], to[2], to[3]].into();
+        let to = SocketAddr::V4(SocketAddrV4::new(ip, u16::from_be_bytes([to[4], to[5]])));
+        match socket.connect(&to.into()) {
+            Ok(()) => {}
+            Err(e)
+                if e.raw_os_error() == Some(libc::EINPROGRESS) || e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+        Ok(Conn::new(link, socket.into(), Stage::Dialling { until }))
+    }
+
+    /// After the socket became writable: whether the dial led to a connection.
+    pub fn reached(&self) -> bool {
+        self.stream.take_error().is_ok_and(|e| e.is_none()) && self.stream.peer_addr().is_ok()
+    }
+
+    pub fn put(&mut self, body: &Bytes) {
+        frame::put(&mut self.waiting, body);
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Sends what the socket takes now.
+    pub fn flush(&mut self) -> io::Result<()> {
+        while !self.waiting.is_empty() {
+            match self.stream.write(&self.waiting) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(sent) => self.waiting.advance(sent),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads a piece at most and cuts it into frames.
+    pub fn read(&mut self) -> io::Result<Got> {
+        let mut piece = [0; PIECE];
+        let got = match self.stream.read(&mut piece) {
+            Ok(got) => got,
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
+                return Ok(Got::Frames(vec![]));
+            }
+            Err(e) => return Err(e),
+        };
+        self.arrived.extend_from_slice(&piece[..got]);
+        let mut frames = Vec::new();
+        loop {
+            match frame::next(&mut self.arrived) {
+                Ok(Some(frame)) => frames.push(frame),
+                Ok(None) if got == 0 => return Ok(Got::End(frames)),
+                Ok(None) => return Ok(Got::Frames(frames)),
+                Err(problem) => return Ok(Got::Bad(frames, problem)),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/reactor/src/reactor.rs
@@ -0,0 +1,546 @@
+//! The loop itself.
+
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::AsRawFd;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bytes::Bytes;
+use metrics::{counter, gauge};
+use polling::{Event, Events, PollMode, Poller};
+use slab::Slab;
+use tideroute_wire::link::{Act, Link, Loss, Outbox, Program};
+use tideroute_wire::tap::{counts, What};
+use tideroute_wire::Micros;
+
+use crate::clock::Clock;
+use crate::conn::{Conn, Got, Stage, HIGH, LOW, MOST};
+use crate::signals::Signals;
+use crate::tap::Tap;
+use crate::wheel::Wheel;
+
+/// Connections taken at a door in one turn, so that a flood of them leaves time for those that are there.
+const ACCEPTS: usize = 64;
+/// Microseconds: how long a closed connection may take to send its last words.
+const LAST_WORDS: Micros = 500_000;
+/// Microseconds a tick of the wheel: as fine as the decisions' own clock.
+const TICK: Micros = 100;
+/// Keys of the poller: doors come first, then the signals, then connections.
+const SIGNALS: usize = 1 << 16;
+const CONNS: usize = SIGNALS + 1;
+
+#[derive(Debug, thiserror::Error)]
+pub enum ReactorError {
+    #[error("cannot listen at {0}: {1}")]
+    Listen(SocketAddr, io::Error),
+    #[error("the loop failed: {0}")]
+    Loop(#[from] io::Error),
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Ended {
+    Done,
+    /// The program asked to vanish.
+    Vanished,
+    /// A second signal came before all was finished.
+    Forced,
+}
+
+/// What the program is yet to be told.
+enum News {
+    Opened(Link),
+    Lost(Link, Loss),
+    Crowded(Link, bool),
+}
+
+pub struct Reactor {
+    poller: Poller,
+    clock: Clock,
+    doors: Vec<TcpListener>,
+    conns: Slab<Conn>,
+    places: HashMap<Link, usize>,
+    dirty: Vec<usize>,
+    dead: Vec<usize>,
+    news: VecDeque<News>,
+    wheel: Wheel<Ring>,
+    signals: Option<Signals>,
+    tap: Option<Tap>,
+    keep: Option<PathBuf>,
+    links: u64,
+    stopping: bool,
+    vanished: bool,
+}
+
+/// A timer of the program, or the end of a connection's patience.
+#[derive(Clone, Copy)]
+enum Ring {
+    Program(u64),
+    Patience(Link),
+}
+
+impl Reactor {
+    /// Listens at each address; port 0 lets the machine choose.
+    pub fn new(addresses: &[SocketAddr]) -> Result<Reactor, ReactorError> {
+        let (poller, clock) = (Poller::new()?, Clock::start());
+        let mut doors = Vec::new();
+        for &address in addresses {
+            let listen = |e| ReactorError::Listen(address, e);
+            let door = TcpListener::bind(address).map_err(listen)?;
+            door.set_nonblocking(true).map_err(listen)?;
+            add(&poller, &door, Event::readable(doors.len()))?;
+            doors.push(door);
+        }
+        Ok(Reactor {
+            poller,
+            clock,
+            doors,
+            conns: Slab::new(),
+            places: HashMap::new(),
+            dirty: vec![],
+            dead: vec![],
+            news: VecDeque::new(),
+            wheel: Wheel::new(clock.now() / TICK),
+            signals: None,
+            tap: None,
+            keep: None,
+            links: 0,
+            stopping: false,
+            vanished: false,
+        })
+    }
+
+    /// Where the doors are, in order.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.doors.iter().filter_map(|d| d.local_addr().ok()).collect()
+    }
+
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// Writes down all that passes from now on.
+    pub fn tap(&mut self, tap: Tap) {
+        self.tap = Some(tap);
+    }
+
+    /// Where the program's `Keep` goes.
+    pub fn keep(&mut self, path: PathBuf) {
+        self.keep = Some(path);
+    }
+
+    /// SIGTERM and SIGINT stop the program; a second one ends the run at once.
+    pub fn catch_signals(&mut self) -> Result<(), ReactorError> {
+        let signals = Signals::catch()?;
+        add(&self.poller, &signals.heard, Event::readable(SIGNALS))?;
+        self.signals = Some(signals);
+        Ok(())
+    }
+
+    /// Drives the program until it is done.
+    pub fn run(&mut self, program: &mut impl Program) -> Result<Ended, ReactorError> {
+        let (mut out, mut events, mut due) = (Outbox::default(), Events::new(), Vec::new());
+        self.note_process(What::Began);
+        program.begin(self.clock.now(), &mut out);
+        loop {
+            self.settle(program, &mut out);
+            if self.vanished {
+                self.note_process(What::Killed);
+                self.reset_all();
+                return Ok(Ended::Vanished);
+            }
+            if program.done() && self.conns.iter().all(|(_, c)| c.waiting() == 0) {
+                self.note_process(What::Left);
+                return Ok(Ended::Done);
+            }
+            let wait =
+                self.wheel.next().map(|at| Duration::from_micros((at * TICK).saturating_sub(self.now())));
+            events.clear();
+            match self.poller.wait(&mut events, wait) {
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e.into()),
+            }
+            for event in events.iter() {
+                match event.key {
+                    SIGNALS => {
+                        let count = self.signals.as_mut().map_or(0, Signals::count);
+                        if count > 1 || (count == 1 && self.stopping) {
+                            return Ok(Ended::Forced);
+                        }
+                        if count == 1 {
+                            self.stop(program, &mut out)?;
+                        }
+                    }
+                    door if door < SIGNALS => self.accept(door, program, &mut out),
+                    key => self.ready(key - CONNS, event, program, &mut out),
+                }
+            }
+            self.wheel.advance(self.now() / TICK, &mut due);
+            for ring in due.drain(..) {
+                match ring {
+                    Ring::Program(key) => {
+                        program.rang(self.clock.now(), key, &mut out);
+                        self.carry_out(&mut out);
+                    }
+                    Ring::Patience(link) => self.out_of_patience(link),
+                }
+            }
+        }
+    }
+
+    /// Asks the program to end, as a signal does; its doors take nobody any more.
+    fn stop(&mut self, program: &mut impl Program, out: &mut Outbox) -> Result<(), ReactorError> {
+        self.stopping = true;
+        for door in std::mem::take(&mut self.doors) {
+            self.poller.delete(&door)?;
+        }
+        program.stop(self.clock.now(), out);
+        self.carry_out(out);
+        Ok(())
+    }
+
+    fn now(&self) -> Micros {
+        self.clock.now()
+    }
+
+    fn note(&mut self, link: Link, what: What, frame: &Bytes) {
+        let now = self.clock.now();
+        if let Some(tap) = self.tap.as_mut() {
+            tap.note(now, link, what, 0, frame);
+        }
+    }
+
+    /// Notes that a connection is over, with how much passed.
+    fn note_end(&mut self, place: usize) {
+        let conn = &self.conns[place];
+        let (link, counts) = (conn.link, counts(conn.sent, conn.heard));
+        self.note(link, What::Closed, &counts);
+    }
+
+    /// Notes the beginning or end of the process itself.
+    fn note_process(&mut self, what: What) {
+        if what == What::Left {
+            let open: Vec<_> =
+                self.conns.iter().filter(|(_, c)| c.stage == Stage::Open).map(|(p, _)| p).collect();
+            open.into_iter().for_each(|place| self.note_end(place));
+        }
+        self.note(Link(0), what, &Bytes::new());
+        if let Some(tap) = self.tap.as_mut() {
+            tap.flush();
+        }
+    }
+
+    /// Lets the program decide, sends what it said, and tells it what came of that, until all is quiet.
+    fn settle(&mut self, program: &mut impl Program, out: &mut Outbox) {
+        loop {
+            while let Some(news) = self.news.pop_front() {
+                let now = self.clock.now();
+                match news {
+                    News::Opened(link) => program.opened(now, link, out),
+                    News::Lost(link, loss) => program.lost(now, link, loss, out),
+                    News::Crowded(link, crowded) => program.crowded(now, link, crowded, out),
+                }
+                self.carry_out(out);
+            }
+            program.turn(self.clock.now(), out);
+            self.carry_out(out);
+            for place in std::mem::take(&mut self.dirty) {
+                self.flush(place);
+            }
+            if self.news.is_empty() {
+                break;
+            }
+        }
+        for place in std::mem::take(&mut self.dead) {
+            let conn = self.conns.remove(place);
+            self.places.remove(&conn.link);
+        }
+        gauge!("tideroute_links").set(self.conns.len() as f64);
+        if let Some(tap) = self.tap.as_mut() {
+            tap.flush();
+        }
+    }
+
+    fn carry_out(&mut self, out: &mut Outbox) {
+        for act in out.take() {
+            match act {
+                Act::Dial { link, to, within } => {
+                    let until = self.now() + within;
+                    self.note(link, What::Dialled, &Bytes::copy_from_slice(&to));
+                    match Conn::dial(link, to, until) {
+                        Ok(conn) => {
+                            self.insert(conn, Event::writable(0));
+                            self.wheel.set(until / TICK + 1, Ring::Patience(link));
+                        }
+                        Err(_) => {
+                            self.note(link, What::Unreached, &Bytes::new());
+                            self.news.push_back(News::Lost(link, Loss::Unreached));
+                        }
+                    }
+                }
+                Act::Send { link, frame } => self.send(link, &frame),
+                Act::Close { link, why } => self.close(link, &why),
+                Act::Ring { at, key } => self.wheel.set(at.div_ceil(TICK), Ring::Program(key)),
+                Act::Hush { link, hush } => {
+                    let Some(&place) = self.places.get(&link) else { continue };
+                    self.conns[place].hushed = hush;
+                    self.watch(place);
+                }
+                Act::Keep { bytes } => self.keep_file(&bytes),
+                Act::Vanish => self.vanished = true,
+            }
+        }
+    }
+
+    /// Puts the file in its place whole: what a crash leaves is the old one or the new one.
+    fn keep_file(&self, bytes: &[u8]) {
+        let Some(path) = &self.keep else { return };
+        let fresh = path.with_extension("new");
+        if let Err(problem) = std::fs::write(&fresh, bytes).and_then(|()| std::fs::rename(&fresh, path)) {
+            tracing::error!(%problem, path = %path.display(), "what was to be kept could not be written");
+        }
+    }
+
+    fn insert(&mut self, conn: Conn, mut interest: Event) {
+        let link = conn.link;
+        let place = self.conns.insert(conn);
+        interest.key = CONNS + place;
+        if let Err(problem) = add(&self.poller, &self.conns[place].stream, interest) {
+            tracing::error!(%problem, "a connection could not be watched");
+            self.conns.remove(place);
+            self.news.push_back(News::Lost(link, Loss::Unreached));
+            return;
+        }
+        self.places.insert(link, place);
+    }
+
+    fn send(&mut self, link: Link, frame: &Bytes) {
+        let Some(&place) = self.places.get(&link) else { return };
+        let now = self.clock.now();
+        let conn = &mut self.conns[place];
+        if !matches!(conn.stage, Stage::Dialling { .. } | Stage::Open) {
+            return;
+        }
+        conn.put(frame);
+        if let Some(tap) = self.tap.as_mut() {
+            tap.note(now, link, What::Sent, conn.sent, frame);
+        }
+        conn.sent += 1;
+        if conn.waiting() > MOST {
+            self.lose(place, Loss::Broken, "its peer does not read");
+        } else if self.conns[place].stage == Stage::Open {
+            self.dirty.push(place);
+        }
+    }
+
+    fn close(&mut self, link: Link, why: &str) {
+        let Some(&place) = self.places.get(&link) else { return };
+        tracing::debug!(link = link.0, why, "closes a connection");
+        counter!("tideroute_links_closed_total", "by" => "program").increment(1);
+        if self.conns[place].stage == Stage::Dead {
+            return;
+        }
+        self.note_end(place);
+        let until = self.now() + LAST_WORDS;
+        let conn = &mut self.conns[place];
+        if conn.stage == Stage::Open && conn.waiting() > 0 {
+            conn.stage = Stage::Closing { until };
+            self.wheel.set(until / TICK + 1, Ring::Patience(link));
+            self.dirty.push(place);
+            self.watch(place);
+        } else {
+            self.bury(place);
+        }
+    }
+
+    /// Tells the poller what the connection waits for.
+    fn watch(&mut self, place: usize) {
+        let conn = &self.conns[place];
+        let key = CONNS + place;
+        let interest = match conn.stage {
+            Stage::Dialling { .. } => Event::writable(key),
+            Stage::Open => Event::new(key, !conn.hushed, conn.waiting() > 0),
+            Stage::Closing { .. } => Event::writable(key),
+            Stage::Dead => return,
+        };
+        if let Err(problem) = self.poller.modify_with_mode(&conn.stream, interest, PollMode::Level) {
+            tracing::error!(%problem, "a connection could not be watched");
+        }
+    }
+
+    fn flush(&mut self, place: usize) {
+        let Some(conn) = self.conns.get_mut(place) else { return };
+        if !matches!(conn.stage, Stage::Open | Stage::Closing { .. }) {
+            return;
+        }
+        let before = conn.waiting();
+        if conn.flush().is_err() {
+            return self.lose(place, Loss::Broken, "it broke while sending");
+        }
+        counter!("tideroute_bytes_total", "way" => "out").increment((before - conn.waiting()) as u64);
+        let (waiting, closing) = (conn.waiting(), conn.stage != Stage::Open);
+        if closing && waiting == 0 {
+            return self.bury(place);
+        }
+        let crowded = if conn.crowded { waiting > LOW } else { waiting > HIGH };
+        if crowded != conn.crowded && !closing {
+            conn.crowded = crowded;
+            self.news.push_back(News::Crowded(conn.link, crowded));
+        }
+        self.watch(place);
+    }
+
+    /// Ends a connection that the program did not end, and tells it.
+    fn lose(&mut self, place: usize, loss: Loss, why: &str) {
+        let conn = &self.conns[place];
+        let (link, told) = (conn.link, matches!(conn.stage, Stage::Dialling { .. } | Stage::Open));
+        if told {
+            tracing::debug!(link = link.0, why, "lost a connection");
+            counter!("tideroute_links_closed_total", "by" => "loss").increment(1);
+            match loss {
+                Loss::Broken => self.note_end(place),
+                Loss::Unreached => self.note(link, What::Unreached, &Bytes::new()),
+            }
+            self.news.push_back(News::Lost(link, loss));
+        }
+        self.bury(place);
+    }
+
+    fn bury(&mut self, place: usize) {
+        let conn = &mut self.conns[place];
+        if conn.stage != Stage::Dead {
+            conn.stage = Stage::Dead;
+            let _ = self.poller.delete(&conn.stream);
+            let _ = conn.stream.shutdown(std::net::Shutdown::Both);
+            self.dead.push(place);
+        }
+    }
+
+    fn out_of_patience(&mut self, link: Link) {
+        let Some(&place) = self.places.get(&link) else { return };
+        match self.conns[place].stage {
+            Stage::Dialling { until } if until <= self.now() => {
+                self.lose(place, Loss::Unreached, "no connection in time");
+            }
+            Stage::Closing { until } if until <= self.now() => self.bury(place),
+            _ => {}
+        }
+    }
+
+    fn accept(&mut self, door: usize, program: &mut impl Program, out: &mut Outbox) {
+        for _ in 0..ACCEPTS {
+            let Some(listener) = self.doors.get(door) else { return };
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(problem) => {
+                    tracing::warn!(%problem, "a connection could not be taken");
+                    return;
+                }
+            };
+            if stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true)).is_err() {
+                continue;
+            }
+            let link = Link(self.links);
+            self.links += 1;
+            let (now, ends) = (self.clock.now(), [stream.peer_addr().ok(), stream.local_addr().ok()]);
+            if let Some(tap) = self.tap.as_mut() {
+                tap.met(now, link, What::Accepted, ends);
+            }
+            self.insert(Conn::new(link, stream, Stage::Open), Event::readable(0));
+            program.accepted(now, link, door, out);
+            self.carry_out(out);
+        }
+    }
+
+    fn ready(&mut self, place: usize, event: Event, program: &mut impl Program, out: &mut Outbox) {
+        let Some(conn) = self.conns.get(place) else { return };
+        if let Stage::Dialling { .. } = conn.stage {
+            return self.reached(place);
+        }
+        if event.writable {
+            self.flush(place);
+        }
+        let open = |r: &Self| r.conns.get(place).is_some_and(|c| c.stage == Stage::Open);
+        if !event.readable || !open(self) || self.conns[place].hushed {
+            return;
+        }
+        let link = self.conns[place].link;
+        let (frames, end) = match self.conns[place].read() {
+            Ok(Got::Frames(frames)) => (frames, None),
+            Ok(Got::End(frames)) => (frames, Some("its peer ended it".to_string())),
+            Ok(Got::Bad(frames, problem)) => (frames, Some(problem.to_string())),
+            Err(problem) => (vec![], Some(problem.to_string())),
+        };
+        for frame in frames {
+            if !open(self) {
+                return;
+            }
+            let now = self.clock.now();
+            let number = self.conns[place].heard;
+            self.conns[place].heard += 1;
+            if let Some(tap) = self.tap.as_mut() {
+                tap.note(now, link, What::Heard, number, &frame);
+            }
+            program.heard(now, link, &frame, out);
+            self.carry_out(out);
+        }
+        if let Some(why) = end {
+            if open(self) {
+                self.lose(place, Loss::Broken, &why);
+            }
+        }
+    }
+
+    fn reached(&mut self, place: usize) {
+        if !self.conns[place].reached() {
+            return self.lose(place, Loss::Unreached, "nobody there");
+        }
+        let now = self.clock.now();
+        let conn = &mut self.conns[place];
+        conn.stage = Stage::Open;
+        let link = conn.link;
+        let ends = [conn.stream.peer_addr().ok(), conn.stream.local_addr().ok()];
+        if let Some(tap) = self.tap.as_mut() {
+            tap.met(now, link, What::Met, ends);
+        }
+        self.news.push_back(News::Opened(link));
+        self.dirty.push(place);
+        self.watch(place);
+    }
+
+    /// Ends all connections as a crash does, with a reset.
+    fn reset_all(&mut self) {
+        for conn in self.conns.drain() {
+            let _ = self.poller.delete(&conn.stream);
+            let socket: socket2::Socket = conn.stream.into();
+            let _ = socket.set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
+impl Drop for Reactor {
+    /// Keeps the promise that `add` makes to the poller.
+    fn drop(&mut self) {
+        for (_, conn) in &self.conns {
+            let _ = self.poller.delete(&conn.stream);
+        }
+        for door in &self.doors {
+            let _ = self.poller.delete(door);
+        }
+        if let Some(signals) = &self.signals {
+            let _ = self.poller.delete(&signals.heard);
+        }
+    }
+}
+
+/// Has the poller watch a source, for as long as the event says so and not just once.
+#[allow(unsafe_code)]
+fn add(poller: &Poller, source: &impl AsRawFd, interest: Event) -> io::Result<()> {
+    // SAFETY: the poller asks that a source be deleted from it before the source is closed. The reactor owns
+    // both: `bury` and `stop` delete before anything is dropped, and `drop` deletes what is left.
+    unsafe { poller.add_with_mode(source.as_raw_fd(), interest, PollMode::Level) }
+}
--- /dev/null
+++ b/crates/reactor/src/tap.rs
@@ -0,0 +1,67 @@
+//! Writes down what passes on this process's sockets, whole at the end of each turn: a process that is killed
+//! leaves all that it did before.
+
+use std::fs::File;
+use std::io::{self, BufWriter, Write};
+use std::net::SocketAddr;
+use std::path::Path;
+
+use bytes::Bytes;
+use tideroute_wire::link::Link;
+use tideroute_wire::tap::{self, Passed, What, Who};
+use tideroute_wire::{Address, Micros};
+
+/// Bytes: of a frame longer than this only the start is kept. Chunks of states are longer; what has a
+/// meaning for the rules is shorter.
+const LONGEST: usize = 1024;
+/// Bytes kept of the start of a longer frame.
+const START: usize = 16;
+
+pub struct Tap {
+    file: BufWriter<File>,
+    process: u32,
+}
+
+impl Tap {
+    /// Begins the record of one process; what the file held is gone.
+    pub fn begin(path: &Path, who: &Who) -> io::Result<Tap> {
+        let mut file = BufWriter::with_capacity(1 << 18, File::create(path)?);
+        tap::write_head(&mut file, std::slice::from_ref(who), "")?;
+        Ok(Tap { file, process: who.number })
+    }
+
+    pub(crate) fn note(&mut self, at: Micros, link: Link, what: What, place: u64, frame: &Bytes) {
+        let frame = if frame.len() > LONGEST { frame.slice(..START) } else { frame.clone() };
+        let passed = Passed { at, process: self.process, link: link.0, what, place, frame };
+        self.write(&passed);
+    }
+
+    /// Two ends of one connection are known to belong together by both ends' addresses.
+    pub(crate) fn met(&mut self, at: Micros, link: Link, what: What, ends: [Option<SocketAddr>; 2]) {
+        let ends: Vec<u8> = ends.into_iter().flat_map(|end| end.map_or([0; 6], bytes_of)).collect();
+        self.note(at, link, what, 0, &ends.into());
+    }
+
+    fn write(&mut self, passed: &Passed) {
+        if let Err(problem) = tap::write(&mut self.file, passed) {
+            tracing::error!(%problem, "the record of what passed is incomplete");
+        }
+    }
+
+    pub(crate) fn flush(&mut self) {
+        if let Err(problem) = self.file.flush() {
+            tracing::error!(%problem, "the record of what passed is incomplete");
+        }
+    }
+}
+
+pub(crate) fn bytes_of(address: SocketAddr) -> Address {
+    let port = address.port().to_be_bytes();
+    match address {
+        SocketAddr::V4(a) => {
+            let ip = a.ip().octets();
+            [ip[0], ip[1], ip[2], ip[3], port[0], port[1]]
+        }
+        SocketAddr::V6(_) => [0, 0, 0, 0, port[0], port[1]],
+    }
+}
--- /dev/null
+++ b/crates/records/src/kinds.rs
@@ -0,0 +1,378 @@
+//! The program's records as they are used, after a file was checked. Durations are microseconds.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+use crate::problem::Problem;
+use crate::syntax::Span;
+
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct File {
+    pub router: Option<Router>,
+    pub worker: Option<Worker>,
+    pub list: Option<List>,
+    pub load: Option<Load>,
+    pub day: Option<Day>,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Router {
+    pub name: String,
+    pub listen: String,
+    pub list: String,
+    pub metrics: Option<String>,
+    pub keep: Option<String>,
+    pub seed: Option<u64>,
+    pub tracks: Vec<Track>,
+    pub kinds: Vec<Kind>,
+    pub terms: Terms,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Track {
+    pub name: String,
+    pub repeat: String,
+    pub group: String,
+    pub window: u64,
+    pub contract: u64,
+    pub per_thousand: u64,
+    pub cut_off: u64,
+    pub earnings: f64,
+    pub late: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    Reader,
+    Writer,
+    Mixed,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Kind {
+    pub name: String,
+    pub role: Role,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Terms {
+    pub routers: u32,
+    pub places: bool,
+    pub writers_read: bool,
+    pub release: u64,
+    pub cold_share: f64,
+    pub warm_after: u64,
+    pub fall_multiple: f64,
+    pub fall_span: u64,
+    pub most_shots: u16,
+    pub withdrawals: bool,
+    pub probes: bool,
+    pub advice: bool,
+    pub longest_advice: u64,
+    pub drain_grace: u64,
+    pub unheard: u64,
+    pub travel: u64,
+    pub window: u32,
+    pub most_open: usize,
+    pub most_a_client: usize,
+    pub most_clients: usize,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Worker {
+    pub name: String,
+    pub listen: String,
+    pub list: String,
+    pub kind: u16,
+    pub cell: u16,
+    pub zone: u8,
+    pub warm: bool,
+    pub does: Able,
+    pub terms: Terms,
+    pub script: Vec<Step>,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Able {
+    pub role: Role,
+    pub size: f64,
+    pub reads_at_once: usize,
+    pub reads_waiting: usize,
+    pub read_rate: f64,
+    pub streams_at_once: usize,
+    pub streams_waiting: usize,
+    pub token_gap: u64,
+    pub state_bytes_a_token: u32,
+    pub keeps: usize,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Step {
+    pub at: u64,
+    #[serde(rename = "do")]
+    pub act: String,
+    #[serde(rename = "for")]
+    pub lasts: Option<u64>,
+    pub times: f64,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct List {
+    pub listen: String,
+    pub lag: u64,
+    pub late: Vec<Late>,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Late {
+    pub at: u64,
+    #[serde(rename = "for")]
+    pub lasts: u64,
+    pub lag: u64,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Load {
+    pub routers: Vec<String>,
+    pub seed: u64,
+    pub rate: f64,
+    #[serde(rename = "for")]
+    pub lasts: u64,
+    pub clients: usize,
+    pub tracks: Vec<Track>,
+    pub traffic: Vec<Traffic>,
+    pub retries: u32,
+    pub retry_wait: u64,
+    pub leaves: f64,
+    pub sluggish: usize,
+    pub bursts: Vec<Burst>,
+    pub state_bytes_a_token: u32,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Burst {
+    pub at: u64,
+    #[serde(rename = "for")]
+    pub lasts: u64,
+    pub times: f64,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Traffic {
+    pub track: String,
+    pub part: f64,
+    pub turns: f64,
+    pub adds: Range,
+    pub answer: Range,
+    pub shared: f64,
+    pub texts: u32,
+    pub text_tokens: Range,
+    pub patience: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct Range {
+    pub least: u32,
+    pub most: u32,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Day {
+    pub note: String,
+    pub seed: u64,
+    pub routers: usize,
+    pub cells: u16,
+    pub zones: u8,
+    pub kinds: Vec<Kind>,
+    pub fleet: Vec<Group>,
+    pub tracks: Vec<Track>,
+    pub terms: Terms,
+    pub lag: u64,
+    pub load: DayLoad,
+    pub troubles: Vec<Trouble>,
+    pub expect: Expect,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct DayLoad {
+    pub rate: f64,
+    #[serde(rename = "for")]
+    pub lasts: u64,
+    pub clients: usize,
+    pub traffic: Vec<Traffic>,
+    pub retries: u32,
+    pub retry_wait: u64,
+    pub leaves: f64,
+    pub sluggish: usize,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Group {
+    pub name: String,
+    pub kind: String,
+    pub count: usize,
+    pub does: Able,
+}
+
+/// What goes wrong; which fields it has follows from what it does.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Trouble {
+    pub at: u64,
+    #[serde(rename = "do")]
+    pub act: String,
+    #[serde(default)]
+    pub who: Vec<String>,
+    pub back: Option<u64>,
+    #[serde(rename = "for")]
+    pub lasts: Option<u64>,
+    pub lag: Option<u64>,
+    #[serde(default = "once")]
+    pub times: f64,
+}
+
+fn once() -> f64 {
+    1.0
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Expect {
+    pub service: f64,
+    pub honoured: f64,
+    pub memory: u64,
+}
+
+impl Day {
+    /// The names of all workers, group by group.
+    pub fn workers(&self) -> impl Iterator<Item = (String, &Group, usize)> {
+        self.fleet.iter().flat_map(|g| (0..g.count).map(move |n| (format!("{}{n}", g.name), g, n)))
+    }
+
+    /// The names of the routers.
+    pub fn router_names(&self) -> impl Iterator<Item = String> {
+        (0..self.routers).map(|n| format!("router{n}"))
+    }
+}
+
+/// What types alone don't say: addresses, names that must be known, values that contradict each other.
+pub(crate) fn faults(file: &File, place: &dyn Fn(&str) -> Span) -> Vec<Problem> {
+    let mut checks = Checks { place, problems: vec![] };
+    if let Some(r) = &file.router {
+        checks.address("router.listen", &r.listen);
+        checks.address("router.list", &r.list);
+        if let Some(metrics) = &r.metrics {
+            checks.address("router.metrics", metrics);
+        }
+        checks.tracks("router.tracks", &r.tracks);
+        checks.unlike("router.kinds", r.kinds.iter().map(|k| &k.name));
+    }
+    if let Some(w) = &file.worker {
+        checks.address("worker.listen", &w.listen);
+        checks.address("worker.list", &w.list);
+    }
+    if let Some(l) = &file.list {
+        checks.address("list.listen", &l.listen);
+    }
+    if let Some(l) = &file.load {
+        for (n, router) in l.routers.iter().enumerate() {
+            checks.address(&format!("load.routers[{n}]"), router);
+        }
+        checks.tracks("load.tracks", &l.tracks);
+        checks.traffic("load.traffic", &l.traffic, &l.tracks);
+    }
+    if let Some(d) = &file.day {
+        checks.day(d);
+    }
+    checks.problems
+}
+
+struct Checks<'a> {
+    place: &'a dyn Fn(&str) -> Span,
+    problems: Vec<Problem>,
+}
+
+impl Checks<'_> {
+    fn fault(&mut self, path: &str, what: impl Into<String>, expected: impl Into<String>) {
+        self.problems.push(Problem::new((self.place)(path), what, expected));
+    }
+
+    fn address(&mut self, path: &str, text: &str) {
+        if text.parse::<SocketAddrV4>().is_err() {
+            self.fault(path, format!("{text:?} is no address"), "one like 127.0.0.1:7000");
+        }
+    }
+
+    fn unlike<'a>(&mut self, path: &str, names: impl Iterator<Item = &'a String>) {
+        let mut seen = BTreeSet::new();
+        for (n, name) in names.enumerate() {
+            if !seen.insert(name) {
+                self.fault(&format!("{path}[{n}].name"), format!("{name:?} is named twice"), "another name");
+            }
+        }
+    }
+
+    fn tracks(&mut self, path: &str, tracks: &[Track]) {
+        self.unlike(path, tracks.iter().map(|t| &t.name));
+        if tracks.len() > 256 {
+            self.fault(path, format!("{} tracks", tracks.len()), "at most 256");
+        }
+        for (n, t) in tracks.iter().enumerate() {
+            if t.cut_off < t.contract {
+                let what = format!("the track {:?} is given up before its contract time", t.name);
+                self.fault(&format!("{path}[{n}].cut_off"), what, "a cut-off after the contract time");
+            }
+        }
+    }
+
+    fn traffic(&mut self, path: &str, traffic: &[Traffic], tracks: &[Track]) {
+        for (n, t) in traffic.iter().enumerate() {
+            let at = format!("{path}[{n}]");
+            if !tracks.iter().any(|track| track.name == t.track) {
+                let known: Vec<_> = tracks.iter().map(|t| t.name.as_str()).collect();
+                let expected = format!("one of {}", known.join(", "));
+                self.fault(&format!("{at}.track"), format!("{:?} is no track", t.track), expected);
+            }
+            for (name, range) in [("adds", t.adds), ("answer", t.answer), ("text_tokens", t.text_tokens)] {
+                if range.least > range.most {
+                    let what = format!("{name} goes from {} to {}", range.least, range.most);
+                    self.fault(&format!("{at}.{name}"), what, "a least that is not above the most");
+                }
+            }
+        }
+    }
+
+    fn day(&mut self, d: &Day) {
+        self.tracks("day.tracks", &d.tracks);
+        self.traffic("day.load.traffic", &d.load.traffic, &d.tracks);
+        self.unlike("day.kinds", d.kinds.iter().map(|k| &k.name));
+        self.unlike("day.fleet", d.fleet.iter().map(|g| &g.name));
+        for (n, g) in d.fleet.iter().enumerate() {
+            let kind = d.kinds.iter().find(|k| k.name == g.kind);
+            if kind.is_none_or(|k| k.role != g.does.role) {
+                let known: Vec<_> = d.kinds.iter().map(|k| format!("{} ({:?})", k.name, k.role)).collect();
+                let what = format!("{:?} is no kind of that role", g.kind);
+                let expected = format!("one of {}", known.join(", ")).to_lowercase();
+                self.fault(&format!("day.fleet[{n}].kind"), what, expected);
+            }
+        }
+        let workers: BTreeSet<_> = d.workers().map(|(name, ..)| name).collect();
+        let routers: BTreeSet<_> = d.router_names().collect();
+        for (n, t) in d.troubles.iter().enumerate() {
+            let killed = t.act == "kill" || t.act == "halt";
+            for (m, who) in t.who.iter().enumerate() {
+                let known = workers.contains(who) || killed && routers.contains(who);
+                if !known {
+                    let what = format!("{who:?} is nobody to whom this can happen");
+                    let expected = if killed { "a worker's or a router's name" } else { "a worker's name" };
+                    self.fault(&format!("day.troubles[{n}].who[{m}]"), what, expected);
+                }
+            }
+            if t.at > d.load.lasts {
+                let what = format!("{} comes after the load has ended", t.act);
+                self.fault(&format!("day.troubles[{n}].at"), what, "a time within the load");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/records/src/schema.cue
@@ -0,0 +1,253 @@
+// What the program's files may hold. A file has one or more of these parts; each command takes its own.
+#File: {
+	router?: #Router
+	worker?: #Worker
+	list?:   #List
+	load?:   #Load
+	day?:    #Day
+}
+
+// One router process.
+#Router: {
+	name:   string
+	listen: string
+	list:   string
+	// Serves its figures as text for Prometheus.
+	metrics?: string
+	// Where it keeps the last list, to start with it again.
+	keep?: string
+	seed?: int & >=0
+	tracks: [#Track, ...#Track]
+	kinds: [#Kind, ...#Kind]
+	terms: #Terms
+}
+
+#Track: {
+	name: string
+	repeat: *"replayable" | "referenced" | "single-use"
+	// Of a referenced track: who drops repeats, and for how long.
+	group:  *"all" | "zone" | "cell"
+	window: duration & >0s | *5s
+	// When the first token is wanted, and what 1,000 prompt tokens add to it.
+	contract:     duration & >0s
+	per_thousand: duration & >=0s | *40ms
+	// When its client gives up.
+	cut_off:  duration & >0s | *6s
+	earnings: number & >0 | *1
+	// The part of the earnings that a late answer still brings.
+	late: number & >=0 & <=1 | *0.2
+}
+
+#Kind: {
+	name: string
+	role: "reader" | "writer" | "mixed"
+}
+
+// What the decisions work under, and the bounds of the process.
+#Terms: {
+	routers:      int & >=1 & <=65535 | *1
+	places:       bool | *true
+	writers_read: bool | *false
+	release:      duration & >0s | *500ms
+	cold_share:   number & >0 & <=1 | *0.28
+	warm_after:   duration & >0s | *10s
+	fall_multiple: number & >0 | *2.5
+	fall_span:    duration & >0s | *2s
+	most_shots:   int & >=2 & <=64 | *5
+	withdrawals:  bool | *true
+	probes:       bool | *true
+	advice:       bool | *true
+	longest_advice: duration & >=0s | *1s
+	// Nothing new goes to a worker that drains or is gone later than this.
+	drain_grace: duration & >0s | *500ms
+	// A connection or probe that takes longer has failed.
+	unheard: duration & >0s & <=60s | *250ms
+	// What an answer needs on its way to the client.
+	travel: duration & >=0s & <=10s | *10ms
+	// Tokens of a stream under way before its client has taken them.
+	window:        int & >=2 & <=65536 | *64
+	most_open:     int & >=1 & <=1000000 | *20000
+	most_a_client: int & >=1 & <=1000000 | *4000
+	most_clients:  int & >=1 & <=100000 | *4000
+}
+
+// One stand-in of a worker.
+#Worker: {
+	name:   string
+	listen: string
+	list:   string
+	kind:   int & >=0 & <=65535 | *0
+	cell:   int & >=0 & <=65535 | *0
+	zone:   int & >=0 & <=255 | *0
+	warm:   bool | *false
+	does:   #Able
+	terms:  #Terms
+	script: [...#Step] | *[]
+}
+
+// What a worker can do.
+#Able: {
+	role:            "reader" | "writer" | "mixed"
+	size:            number & >0 | *1
+	reads_at_once:   int & >=1 & <=100000 | *8
+	reads_waiting:   int & >=0 & <=100000 | *40
+	read_rate:       number & >0 | *20000
+	streams_at_once: int & >=1 & <=100000 | *64
+	streams_waiting: int & >=0 & <=100000 | *32
+	token_gap:       duration & >0s | *20ms
+	state_bytes_a_token: int & >=1 & <=4096 | *16
+	keeps:           int & >=0 & <=100000 | *64
+}
+
+#Step: {
+	at: duration & >=0s
+	do: "refuse" | "fault" | "slow" | "silent" | "die" | "drain" | "corrupt"
+	// How long it lasts; without it, to the end.
+	for?: duration & >0s
+	// How many times as long everything takes, of `slow`.
+	times: number & >0 | *1
+}
+
+// The list of workers.
+#List: {
+	listen: string
+	lag:    duration & >=0s | *200ms
+	late: [...#Late] | *[]
+}
+
+#Late: {
+	at:  duration & >=0s
+	for: duration & >0s
+	lag: duration & >=0s
+}
+
+// Clients.
+#Load: {
+	routers: [string, ...string]
+	seed:    int & >=0 | *7
+	rate:    number & >0 & <=100000 | *50
+	for:     duration & >0s & <=24h | *10s
+	clients: int & >=1 & <=10000 | *12
+	tracks: [#Track, ...#Track]
+	traffic: [#Traffic, ...#Traffic]
+	retries:    int & >=0 & <=10 | *2
+	retry_wait: duration & >=0s | *200ms
+	// The parts of submissions whose client leaves before the end, and of clients that read slowly.
+	leaves:   number & >=0 & <=1 | *0
+	sluggish: int & >=0 & <=1000 | *0
+	bursts: [...#Burst] | *[]
+	// Must agree with the workers'.
+	state_bytes_a_token: int & >=1 & <=4096 | *16
+}
+
+#Burst: {
+	at:    duration & >=0s
+	for:   duration & >0s
+	times: number & >0
+}
+
+#Traffic: {
+	track: string
+	part:  number & >0 | *1
+	// Turns a session has on average, prompt tokens a turn adds, and tokens of an answer at most.
+	turns:       number & >=1 | *2
+	adds:        #Range | *{least: 80, most: 400}
+	answer:      #Range | *{least: 20, most: 60}
+	// The part of sessions that begin with one of so many shared texts, and those texts' lengths.
+	shared:      number & >=0 & <=1 | *0.8
+	texts:       int & >=1 & <=100000 | *20
+	text_tokens: #Range | *{least: 600, most: 2000}
+	// The part of the cut-off for which a client waits, at least.
+	patience: number & >0 & <=1 | *0.5
+}
+
+#Range: {
+	least: int & >=1 & <=1000000
+	most:  int & >=1 & <=1000000
+}
+
+// A whole scripted day on real processes.
+#Day: {
+	note:    string | *""
+	seed:    int & >=0 | *7
+	routers: int & >=1 & <=64 | *3
+	cells:   int & >=1 & <=1000 | *4
+	zones:   int & >=1 & <=255 | *2
+	kinds: [#Kind, ...#Kind]
+	fleet: [#Group, ...#Group]
+	tracks: [#Track, ...#Track]
+	terms: #Terms
+	lag:   duration & >=0s | *200ms
+	load:  #DayLoad
+	troubles: [...#Trouble] | *[]
+	expect: #Expect
+}
+
+#DayLoad: {
+	rate:       number & >0 & <=100000 | *50
+	for:        duration & >0s & <=24h | *10s
+	clients:    int & >=1 & <=10000 | *12
+	traffic: [#Traffic, ...#Traffic]
+	retries:    int & >=0 & <=10 | *2
+	retry_wait: duration & >=0s | *200ms
+	leaves:     number & >=0 & <=1 | *0
+	sluggish:   int & >=0 & <=1000 | *0
+}
+
+// So many workers of one kind, named by the group and a number, spread over the cells in turn.
+#Group: {
+	name:  string
+	kind:  string
+	count: int & >=1 & <=10000
+	does:  #Able
+}
+
+#Trouble: #Kill | #Scripted | #Halt | #ListLate | #DayBurst
+
+// Killed outright; with `back`, it starts again so long after, cold and under its old name.
+#Kill: {
+	at: duration & >=0s
+	do: "kill"
+	who: [string, ...string]
+	back?: duration & >0s
+}
+
+#Scripted: {
+	at: duration & >=0s
+	do: "refuse" | "fault" | "slow" | "silent" | "drain" | "corrupt"
+	who: [string, ...string]
+	for?: duration & >0s
+	times: number & >0 | *1
+}
+
+// Stopped and then gone on, as a machine that pauses.
+#Halt: {
+	at: duration & >=0s
+	do: "halt"
+	who: [string, ...string]
+	for: duration & >0s
+}
+
+#ListLate: {
+	at:  duration & >=0s
+	do:  "list-late"
+	for: duration & >0s
+	lag: duration & >=0s
+}
+
+#DayBurst: {
+	at:    duration & >=0s
+	do:    "burst"
+	for:   duration & >0s
+	times: number & >0
+}
+
+// What a day must show beside the five rules.
+#Expect: {
+	// The part of all earnings asked for that was answered within the contract time, at least.
+	service: number & >=0 & <=1 | *0
+	// The part of submissions honoured in the end, at least.
+	honoured: number & >=0 & <=1 | *0
+	// The most memory that any process held.
+	memory: size & >0B | *256MiB
+}
--- /dev/null
+++ b/crates/records/tests/records.rs
@@ -0,0 +1,110 @@
+//! Files good and bad, as a user would write them.
+
+use quickcheck::quickcheck;
+use tideroute_records::read;
+
+const GOOD: &str = include_str!("good.cue");
+
+#[test]
+fn a_good_file_is_typed_with_defaults_and_references() {
+    let router = read("good.cue", GOOD).unwrap().router.unwrap();
+    assert_eq!(router.list, "127.0.0.1:7000");
+    assert_eq!((router.tracks[0].cut_off, router.tracks[0].earnings), (5_000_000, 2.0));
+    assert_eq!((router.tracks[1].contract, router.tracks[1].repeat.as_str()), (1_500_000, "single-use"));
+    assert_eq!((router.terms.cold_share, router.terms.release), (0.3, 500_000));
+    assert!(router.keep.is_none());
+}
+
+#[test]
+fn what_is_printed_is_read_again() {
+    let file = read("good.cue", GOOD).unwrap();
+    let text = tideroute_records::print(&file).unwrap();
+    let again = read("printed", &text).unwrap();
+    assert_eq!(format!("{file:?}"), format!("{again:?}"));
+}
+
+/// Each change to the good file, and how its one problem must begin.
+const BAD: [(&str, &str, &str); 22] = [
+    ("listen: \"127.0.0.1:7001\"", "listen: 7001", "bad:7:10: 7001 is of type int; expected string"),
+    ("listen: \"127.0.0.1:7001\"", "listen: \"here\"", "bad:7:10: \"here\" is no address; expected one like"),
+    (
+        "listen:",
+        "lisen:",
+        "bad:7:9: lisen is no field here; did you mean listen?; expected one of name, listen",
+    ),
+    ("name:   \"r0\"", "", "bad:5:9: name has no value; expected string"),
+    ("800ms", "0s", "bad:10:29: 0s is out of bounds; expected duration & >0s"),
+    ("800ms", "800", "bad:10:29: 800 is of type int; expected duration & >0s"),
+    ("800ms", "800mss", "bad:10:29: mss is no unit; expected us, ms, s"),
+    ("800ms", "90s", "bad:3:17: "),
+    (
+        "\"single-use\"",
+        "\"once\"",
+        "bad:11:43: \"once\" does not fit; expected \"replayable\" or \"referenced\"",
+    ),
+    ("role: \"reader\"", "role: \"readr\"", "bad:13:34: \"readr\" does not fit; expected \"reader\" or"),
+    ("list:   _list", "list: _lst", "bad:8:8: _lst names nothing; expected a field or a definition"),
+    ("_list: \"127.0.0.1:7000\"", "_list: _list", "bad:3:8: _list is named by its own value"),
+    ("routers: 3", "routers: 3, routers: 4", "bad:14:31: 4 does not fit; expected 3"),
+    ("routers: 3", "routers: 3.5", "bad:14:19: 3.5 is of type number; expected int & >=1"),
+    ("routers: 3", "routers: -3", "bad:14:19: -3 is out of bounds; expected int & >=1"),
+    ("cold_share: 30%", "cold_share: 130%", "bad:14:34: 1.3 is out of bounds; expected number & >0 & <=1"),
+    ("kinds: [{", "kinds: {", "bad:13:"),
+    ("\"lodge\"", "\"quick\"", "bad:11:10: \"quick\" is named twice"),
+    ("router: {", "rooter: {", "bad:5:9: rooter is no field here; did you mean router?"),
+    ("\"readers\"", "\"readers", "bad:13:75: the text has no end"),
+    ("30%}", "30%", "bad:16:1: the end of the file stands here; expected"),
+    ("{routers: 3", "{routers: $3", "bad:14:19: '$' means nothing here"),
+];
+
+#[test]
+fn each_bad_file_has_one_problem_that_names_place_and_expectation() {
+    let mut wrong = vec![];
+    for (from, to, begins) in BAD {
+        assert!(GOOD.contains(from), "{from}");
+        let text = GOOD.replacen(from, to, 1);
+        let problems = read("bad", &text).expect_err(&format!("{to} was taken"));
+        let lines = problems.lines();
+        if begins == "bad:3:17: " {
+            // The cut-off comes from a definition, and contradicts a contract time written elsewhere.
+            assert!(lines[0].contains("given up before its contract time"), "{lines:?}");
+            continue;
+        }
+        if lines.len() != 1 || !lines[0].starts_with(begins) {
+            wrong.push(format!("{to}: {lines:?}, not {begins}"));
+        }
+        assert!(problems.report().contains(&lines[0][..20]));
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
+#[test]
+fn all_problems_come_at_once() {
+    let text = GOOD.replace("800ms", "800").replace("routers: 3", "routers: 0").replace("name:   ", "nam: ");
+    let problems = read("bad", &text).unwrap_err();
+    assert!(problems.lines().len() >= 3, "{problems}");
+}
+
+#[test]
+fn a_file_that_multiplies_itself_ends_in_an_error() {
+    let mut text = String::from("_a0: {x: 1, y: 2}\n");
+    for n in 1..40 {
+        text += &format!("_a{n}: {{p: _a{0}, q: _a{0}}}\n", n - 1);
+    }
+    let problems = read("bad", &text).unwrap_err();
+    assert!(problems.lines()[0].contains("too many times"), "{problems}");
+    let deep = format!("router: {}", "[".repeat(100_000));
+    assert!(read("bad", &deep).unwrap_err().lines()[0].contains("too deep"));
+}
+
+quickcheck! {
+    fn no_text_makes_it_panic(cuts: Vec<(u16, u8)>) -> bool {
+        let mut text: Vec<u8> = GOOD.bytes().collect();
+        for (at, byte) in cuts {
+            let at = usize::from(at) % text.len();
+            if byte % 3 == 0 { text.remove(at); } else { text[at] = byte % 128; }
+        }
+        let _ = read("bad", &String::from_utf8_lossy(&text)).map_err(|p| p.report());
+        true
+    }
+}
--- /dev/null
+++ b/crates/rules/src/cold.rs
@@ -0,0 +1,134 @@
+//! Rules 3 and 4: what each router was told of the workers, and what reached those that had just started.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use tideroute_wire::list::Standing;
+use tideroute_wire::tap::Passed;
+use tideroute_wire::{Address, Micros};
+
+use crate::terms::Terms;
+use crate::{Report, Rule};
+
+/// What a router was told of a worker, and when.
+#[derive(Clone, Copy)]
+struct Told {
+    standing: Standing,
+    since: Micros,
+    started: Micros,
+}
+
+/// Work that reached a cold worker.
+struct Work {
+    at: Micros,
+    tokens: f64,
+    /// From a router that was told of the start.
+    told: bool,
+}
+
+#[derive(Default)]
+struct Start {
+    /// 0: long ago.
+    at: Micros,
+    work: VecDeque<Work>,
+    all: f64,
+    told: f64,
+    fallen: bool,
+}
+
+pub struct Cold {
+    terms: Terms,
+    told: BTreeMap<(u32, Address), Told>,
+    starts: BTreeMap<Address, Start>,
+}
+
+pub fn shown(a: Address) -> String {
+    format!("{}.{}.{}.{}:{}", a[0], a[1], a[2], a[3], u16::from_be_bytes([a[4], a[5]]))
+}
+
+impl Cold {
+    pub fn new(terms: &Terms) -> Cold {
+        Cold { terms: terms.clone(), told: BTreeMap::new(), starts: BTreeMap::new() }
+    }
+
+    /// A whole page: those that it does not name are gone.
+    pub fn page(&mut self, passed: &Passed, whole: bool) {
+        let mine = |(router, _): &(u32, Address)| *router == passed.process;
+        for (_, told) in self.told.iter_mut().filter(|(key, _)| whole && mine(key)) {
+            if told.standing == Standing::Ready {
+                (told.standing, told.since) = (Standing::Gone, passed.at);
+            }
+        }
+    }
+
+    pub fn entry(&mut self, passed: &Passed, worker: Address, standing: Standing, started: Micros) {
+        let told = self.told.get(&(passed.process, worker));
+        // Told twice that it drains, the first time counts.
+        let before = told.filter(|t| t.standing != Standing::Ready && standing != Standing::Ready);
+        let since = before.map_or(passed.at, |t| t.since);
+        self.told.insert((passed.process, worker), Told { standing, since, started });
+    }
+
+    /// A worker's own word that it runs, and since when.
+    pub fn here(&mut self, worker: Address, started: Micros) {
+        let start = self.starts.entry(worker).or_default();
+        if start.at != started {
+            *start = Start { at: started, ..Start::default() };
+        }
+    }
+
+    /// Something new goes to a worker: rule 3.
+    pub fn new_goes(&self, passed: &Passed, id: u64, worker: Address, report: &mut Report) {
+        let Some(told) = self.told.get(&(passed.process, worker)) else { return };
+        if told.standing == Standing::Ready {
+            return;
+        }
+        let late = passed.at.saturating_sub(told.since);
+        report.counts.latest_after_drain = report.counts.latest_after_drain.max(late);
+        if late > self.terms.drain_grace {
+            let what = format!(
+                "sent to {} {} ms after it was told to be {:?}",
+                shown(worker),
+                late / 1000,
+                told.standing
+            );
+            report.note(Rule::Drain, passed.at, Some(id), what);
+        }
+    }
+
+    /// Work goes to a worker: rule 4.
+    pub fn works(&mut self, passed: &Passed, id: u64, worker: Address, tokens: f64, report: &mut Report) {
+        let Some(able) = self.terms.workers.get(&shown(worker)) else {
+            let what = format!("a shot went to {}, which the terms do not name", shown(worker));
+            return report.note(Rule::Record, passed.at, Some(id), what);
+        };
+        let Some(start) = self.starts.get_mut(&worker).filter(|s| s.at > 0) else { return };
+        let age = passed.at.saturating_sub(start.at);
+        if age >= self.terms.warm_after {
+            return;
+        }
+        let told = self.told.get(&(passed.process, worker)).is_some_and(|t| t.started == start.at);
+        start.work.push_back(Work { at: passed.at, tokens, told });
+        start.all += tokens;
+        start.told += if told { tokens } else { 0.0 };
+        let since = passed.at.saturating_sub(self.terms.fall_span);
+        while let Some(old) = start.work.pop_front_if(|w| w.at < since) {
+            start.all -= old.tokens;
+            start.told -= if old.told { old.tokens } else { 0.0 };
+        }
+        let part = age as f64 / self.terms.warm_after as f64;
+        let now = self.terms.cold_share + (1.0 - self.terms.cold_share) * part;
+        let limit = self.terms.fall_multiple * now * able.rate * self.terms.fall_span as f64 / 1e6;
+        report.counts.fullest_cold = report.counts.fullest_cold.max(start.all / limit.max(1e-9));
+        if start.all > limit && start.told >= start.all * 2.0 / 3.0 && !start.fallen {
+            start.fallen = true;
+            let what = format!(
+                "{} was sent {:.0} tokens in {} ms, {:.0} make it fall over",
+                shown(worker),
+                start.all,
+                self.terms.fall_span / 1000,
+                limit
+            );
+            report.note(Rule::Cold, passed.at, Some(id), what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rules/src/terms.rs
@@ -0,0 +1,55 @@
+//! What the rules are read by; it stands in the head of a record, as JSON. Times are microseconds.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use tideroute_wire::Micros;
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Terms {
+    pub tracks: Vec<TrackTerms>,
+    /// Workers by address, as `127.0.0.1:7000`.
+    pub workers: BTreeMap<String, WorkerTerms>,
+    pub release: Micros,
+    pub drain_grace: Micros,
+    pub cold_share: f64,
+    pub warm_after: Micros,
+    pub fall_multiple: f64,
+    pub fall_span: Micros,
+    pub most_shots: u16,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct TrackTerms {
+    pub name: String,
+    pub repeat: Repeat,
+    /// What must hold between a shot that may have run and a later one, of a referenced track.
+    pub group: Group,
+    pub window: Micros,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Repeat {
+    Replayable,
+    Referenced,
+    SingleUse,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WorkerTerms {
+    /// Tokens a second that it can do when warm.
+    pub rate: f64,
+    /// It reads prompts and answers nothing.
+    pub reader: bool,
+    pub cell: u16,
+    pub zone: u8,
+}
--- /dev/null
+++ b/crates/standins/src/reading.rs
@@ -0,0 +1,232 @@
+//! Prompts being read, and states that wait to be fetched.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use bytes::{Bytes, BytesMut};
+use tideroute_wire::link::{Link, Outbox};
+use tideroute_wire::{fetch, worker, Micros};
+
+use crate::state;
+use crate::worker::{key, Bench, Timer};
+
+/// A read passes in so many steps; after each, that part of the state can be fetched.
+const STEPS: u32 = 4;
+/// Bytes of one chunk of a state.
+const CHUNK: usize = 16 << 10;
+
+struct Read {
+    router: Link,
+    shot: u16,
+    serial: u64,
+    prefix: u64,
+    prompt_tokens: u32,
+    prefix_tokens: u32,
+    state: Bytes,
+    /// None while it waits.
+    steps: Option<u32>,
+    step_takes: Micros,
+    kept: u32,
+    /// Who fetches it, and the bytes sent so far.
+    fetcher: Option<(Link, usize)>,
+}
+
+impl Read {
+    fn done(&self) -> bool {
+        self.steps == Some(STEPS)
+    }
+
+    /// Bytes of the state that there are by now.
+    fn there(&self) -> usize {
+        self.state.len() * self.steps.unwrap_or(0) as usize / STEPS as usize
+    }
+}
+
+#[derive(Default)]
+pub struct Reading {
+    reads: BTreeMap<u64, Read>,
+    by_serial: BTreeMap<u64, u64>,
+    waiting: VecDeque<u64>,
+    running: usize,
+    kept: VecDeque<u64>,
+    crowded: BTreeSet<Link>,
+}
+
+impl Reading {
+    pub fn is_empty(&self) -> bool {
+        self.reads.is_empty()
+    }
+
+    /// Reads that run and that wait.
+    pub fn load(&self) -> (u32, u32) {
+        (self.running as u32, self.waiting.len() as u32)
+    }
+
+    /// Whether the read was taken; if not, it was turned away.
+    pub fn read(
+        &mut self,
+        now: Micros,
+        router: Link,
+        id: u64,
+        shot: u16,
+        prefix: u64,
+        prompt_tokens: u32,
+        prefix_tokens: u32,
+        prompt: &Bytes,
+        bench: &mut Bench,
+        out: &mut Outbox,
+    ) -> bool {
+        let full =
+            self.waiting.len() >= bench.terms.reads_waiting && self.running >= bench.terms.reads_at_once;
+        if !bench.takes_new() || full || self.reads.contains_key(&id) {
+            out.send(router, worker::ended(id, shot, worker::How::Full));
+            return false;
+        }
+        if bench.faults {
+            out.send(router, worker::ended(id, shot, worker::How::Fault));
+            return false;
+        }
+        let serial = bench.serial();
+        let state = state::make(prompt, prompt_tokens, bench.terms.state_bytes_a_token);
+        let read = Read {
+            router,
+            shot,
+            serial,
+            prefix,
+            prompt_tokens,
+            prefix_tokens,
+            state,
+            steps: None,
+            step_takes: 0,
+            kept: 0,
+            fetcher: None,
+        };
+        self.reads.insert(id, read);
+        self.by_serial.insert(serial, id);
+        self.waiting.push_back(id);
+        self.start(now, bench, out);
+        true
+    }
+
+    /// Starts what waits while there is room.
+    fn start(&mut self, now: Micros, bench: &mut Bench, out: &mut Outbox) {
+        while self.running < bench.terms.reads_at_once {
+            let Some(id) = self.waiting.pop_front() else { return };
+            let Some(read) = self.reads.get_mut(&id) else { continue };
+            let kept = read.prefix != 0 && self.kept.contains(&read.prefix);
+            read.kept = if kept { read.prefix_tokens } else { 0 };
+            let time = f64::from(read.prompt_tokens - read.kept) / bench.terms.read_rate * 1e6;
+            read.step_takes = bench.stretched(now, time / f64::from(STEPS));
+            read.steps = Some(0);
+            self.running += 1;
+            out.ring(now + read.step_takes, key(Timer::Read, read.serial));
+        }
+    }
+
+    /// One step of a read has passed; false if the timer was not a read's.
+    pub fn rang(&mut self, now: Micros, serial: u64, bench: &mut Bench, out: &mut Outbox) -> bool {
+        let Some(&id) = self.by_serial.get(&serial) else { return false };
+        let Some(read) = self.reads.get_mut(&id) else { return true };
+        let steps = read.steps.map_or(0, |s| s + 1).min(STEPS);
+        read.steps = Some(steps);
+        if steps < STEPS {
+            out.ring(now + read.step_takes, key(Timer::Read, serial));
+        } else {
+            let (router, prefix) = (read.router, read.prefix);
+            let done = worker::read_done(id, read.shot, read.kept, read.state.len() as u64);
+            self.running -= 1;
+            out.send(router, done);
+            if prefix != 0 && !self.kept.contains(&prefix) {
+                self.kept.push_back(prefix);
+                if self.kept.len() > bench.terms.keeps {
+                    self.kept.pop_front();
+                }
+            }
+            self.start(now, bench, out);
+        }
+        self.pump(id, bench, out);
+        true
+    }
+
+    /// Sends the fetcher what there is and it has not got, unless it is not taking any.
+    fn pump(&mut self, id: u64, bench: &Bench, out: &mut Outbox) {
+        let Some(read) = self.reads.get_mut(&id) else { return };
+        let (there, done) = (read.there(), read.done());
+        let Some((link, sent)) = read.fetcher.as_mut() else { return };
+        while *sent < there && !self.crowded.contains(link) {
+            let end = (*sent + CHUNK).min(there);
+            let mut part = read.state.slice(*sent..end);
+            let crc = crc32fast::hash(&part);
+            if bench.corrupts {
+                let mut broken = BytesMut::from(&part[..]);
+                broken[0] ^= 1;
+                part = broken.freeze();
+            }
+            out.send(*link, fetch::chunk(id, *sent as u64, part, crc));
+            *sent = end;
+        }
+        if done && *sent == read.state.len() {
+            out.send(*link, fetch::whole(id, read.state.len() as u64, crc32fast::hash(&read.state)));
+        }
+    }
+
+    /// False if there is no such read.
+    pub fn fetch(&mut self, link: Link, id: u64, bench: &Bench, out: &mut Outbox) -> bool {
+        let Some(read) = self.reads.get_mut(&id) else { return false };
+        read.fetcher = Some((link, 0));
+        self.pump(id, bench, out);
+        true
+    }
+
+    pub fn unfetch(&mut self, link: Link, id: u64) {
+        if let Some(read) = self.reads.get_mut(&id) {
+            read.fetcher.take_if(|(l, _)| *l == link);
+        }
+    }
+
+    pub fn fetcher_lost(&mut self, link: Link) {
+        self.crowded.remove(&link);
+        for read in self.reads.values_mut() {
+            read.fetcher.take_if(|(l, _)| *l == link);
+        }
+    }
+
+    pub fn crowded(&mut self, link: Link, crowded: bool, bench: &Bench, out: &mut Outbox) {
+        if crowded {
+            self.crowded.insert(link);
+        } else if self.crowded.remove(&link) {
+            let mine = |r: &Read| r.fetcher.is_some_and(|(l, sent)| l == link && sent < r.there());
+            let ids: Vec<_> = self.reads.iter().filter(|(_, r)| mine(r)).map(|(&id, _)| id).collect();
+            ids.into_iter().for_each(|id| self.pump(id, bench, out));
+        }
+    }
+
+    /// Lets go of a state that waits.
+    pub fn let_go(&mut self, id: u64) {
+        if self.reads.get(&id).is_some_and(Read::done) {
+            self.remove(id);
+        }
+    }
+
+    pub fn withdraw(&mut self, now: Micros, id: u64, shot: u16, bench: &mut Bench, out: &mut Outbox) {
+        if self.reads.get(&id).is_some_and(|r| r.shot == shot) {
+            self.remove(id);
+            self.start(now, bench, out);
+        }
+    }
+
+    pub fn router_lost(&mut self, now: Micros, link: Link, bench: &mut Bench, out: &mut Outbox) {
+        let ids: Vec<_> = self.reads.iter().filter(|(_, r)| r.router == link).map(|(&id, _)| id).collect();
+        ids.into_iter().for_each(|id| self.remove(id));
+        self.start(now, bench, out);
+    }
+
+    fn remove(&mut self, id: u64) {
+        let Some(read) = self.reads.remove(&id) else { return };
+        self.by_serial.remove(&read.serial);
+        match read.steps {
+            None => self.waiting.retain(|&w| w != id),
+            Some(STEPS) => {}
+            Some(_) => self.running -= 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/worker.rs
@@ -0,0 +1,557 @@
+//! A worker's connections, its script and its capacity; the work itself is in `reading.rs` and `writing.rs`.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
+use tideroute_wire::link::{Link, Loss, Outbox, Program};
+use tideroute_wire::list::Standing;
+use tideroute_wire::{fetch, list, say_hello, worker, Address, Malformed, Micros, Party};
+
+use crate::reading::Reading;
+use crate::writing::Writing;
+
+/// Microseconds: how long a dial to the list or to a reader may take, and the pause before the next one.
+const DIAL: Micros = 250_000;
+/// Microseconds: how long a fetch waits for its read to come, which travels on another connection.
+const EARLY_FETCH: Micros = 100_000;
+/// Fetches that may wait so.
+const EARLY_FETCHES: usize = 1024;
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Does {
+    Read,
+    Write,
+    Both,
+}
+
+/// What a script may do to a worker.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Trouble {
+    /// Turns all new work away, or no longer.
+    Refuse(bool),
+    /// Answers all new work with a fault, or no longer.
+    Fault(bool),
+    /// Takes so many times as long for everything.
+    Slow(f64),
+    /// Keeps its connections and says nothing any more; what it held is lost.
+    Silent,
+    /// Ends at once, as a crash does.
+    Die,
+    /// Tells the list that it drains, takes nothing new and finishes what it has.
+    Drain,
+    /// Breaks a byte of each chunk of a state that it sends, or no longer.
+    Corrupt(bool),
+}
+
+#[derive(Clone, Debug)]
+pub struct WorkerTerms {
+    pub name: String,
+    pub address: Address,
+    pub list: Address,
+    pub does: Does,
+    pub kind: u16,
+    pub size: f64,
+    pub cell: u16,
+    pub zone: u8,
+    /// It is taken for one that has run for long.
+    pub warm: bool,
+    pub reads_at_once: usize,
+    pub reads_waiting: usize,
+    /// Prompt tokens a second of one read.
+    pub read_rate: f64,
+    pub streams_at_once: usize,
+    pub streams_waiting: usize,
+    /// Between two tokens of a stream.
+    pub token_gap: Micros,
+    pub state_bytes_a_token: u32,
+    /// What it can do when it has just started, as a part of what it can do warm, and how long it takes.
+    pub cold_share: f64,
+    pub warm_after: Micros,
+    /// Sent more than this multiple of what it can do, for so long, it falls over while it is cold.
+    pub fall_multiple: f64,
+    pub fall_span: Micros,
+    /// Shared texts whose reading it keeps.
+    pub keeps: usize,
+    /// What goes wrong, and how long after its start.
+    pub script: Vec<(Micros, Trouble)>,
+}
+
+impl WorkerTerms {
+    /// Tokens a second that it can do warm: read ones, or written ones.
+    pub fn rate(&self) -> f64 {
+        match self.does {
+            Does::Read => self.read_rate * self.reads_at_once as f64,
+            _ => self.streams_at_once as f64 * 1e6 / self.token_gap.max(1) as f64,
+        }
+    }
+}
+
+/// What a timer is for: its kind stands in the top byte of the key, what it concerns beneath.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Timer {
+    Script,
+    List,
+    Read,
+    Token,
+    EarlyFetch,
+}
+
+pub(crate) fn key(timer: Timer, serial: u64) -> u64 {
+    (timer as u64) << 56 | serial
+}
+
+/// What reading and writing share: terms, time and the way out.
+pub(crate) struct Bench {
+    pub terms: WorkerTerms,
+    pub began: Micros,
+    pub slow: f64,
+    pub refuses: bool,
+    pub faults: bool,
+    pub corrupts: bool,
+    pub draining: bool,
+    pub fallen: bool,
+    serial: u64,
+    /// Work that reached it lately, with its time.
+    pressure: VecDeque<(Micros, f64)>,
+    pressed: f64,
+}
+
+impl Bench {
+    /// What part of its warm capacity it has now.
+    pub fn capacity(&self, now: Micros) -> f64 {
+        let t = &self.terms;
+        let age = now.saturating_sub(self.began) as f64 / t.warm_after.max(1) as f64;
+        if t.warm {
+            return 1.0;
+        }
+        t.cold_share + (1.0 - t.cold_share) * age.min(1.0)
+    }
+
+    /// How long something takes that a warm and healthy worker does in `time`.
+    pub fn stretched(&self, now: Micros, time: f64) -> Micros {
+        (time * self.slow / self.capacity(now)) as Micros
+    }
+
+    pub fn serial(&mut self) -> u64 {
+        self.serial += 1;
+        self.serial
+    }
+
+    /// Work reached it, taken or not. Too much of it while it is cold makes it fall over.
+    pub fn press(&mut self, now: Micros, work: f64) {
+        self.pressure.push_back((now, work));
+        self.pressed += work;
+        let since = now.saturating_sub(self.terms.fall_span);
+        while let Some((_, old)) = self.pressure.pop_front_if(|(at, _)| *at < since) {
+            self.pressed -= old;
+        }
+        let able = self.capacity(now);
+        let span = self.terms.fall_span as f64 / 1e6;
+        if able < 1.0 && self.pressed > self.terms.fall_multiple * able * self.terms.rate() * span {
+            tracing::warn!(name = self.terms.name, pressed = self.pressed, "falls over");
+            self.fallen = true;
+        }
+    }
+
+    pub fn takes_new(&self) -> bool {
+        !self.refuses && !self.draining
+    }
+}
+
+/// Who is at the other end of a link.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Peer {
+    /// Has not said Hello.
+    Unknown,
+    Router,
+    /// A writer that fetches from here.
+    Fetcher,
+    /// A reader that is fetched from.
+    Reader(Address),
+    List,
+}
+
+pub struct Worker {
+    pub(crate) bench: Bench,
+    pub(crate) reading: Reading,
+    pub(crate) writing: Writing,
+    peers: BTreeMap<Link, Peer>,
+    readers: BTreeMap<Address, Link>,
+    early: VecDeque<(u64, Link, u64)>,
+    list: Option<Link>,
+    silent: bool,
+    stopping: bool,
+}
+
+impl Worker {
+    /// A worker whose process starts now.
+    pub fn new(terms: WorkerTerms, now: Micros) -> Worker {
+        let bench = Bench {
+            terms,
+            began: now,
+            slow: 1.0,
+            refuses: false,
+            faults: false,
+            corrupts: false,
+            draining: false,
+            fallen: false,
+            serial: 0,
+            pressure: VecDeque::new(),
+            pressed: 0.0,
+        };
+        Worker {
+            bench,
+            reading: Reading::default(),
+            writing: Writing::default(),
+            peers: BTreeMap::new(),
+            readers: BTreeMap::new(),
+            early: VecDeque::new(),
+            list: None,
+            silent: false,
+            stopping: false,
+        }
+    }
+
+    fn say_here(&mut self, out: &mut Outbox) {
+        let Some(link) = self.list else { return };
+        let t = &self.bench.terms;
+        let standing = if self.bench.draining { Standing::Draining } else { Standing::Ready };
+        let started = if t.warm { 0 } else { self.bench.began };
+        out.send(link, list::here(t.address, t.kind, t.size, standing, t.cell, t.zone, started));
+    }
+
+    fn call_list(&mut self, out: &mut Outbox) {
+        let link = out.dial(self.bench.terms.list, DIAL);
+        self.peers.insert(link, Peer::List);
+        self.list = Some(link);
+        out.send(link, say_hello(Party::Worker, &self.bench.terms.name));
+        self.say_here(out);
+    }
+
+    /// The connection to a reader, dialled if there is none.
+    pub(crate) fn reader(&mut self, at: Address, out: &mut Outbox) -> Link {
+        *self.readers.entry(at).or_insert_with(|| {
+            let link = out.dial(at, DIAL);
+            self.peers.insert(link, Peer::Reader(at));
+            out.send(link, say_hello(Party::Worker, &self.bench.terms.name));
+            link
+        })
+    }
+
+    fn follow(&mut self, trouble: Trouble, out: &mut Outbox) {
+        tracing::info!(name = self.bench.terms.name, ?trouble, "its script says");
+        match trouble {
+            Trouble::Refuse(refuse) => self.bench.refuses = refuse,
+            Trouble::Fault(fault) => self.bench.faults = fault,
+            Trouble::Slow(times) => self.bench.slow = times.max(0.01),
+            Trouble::Corrupt(corrupt) => self.bench.corrupts = corrupt,
+            Trouble::Die => out.vanish(),
+            Trouble::Silent => {
+                self.silent = true;
+                (self.reading, self.writing) = (Reading::default(), Writing::default());
+            }
+            Trouble::Drain => {
+                self.bench.draining = true;
+                self.say_here(out);
+            }
+        }
+    }
+
+    /// A fetch for a read that is not here yet waits for it a little while.
+    fn fetch(&mut self, now: Micros, link: Link, id: u64, out: &mut Outbox) {
+        if self.reading.fetch(link, id, &self.bench, out) {
+            return;
+        }
+        if self.early.len() >= EARLY_FETCHES {
+            return out.send(link, fetch::missing(id));
+        }
+        let serial = self.bench.serial();
+        self.early.push_back((serial, link, id));
+        out.ring(now + EARLY_FETCH, key(Timer::EarlyFetch, serial));
+    }
+
+    fn route(&mut self, now: Micros, link: Link, frame: &Bytes, out: &mut Outbox) -> Result<(), Malformed> {
+        match self.peers.get(&link).copied() {
+            Some(Peer::Unknown) => {
+                let (party, _) = tideroute_wire::first(frame)?;
+                let peer = match party {
+                    Party::Router => Peer::Router,
+                    Party::Worker => Peer::Fetcher,
+                    Party::Client => return Err(Malformed::Range("party")),
+                };
+                self.peers.insert(link, peer);
+                Ok(())
+            }
+            Some(Peer::Router) => {
+                worker::hear_router(frame, &mut RouterLink { worker: self, now, link, out })
+            }
+            Some(Peer::Fetcher) => {
+                fetch::hear_fetcher(frame, &mut FetcherLink { worker: self, now, link, out })
+            }
+            Some(Peer::Reader(_)) => fetch::hear_reader(frame, &mut ReaderLink { worker: self, now, out }),
+            Some(Peer::List) => Err(Malformed::Order("a word from the list")),
+            None => Ok(()),
+        }
+    }
+}
+
+impl Program for Worker {
+    fn begin(&mut self, now: Micros, out: &mut Outbox) {
+        self.call_list(out);
+        for (place, (after, _)) in self.bench.terms.script.iter().enumerate() {
+            out.ring(now + after, key(Timer::Script, place as u64));
+        }
+    }
+
+    fn accepted(&mut self, _now: Micros, link: Link, _door: usize, _out: &mut Outbox) {
+        self.peers.insert(link, Peer::Unknown);
+    }
+
+    fn opened(&mut self, _now: Micros, _link: Link, _out: &mut Outbox) {}
+
+    fn heard(&mut self, now: Micros, link: Link, frame: &Bytes, out: &mut Outbox) {
+        if self.silent {
+            return;
+        }
+        if let Err(problem) = self.route(now, link, frame, out) {
+            tracing::warn!(name = self.bench.terms.name, %problem, "closes a connection");
+            out.close(link, problem.to_string());
+            self.lost(now, link, Loss::Broken, out);
+        }
+        if self.bench.fallen {
+            out.vanish();
+        }
+    }
+
+    fn lost(&mut self, now: Micros, link: Link, _loss: Loss, out: &mut Outbox) {
+        match self.peers.remove(&link) {
+            Some(Peer::List) => {
+                self.list = None;
+                out.ring(now + DIAL, key(Timer::List, 0));
+            }
+            // What is held for a connection ends with it.
+            Some(Peer::Router) => {
+                self.reading.router_lost(now, link, &mut self.bench, out);
+                self.with_writing(|w, worker| w.router_lost(now, link, worker, out));
+            }
+            Some(Peer::Fetcher) => self.reading.fetcher_lost(link),
+            Some(Peer::Reader(at)) => {
+                self.readers.remove(&at);
+                self.with_writing(|w, worker| w.reader_lost(now, at, worker, out));
+            }
+            Some(Peer::Unknown) | None => {}
+        }
+    }
+
+    fn crowded(&mut self, _now: Micros, link: Link, crowded: bool, out: &mut Outbox) {
+        self.reading.crowded(link, crowded, &self.bench, out);
+    }
+
+    fn rang(&mut self, now: Micros, timer: u64, out: &mut Outbox) {
+        let (kind, what) = (timer >> 56, timer & ((1 << 56) - 1));
+        if self.silent && kind != Timer::Script as u64 {
+            return;
+        }
+        if kind == Timer::Script as u64 {
+            let trouble = self.bench.terms.script.get(what as usize).map(|(_, trouble)| *trouble);
+            if let Some(trouble) = trouble {
+                self.follow(trouble, out);
+            }
+        } else if kind == Timer::List as u64 {
+            self.call_list(out);
+        } else if kind == Timer::Read as u64 {
+            if !self.reading.rang(now, what, &mut self.bench, out) {
+                self.with_writing(|w, worker| w.read_alone(now, what, worker, out));
+            }
+        } else if kind == Timer::Token as u64 {
+            self.with_writing(|w, worker| w.rang(now, what, worker, out));
+        } else if let Some(at) = self.early.iter().position(|(serial, ..)| *serial == what) {
+            if let Some((_, link, id)) = self.early.remove(at) {
+                out.send(link, fetch::missing(id));
+            }
+        }
+    }
+
+    fn turn(&mut self, _now: Micros, _out: &mut Outbox) {}
+
+    fn stop(&mut self, _now: Micros, out: &mut Outbox) {
+        self.stopping = true;
+        self.follow(Trouble::Drain, out);
+    }
+
+    fn done(&self) -> bool {
+        self.stopping && (self.silent || self.reading.is_empty() && self.writing.is_empty())
+    }
+}
+
+impl Worker {
+    /// Writing needs the rest of the worker beside it: the readers that it fetches from.
+    fn with_writing(&mut self, call: impl FnOnce(&mut Writing, &mut Worker)) {
+        let mut writing = std::mem::take(&mut self.writing);
+        call(&mut writing, self);
+        self.writing = writing;
+    }
+}
+
+struct RouterLink<'a> {
+    worker: &'a mut Worker,
+    now: Micros,
+    link: Link,
+    out: &'a mut Outbox,
+}
+
+impl worker::Worker for RouterLink<'_> {
+    fn read(
+        &mut self,
+        id: u64,
+        shot: u16,
+        _track: u8,
+        _session: u64,
+        prefix: u64,
+        prompt_tokens: u32,
+        prefix_tokens: u32,
+        _left: Micros,
+        prompt: Bytes,
+    ) -> Result<(), Malformed> {
+        let RouterLink { worker, now, link, out } = self;
+        if worker.bench.terms.does == Does::Write {
+            out.send(*link, worker::ended(id, shot, worker::How::Fault));
+            return Ok(());
+        }
+        worker.bench.press(*now, f64::from(prompt_tokens));
+        let taken = worker.reading.read(
+            *now,
+            *link,
+            id,
+            shot,
+            prefix,
+            prompt_tokens,
+            prefix_tokens,
+            &prompt,
+            &mut worker.bench,
+            out,
+        );
+        if taken {
+            let early = |(_, _, wanted): &(u64, Link, u64)| *wanted == id;
+            if let Some(at) = worker.early.iter().position(early) {
+                if let Some((_, fetcher, _)) = worker.early.remove(at) {
+                    worker.reading.fetch(fetcher, id, &worker.bench, out);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn hold(
+        &mut self,
+        id: u64,
+        _prompt_tokens: u32,
+        most_tokens: u32,
+        reader: Address,
+    ) -> Result<(), Malformed> {
+        let (now, link) = (self.now, self.link);
+        self.worker.with_writing(|w, worker| w.hold(now, link, id, most_tokens, reader, worker, self.out));
+        Ok(())
+    }
+
+    fn write(
+        &mut self,
+        id: u64,
+        shot: u16,
+        _track: u8,
+        prompt_tokens: u32,
+        most_tokens: u32,
+        _left: Micros,
+        _mark: u64,
+        reader: Option<Address>,
+        window: u32,
+        _session: u64,
+        _prefix: u64,
+        _prefix_tokens: u32,
+        prompt: Bytes,
+    ) -> Result<(), Malformed> {
+        let (now, link, out) = (self.now, self.link, &mut *self.out);
+        self.worker.bench.press(now, f64::from(most_tokens));
+        self.worker.with_writing(|w, worker| {
+            w.write(now, link, id, shot, prompt_tokens, most_tokens, reader, window, &prompt, worker, out);
+        });
+        Ok(())
+    }
+
+    fn let_go(&mut self, id: u64) -> Result<(), Malformed> {
+        let (now, out) = (self.now, &mut *self.out);
+        self.worker.reading.let_go(id);
+        self.worker.with_writing(|w, worker| w.let_go(now, id, worker, out));
+        Ok(())
+    }
+
+    fn withdraw(&mut self, id: u64, shot: u16) -> Result<(), Malformed> {
+        let (now, out) = (self.now, &mut *self.out);
+        self.worker.reading.withdraw(now, id, shot, &mut self.worker.bench, out);
+        self.worker.with_writing(|w, worker| w.withdraw(now, id, shot, worker, out));
+        Ok(())
+    }
+
+    fn probe(&mut self, nonce: u64) -> Result<(), Malformed> {
+        let (reads, read_queue) = self.worker.reading.load();
+        let (streams, queue) = self.worker.writing.load();
+        self.out.send(self.link, worker::probed(nonce, reads, streams, read_queue + queue));
+        Ok(())
+    }
+
+    fn more(&mut self, id: u64, shot: u16, tokens: u32) -> Result<(), Malformed> {
+        let (now, out) = (self.now, &mut *self.out);
+        self.worker.with_writing(|w, worker| w.more(now, id, shot, tokens, worker, out));
+        Ok(())
+    }
+}
+
+struct FetcherLink<'a> {
+    worker: &'a mut Worker,
+    now: Micros,
+    link: Link,
+    out: &'a mut Outbox,
+}
+
+impl fetch::Reader for FetcherLink<'_> {
+    fn fetch(&mut self, id: u64) -> Result<(), Malformed> {
+        self.worker.fetch(self.now, self.link, id, self.out);
+        Ok(())
+    }
+
+    fn fetched(&mut self, id: u64) -> Result<(), Malformed> {
+        self.worker.reading.let_go(id);
+        Ok(())
+    }
+
+    fn unfetch(&mut self, id: u64) -> Result<(), Malformed> {
+        self.worker.reading.unfetch(self.link, id);
+        Ok(())
+    }
+}
+
+struct ReaderLink<'a> {
+    worker: &'a mut Worker,
+    now: Micros,
+    out: &'a mut Outbox,
+}
+
+impl fetch::Fetcher for ReaderLink<'_> {
+    fn chunk(&mut self, id: u64, offset: u64, part: Bytes, crc: u32) -> Result<(), Malformed> {
+        let (now, out) = (self.now, &mut *self.out);
+        self.worker.with_writing(|w, worker| w.chunk(now, id, offset, &part, crc, worker, out));
+        Ok(())
+    }
+
+    fn whole(&mut self, id: u64, state_bytes: u64, crc: u32) -> Result<(), Malformed> {
+        let (now, out) = (self.now, &mut *self.out);
+        self.worker.with_writing(|w, worker| w.whole(now, id, state_bytes, crc, worker, out));
+        Ok(())
+    }
+
+    fn missing(&mut self, id: u64) -> Result<(), Malformed> {
+        let (now, out) = (self.now, &mut *self.out);
+        self.worker.with_writing(|w, worker| w.missing(now, id, worker, out));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,124 @@
+//! The protocol between clients, routers, workers and the list of workers, as a codec without sockets.
+//!
+//! Each side of a conversation has a module with a trait, whose calls are what that side may hear, a function
+//! `hear` that takes one frame apart and makes the one call, and one function for each message that it may
+//! say. Messages have no types outside this package. [`frame`] cuts a stream of bytes into frames, [`link`] is
+//! what a program sees of its connections, whichever loop drives it, and [`tap`] the record of what passed.
+
+pub mod client;
+pub mod fetch;
+pub mod frame;
+pub mod link;
+pub mod list;
+pub mod tap;
+pub mod worker;
+
+use bytes::Bytes;
+use prost::Message;
+
+#[allow(clippy::doc_markdown, clippy::enum_variant_names)]
+mod made {
+    include!(concat!(env!("OUT_DIR"), "/tideroute.v1.rs"));
+    pub mod record {
+        include!(concat!(env!("OUT_DIR"), "/tideroute.v1.record.rs"));
+    }
+}
+
+/// The version of the protocol that Hello names.
+pub const VERSION: u32 = 1;
+
+/// Microseconds: a moment since 1970, or a length of time.
+pub type Micros = u64;
+
+/// Four bytes of IPv4 and two of port, most significant first; as the decision module's worker ids.
+pub type Address = [u8; 6];
+
+/// Who opened a connection, as its Hello says.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Party {
+    Client,
+    Router,
+    Worker,
+}
+
+/// Why a frame, or what it holds, can't be taken.
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+pub enum Malformed {
+    #[error("the frame is no message of this conversation: {0}")]
+    Unreadable(String),
+    #[error("the frame holds no message that is known")]
+    Empty,
+    #[error("a frame of {0} bytes is over the bound of {1}")]
+    Oversized(u64, usize),
+    #[error("a length takes more than ten bytes")]
+    Length,
+    #[error("{0} is out of its range")]
+    Range(&'static str),
+    #[error("{0} must be six bytes of address and port")]
+    Address(&'static str),
+    #[error("version {0} of the protocol is not spoken here")]
+    Version(u32),
+    #[error("Hello comes first, and only once")]
+    Hello,
+    #[error("{0} comes out of order")]
+    Order(&'static str),
+}
+
+impl From<prost::DecodeError> for Malformed {
+    fn from(problem: prost::DecodeError) -> Self {
+        Malformed::Unreadable(problem.to_string())
+    }
+}
+
+fn address(field: &'static str, bytes: &[u8]) -> Result<Address, Malformed> {
+    bytes.try_into().map_err(|_| Malformed::Address(field))
+}
+
+/// An address that may be left out.
+fn address_if_any(field: &'static str, bytes: &[u8]) -> Result<Option<Address>, Malformed> {
+    (!bytes.is_empty()).then(|| address(field, bytes)).transpose()
+}
+
+fn bytes_of(address: Option<Address>) -> Bytes {
+    address.map_or_else(Bytes::new, |a| Bytes::copy_from_slice(&a))
+}
+
+fn small<T: TryFrom<u32>>(field: &'static str, value: u32) -> Result<T, Malformed> {
+    T::try_from(value).map_err(|_| Malformed::Range(field))
+}
+
+fn hello(party: Party, name: &str) -> made::Hello {
+    let party = match party {
+        Party::Client => made::hello::Party::Client,
+        Party::Router => made::hello::Party::Router,
+        Party::Worker => made::hello::Party::Worker,
+    };
+    made::Hello { party: party.into(), name: name.to_string(), version: VERSION }
+}
+
+fn party(hello: &made::Hello) -> Result<Party, Malformed> {
+    if hello.version != VERSION {
+        return Err(Malformed::Version(hello.version));
+    }
+    match made::hello::Party::try_from(hello.party) {
+        Ok(made::hello::Party::Client) => Ok(Party::Client),
+        Ok(made::hello::Party::Router) => Ok(Party::Router),
+        Ok(made::hello::Party::Worker) => Ok(Party::Worker),
+        _ => Err(Malformed::Range("party")),
+    }
+}
+
+/// The first frame on a connection that was accepted. Hello has the same field in every conversation, so who
+/// speaks is known before the conversation is.
+pub fn first(frame: &[u8]) -> Result<(Party, String), Malformed> {
+    match made::FromFetcher::decode(frame)?.said {
+        Some(made::from_fetcher::Said::Hello(h)) if h.name.len() <= 256 => Ok((party(&h)?, h.name)),
+        Some(made::from_fetcher::Said::Hello(_)) => Err(Malformed::Range("name")),
+        _ => Err(Malformed::Hello),
+    }
+}
+
+/// The Hello with which the opener of any connection begins.
+pub fn say_hello(who: Party, name: &str) -> Bytes {
+    made::FromFetcher { said: Some(made::from_fetcher::Said::Hello(hello(who, name))) }.encode_to_vec().into()
+}
--- /dev/null
+++ b/crates/wire/src/tap.rs
@@ -0,0 +1,185 @@
+//! The record of what passed on sockets: a head, then events, each as a frame. A process writes its own part
+//! as it goes; parts are later merged by time into the record of a day.
+
+use std::io::{self, Read, Write};
+
+use bytes::{Buf, Bytes, BytesMut};
+use prost::Message;
+
+use crate::made::record::{event, Event, Head, Process};
+use crate::{address_if_any, bytes_of, frame, Address, Malformed, Micros};
+
+/// One process of a record.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Who {
+    pub number: u32,
+    pub name: String,
+    /// `client`, `router`, `worker` or `list`.
+    pub role: String,
+    pub address: Option<Address>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum What {
+    /// A connection to the address that the frame holds is asked for by the process.
+    Dialled,
+    /// It is there: the frame holds the other end's address, then this one's.
+    Met,
+    /// It never was: what was sent on it did not arrive.
+    Unreached,
+    /// One was taken; the frame as with `Met`.
+    Accepted,
+    /// The frame holds how many frames were sent and how many heard ([`counts`]).
+    Closed,
+    Sent,
+    Heard,
+    Began,
+    /// The process ended by itself, in order.
+    Left,
+    /// It was killed from outside.
+    Killed,
+}
+
+/// One thing that passed.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Passed {
+    pub at: Micros,
+    pub process: u32,
+    pub link: u64,
+    pub what: What,
+    /// Which frame of its direction on the connection it is, from 0.
+    pub place: u64,
+    pub frame: Bytes,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum TapError {
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error("byte {at}: {problem}")]
+    Malformed { at: u64, problem: Malformed },
+    #[error("the record ends in the middle of a frame that begins at byte {at}")]
+    CutOff { at: u64 },
+}
+
+pub fn write_head(to: &mut impl Write, processes: &[Who], terms: &str) -> io::Result<()> {
+    let processes = processes.iter().map(|w| Process {
+        number: w.number,
+        name: w.name.clone(),
+        role: w.role.clone(),
+        address: bytes_of(w.address),
+    });
+    let head = Head { processes: processes.collect(), terms: terms.to_string() };
+    put(to, &head.encode_to_vec())
+}
+
+pub fn write(to: &mut impl Write, passed: &Passed) -> io::Result<()> {
+    let what = match passed.what {
+        What::Dialled => event::What::Dialled,
+        What::Met => event::What::Met,
+        What::Unreached => event::What::Unreached,
+        What::Accepted => event::What::Accepted,
+        What::Closed => event::What::Closed,
+        What::Sent => event::What::Sent,
+        What::Heard => event::What::Heard,
+        What::Began => event::What::Began,
+        What::Left => event::What::Left,
+        What::Killed => event::What::Killed,
+    };
+    let event = Event {
+        at_us: passed.at,
+        process: passed.process,
+        link: passed.link,
+        what: what.into(),
+        place: passed.place,
+        frame: passed.frame.clone(),
+    };
+    put(to, &event.encode_to_vec())
+}
+
+fn put(to: &mut impl Write, body: &[u8]) -> io::Result<()> {
+    let mut framed = BytesMut::new();
+    frame::put(&mut framed, body);
+    to.write_all(&framed)
+}
+
+/// What a connection's end says: frames sent, frames heard.
+pub fn counts(sent: u64, heard: u64) -> Bytes {
+    [sent.to_le_bytes(), heard.to_le_bytes()].concat().into()
+}
+
+/// The same, read.
+pub fn counted(frame: &[u8]) -> Option<(u64, u64)> {
+    let number = |range| frame.get(range).and_then(|b: &[u8]| b.try_into().ok()).map(u64::from_le_bytes);
+    Some((number(0..8)?, number(8..16)?))
+}
+
+/// Reads a record from its head on, holding one piece of it at a time.
+pub struct Reader<R> {
+    from: R,
+    arrived: BytesMut,
+    at: u64,
+}
+
+impl<R: Read> Reader<R> {
+    pub fn new(from: R) -> Self {
+        Reader { from, arrived: BytesMut::new(), at: 0 }
+    }
+
+    fn frame(&mut self) -> Result<Option<Bytes>, TapError> {
+        loop {
+            let before = self.arrived.len();
+            let next = frame::next(&mut self.arrived);
+            if let Some(frame) = next.map_err(|problem| TapError::Malformed { at: self.at, problem })? {
+                self.at += (before - self.arrived.remaining()) as u64;
+                return Ok(Some(frame));
+            }
+            let mut piece = vec![0; 1 << 16];
+            let got = self.from.read(&mut piece)?;
+            if got == 0 && self.arrived.is_empty() {
+                return Ok(None);
+            }
+            if got == 0 {
+                return Err(TapError::CutOff { at: self.at });
+            }
+            self.arrived.extend_from_slice(&piece[..got]);
+        }
+    }
+
+    fn fault(&self, problem: impl Into<Malformed>) -> TapError {
+        TapError::Malformed { at: self.at, problem: problem.into() }
+    }
+
+    /// The processes and the terms; the first thing to read.
+    pub fn head(&mut self) -> Result<(Vec<Who>, String), TapError> {
+        let frame = self.frame()?.ok_or_else(|| self.fault(Malformed::Empty))?;
+        let head = Head::decode(frame).map_err(|e| self.fault(e))?;
+        let mut processes = vec![];
+        for p in head.processes {
+            let address = address_if_any("address", &p.address).map_err(|e| self.fault(e))?;
+            processes.push(Who { number: p.number, name: p.name, role: p.role, address });
+        }
+        Ok((processes, head.terms))
+    }
+
+    /// The next event; None at the end.
+    pub fn next_passed(&mut self) -> Result<Option<Passed>, TapError> {
+        let Some(frame) = self.frame()? else { return Ok(None) };
+        let e = Event::decode(frame).map_err(|e| self.fault(e))?;
+        let what = match event::What::try_from(e.what) {
+            Ok(event::What::Dialled) => What::Dialled,
+            Ok(event::What::Met) => What::Met,
+            Ok(event::What::Unreached) => What::Unreached,
+            Ok(event::What::Accepted) => What::Accepted,
+            Ok(event::What::Closed) => What::Closed,
+            Ok(event::What::Sent) => What::Sent,
+            Ok(event::What::Heard) => What::Heard,
+            Ok(event::What::Began) => What::Began,
+            Ok(event::What::Left) => What::Left,
+            Ok(event::What::Killed) => What::Killed,
+            _ => return Err(self.fault(Malformed::Range("what"))),
+        };
+        let (at, process, link, place) = (e.at_us, e.process, e.link, e.place);
+        Ok(Some(Passed { at, process, link, what, place, frame: e.frame }))
+    }
+}
--- /dev/null
+++ b/crates/wire/src/worker.rs
@@ -0,0 +1,252 @@
+//! A router and a worker.
+
+use bytes::Bytes;
+use prost::Message;
+
+use crate::made::{self, ended, from_worker, to_worker, FromWorker, ToWorker};
+use crate::{address, address_if_any, bytes_of, Address, Malformed, Micros};
+
+/// Why a shot ended before it was answered.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum How {
+    /// Slots and queue are full, or the worker drains: it never ran.
+    Full,
+    /// There was no state to fetch: it never ran.
+    Stateless,
+    /// It may have run.
+    Fault,
+}
+
+/// What a worker hears from a router after its Hello.
+pub trait Worker {
+    fn read(
+        &mut self,
+        id: u64,
+        shot: u16,
+        track: u8,
+        session: u64,
+        prefix: u64,
+        prompt_tokens: u32,
+        prefix_tokens: u32,
+        left: Micros,
+        prompt: Bytes,
+    ) -> Result<(), Malformed>;
+    fn hold(
+        &mut self,
+        id: u64,
+        prompt_tokens: u32,
+        most_tokens: u32,
+        reader: Address,
+    ) -> Result<(), Malformed>;
+    fn write(
+        &mut self,
+        id: u64,
+        shot: u16,
+        track: u8,
+        prompt_tokens: u32,
+        most_tokens: u32,
+        left: Micros,
+        mark: u64,
+        reader: Option<Address>,
+        window: u32,
+        session: u64,
+        prefix: u64,
+        prefix_tokens: u32,
+        prompt: Bytes,
+    ) -> Result<(), Malformed>;
+    fn let_go(&mut self, id: u64) -> Result<(), Malformed>;
+    fn withdraw(&mut self, id: u64, shot: u16) -> Result<(), Malformed>;
+    fn probe(&mut self, nonce: u64) -> Result<(), Malformed>;
+    fn more(&mut self, id: u64, shot: u16, tokens: u32) -> Result<(), Malformed>;
+}
+
+/// What a router hears from a worker.
+pub trait Router {
+    fn hold_answer(&mut self, id: u64, held: bool) -> Result<(), Malformed>;
+    fn read_done(&mut self, id: u64, shot: u16, kept_tokens: u32, state_bytes: u64) -> Result<(), Malformed>;
+    fn token(&mut self, id: u64, shot: u16, index: u32, text: Bytes) -> Result<(), Malformed>;
+    fn finished(&mut self, id: u64, shot: u16, tokens: u32) -> Result<(), Malformed>;
+    fn ended(&mut self, id: u64, shot: u16, how: How) -> Result<(), Malformed>;
+    fn probed(&mut self, nonce: u64, reads: u32, streams: u32, waiting: u32) -> Result<(), Malformed>;
+}
+
+/// Takes one frame from a router and makes the call that it stands for.
+pub fn hear_router(frame: &Bytes, worker: &mut impl Worker) -> Result<(), Malformed> {
+    let shot = |shot| crate::small("shot", shot);
+    match ToWorker::decode(frame.clone())?.said.ok_or(Malformed::Empty)? {
+        to_worker::Said::Hello(_) => Err(Malformed::Hello),
+        to_worker::Said::Read(r) => worker.read(
+            r.id,
+            shot(r.shot)?,
+            crate::small("track", r.track)?,
+            r.session,
+            r.prefix,
+            r.prompt_tokens,
+            r.prefix_tokens,
+            r.left_us,
+            r.prompt,
+        ),
+        to_worker::Said::Hold(h) => {
+            worker.hold(h.id, h.prompt_tokens, h.most_tokens, address("reader", &h.reader)?)
+        }
+        to_worker::Said::Write(w) => worker.write(
+            w.id,
+            shot(w.shot)?,
+            crate::small("track", w.track)?,
+            w.prompt_tokens,
+            w.most_tokens,
+            w.left_us,
+            w.mark,
+            address_if_any("reader", &w.reader)?,
+            w.window,
+            w.session,
+            w.prefix,
+            w.prefix_tokens,
+            w.prompt,
+        ),
+        to_worker::Said::LetGo(l) => worker.let_go(l.id),
+        to_worker::Said::Withdraw(w) => worker.withdraw(w.id, shot(w.shot)?),
+        to_worker::Said::Probe(p) => worker.probe(p.nonce),
+        to_worker::Said::More(m) => worker.more(m.id, shot(m.shot)?, m.tokens),
+    }
+}
+
+/// Takes one frame from a worker and makes the call that it stands for.
+pub fn hear_worker(frame: &Bytes, router: &mut impl Router) -> Result<(), Malformed> {
+    let shot = |shot| crate::small("shot", shot);
+    match FromWorker::decode(frame.clone())?.said.ok_or(Malformed::Empty)? {
+        from_worker::Said::HoldAnswer(h) => router.hold_answer(h.id, h.held),
+        from_worker::Said::ReadDone(r) => router.read_done(r.id, shot(r.shot)?, r.kept_tokens, r.state_bytes),
+        from_worker::Said::Token(t) => router.token(t.id, shot(t.shot)?, t.index, t.text),
+        from_worker::Said::Finished(f) => router.finished(f.id, shot(f.shot)?, f.tokens),
+        from_worker::Said::Ended(e) => {
+            let how = match ended::How::try_from(e.how) {
+                Ok(ended::How::Full) => How::Full,
+                Ok(ended::How::Stateless) => How::Stateless,
+                Ok(ended::How::Fault) => How::Fault,
+                _ => return Err(Malformed::Range("how")),
+            };
+            router.ended(e.id, shot(e.shot)?, how)
+        }
+        from_worker::Said::Probed(p) => router.probed(p.nonce, p.reads, p.streams, p.waiting),
+    }
+}
+
+pub fn read(
+    id: u64,
+    shot: u16,
+    track: u8,
+    session: u64,
+    prefix: u64,
+    prompt_tokens: u32,
+    prefix_tokens: u32,
+    left: Micros,
+    prompt: Bytes,
+) -> Bytes {
+    to_worker(to_worker::Said::Read(made::Read {
+        id,
+        shot: shot.into(),
+        track: track.into(),
+        session,
+        prefix,
+        prompt_tokens,
+        prefix_tokens,
+        left_us: left,
+        prompt,
+    }))
+}
+
+pub fn hold(id: u64, prompt_tokens: u32, most_tokens: u32, reader: Address) -> Bytes {
+    let reader = bytes_of(Some(reader));
+    to_worker(to_worker::Said::Hold(made::Hold { id, prompt_tokens, most_tokens, reader }))
+}
+
+pub fn write(
+    id: u64,
+    shot: u16,
+    track: u8,
+    prompt_tokens: u32,
+    most_tokens: u32,
+    left: Micros,
+    mark: u64,
+    reader: Option<Address>,
+    window: u32,
+    session: u64,
+    prefix: u64,
+    prefix_tokens: u32,
+    prompt: Bytes,
+) -> Bytes {
+    to_worker(to_worker::Said::Write(made::Write {
+        id,
+        shot: shot.into(),
+        track: track.into(),
+        prompt_tokens,
+        most_tokens,
+        left_us: left,
+        mark,
+        reader: bytes_of(reader),
+        window,
+        session,
+        prefix,
+        prefix_tokens,
+        prompt,
+    }))
+}
+
+pub fn let_go(id: u64) -> Bytes {
+    to_worker(to_worker::Said::LetGo(made::LetGo { id }))
+}
+
+pub fn withdraw(id: u64, shot: u16) -> Bytes {
+    to_worker(to_worker::Said::Withdraw(made::Withdraw { id, shot: shot.into() }))
+}
+
+pub fn probe(nonce: u64) -> Bytes {
+    to_worker(to_worker::Said::Probe(made::Probe { nonce }))
+}
+
+pub fn more(id: u64, shot: u16, tokens: u32) -> Bytes {
+    to_worker(to_worker::Said::More(made::More { id, shot: shot.into(), tokens }))
+}
+
+pub fn hold_answer(id: u64, held: bool) -> Bytes {
+    from_worker(from_worker::Said::HoldAnswer(made::HoldAnswer { id, held }))
+}
+
+pub fn read_done(id: u64, shot: u16, kept_tokens: u32, state_bytes: u64) -> Bytes {
+    from_worker(from_worker::Said::ReadDone(made::ReadDone {
+        id,
+        shot: shot.into(),
+        kept_tokens,
+        state_bytes,
+    }))
+}
+
+pub fn token(id: u64, shot: u16, index: u32, text: Bytes) -> Bytes {
+    from_worker(from_worker::Said::Token(made::ShotToken { id, shot: shot.into(), index, text }))
+}
+
+pub fn finished(id: u64, shot: u16, tokens: u32) -> Bytes {
+    from_worker(from_worker::Said::Finished(made::Finished { id, shot: shot.into(), tokens }))
+}
+
+pub fn ended(id: u64, shot: u16, how: How) -> Bytes {
+    let how = match how {
+        How::Full => ended::How::Full,
+        How::Stateless => ended::How::Stateless,
+        How::Fault => ended::How::Fault,
+    };
+    from_worker(from_worker::Said::Ended(made::Ended { id, shot: shot.into(), how: how.into() }))
+}
+
+pub fn probed(nonce: u64, reads: u32, streams: u32, waiting: u32) -> Bytes {
+    from_worker(from_worker::Said::Probed(made::Probed { nonce, reads, streams, waiting }))
+}
+
+fn to_worker(said: to_worker::Said) -> Bytes {
+    ToWorker { said: Some(said) }.encode_to_vec().into()
+}
+
+fn from_worker(said: from_worker::Said) -> Bytes {
+    FromWorker { said: Some(said) }.encode_to_vec().into()
+}
