--- a/crates/command/src/day.rs
+++ b/crates/command/src/day.rs
@@ -6,6 +6,7 @@
 
 use signal_hook::consts::{SIGINT, SIGTERM};
 use tideroute_lab::day::{self, DayError};
+use tideroute_lab::fleet;
 use tideroute_rules::{Report, Rule};
 
 use crate::{serve, Ended};
@@ -54,6 +55,31 @@
     Ok(played.passed())
 }
 
+/// The same day in virtual time; `out` keeps its record.
+pub fn virtually(path: &Path, out: Option<PathBuf>) -> Ended {
+    let file = serve::read(path)?;
+    let record = file.day.ok_or_else(|| format!("{}: it has no part `day`", path.display()))?;
+    let began = std::time::Instant::now();
+    let played = fleet::play(&record).map_err(|e| e.to_string())?;
+    let took = began.elapsed().as_secs_f64();
+    println!("{}", played.tally.table());
+    print(&played.report);
+    if !played.fallen.is_empty() {
+        println!("fell over: {}", played.fallen.join(", "));
+    }
+    let lasted = played.lasted as f64 / 1e6;
+    println!("{lasted:.1} virtual seconds in {took:.1} s, {} events", played.events);
+    if let Some(folder) = out {
+        let path = folder.join("day.record.zst");
+        let named = |e| format!("{}: {e}", path.display());
+        std::fs::create_dir_all(&folder).map_err(named)?;
+        let bytes = zstd::encode_all(played.record.as_slice(), 3).map_err(named)?;
+        std::fs::write(&path, bytes).map_err(named)?;
+        eprintln!("record: {}", path.display());
+    }
+    Ok(played.report.kept() && played.fallen.is_empty() && played.tally.wrong + played.tally.unanswered == 0)
+}
+
 pub fn rules(record: &Path) -> Ended {
     let report = day::check(record).map_err(|e| format!("{}: {e}", record.display()))?;
     print(&report);
--- a/crates/command/src/main.rs
+++ b/crates/command/src/main.rs
@@ -1,7 +1,6 @@
 //! The program `tideroute`. Each command has a module; all of them read typed records and end with 0 when all
 //! went well, 1 when it did not, and 2 when they were called or configured wrongly.
 
-mod convert;
 mod day;
 mod figures;
 mod logs;
@@ -75,6 +74,9 @@
         /// Keeps logs and the record of what passed there.
         #[arg(long, value_name = "FOLDER")]
         out: Option<PathBuf>,
+        /// In one process and in virtual time: no sockets, no waiting, the same every time.
+        #[arg(long)]
+        in_virtual_time: bool,
     },
     /// Checks the five rules on the record of a day.
     Rules { record: PathBuf },
@@ -111,7 +113,8 @@
             serve::load(&file, json.as_deref(), table.as_deref(), begin_at, &run)
         }
         Command::Check { files } => check(&files),
-        Command::Day { file, out } => day::play(&file, out),
+        Command::Day { file, out, in_virtual_time: true } => day::virtually(&file, out),
+        Command::Day { file, out, .. } => day::play(&file, out),
         Command::Rules { record } => day::rules(&record),
     };
     match ended {
--- a/crates/command/src/serve.rs
+++ b/crates/command/src/serve.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use tideroute_host::Host;
+use tideroute_lab::convert;
 use tideroute_lab::load::Load;
 use tideroute_reactor::{Ended as Loop, Reactor, Tap};
 use tideroute_records::File;
@@ -16,7 +17,7 @@
 use tideroute_wire::tap::Who;
 use tideroute_wire::Micros;
 
-use crate::{convert, figures, Ended, Run};
+use crate::{figures, Ended, Run};
 
 /// Between two progress lines.
 const PROGRESS: Duration = Duration::from_millis(500);
--- /dev/null
+++ b/crates/lab/src/fleet.rs
@@ -0,0 +1,218 @@
+//! A whole scripted day in virtual time: the same day file, the same programs, no processes and no waiting.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use tideroute_host::Host;
+use tideroute_records::kinds::Day;
+use tideroute_rules::{CheckError, Report};
+use tideroute_standins::{List, Worker};
+use tideroute_wire::link::{Link, Loss, Outbox, Program};
+use tideroute_wire::Micros;
+
+use crate::convert;
+use crate::day::{deeds, Deed};
+use crate::files::{self, Ports};
+use crate::load::Load;
+use crate::tally::Tally;
+use crate::world::{NodeId, World};
+
+/// Microseconds: when a day begins, an arbitrary moment since 1970, and how long all have to find each other.
+const DAWN: Micros = 1_700_000_000_000_000;
+const START: Micros = 1_000_000;
+/// Microseconds of virtual time after the load in which all must have ended.
+const DUSK: Micros = 120_000_000;
+/// Microseconds one way between any two machines of a site.
+const DELAY: Micros = 200;
+
+#[derive(Debug, thiserror::Error)]
+pub enum FleetError {
+    #[error("the day's own terms contradict each other: {0}")]
+    Terms(String),
+    #[error("the record could not be written: {0}")]
+    Record(#[from] io::Error),
+    #[error(transparent)]
+    Check(#[from] CheckError),
+}
+
+/// What a day in virtual time came to.
+pub struct Virtual {
+    pub report: Report,
+    pub tally: Tally,
+    /// The record of what passed.
+    pub record: Vec<u8>,
+    pub events: u64,
+    /// Virtual time that passed, microseconds.
+    pub lasted: Micros,
+    /// Workers that ended without being killed.
+    pub fallen: Vec<String>,
+}
+
+/// Plays a day. The same day gives the same record, byte for byte.
+pub fn play(day: &Day) -> Result<Virtual, FleetError> {
+    Fleet::new(day)?.run()
+}
+
+struct Fleet<'a> {
+    day: &'a Day,
+    ports: Ports,
+    world: World,
+    places: BTreeMap<String, NodeId>,
+    begins: Micros,
+    starts: u64,
+    load: Shared,
+}
+
+impl<'a> Fleet<'a> {
+    fn new(day: &'a Day) -> Result<Fleet<'a>, FleetError> {
+        let at = |kind: u16, n: usize| format!("10.{kind}.{}.{}:7000", n / 250, n % 250 + 1);
+        let workers = day.workers().count();
+        let ports = Ports {
+            list: at(0, 0),
+            routers: (0..day.routers).map(|n| at(1, n)).collect(),
+            workers: (0..workers).map(|n| at(2, n)).collect(),
+        };
+        let begins = DAWN + START + day.lag;
+        let record = files::load(day, &ports).load.ok_or_else(|| FleetError::Terms("no load".into()))?;
+        let routers = ports.routers.iter().map(|r| convert::address(r));
+        let routers = routers.collect::<Result<_, _>>().map_err(FleetError::Terms)?;
+        let load = Shared(Arc::new(Mutex::new(Load::new(record, routers))));
+        let world = World::new(DAWN, DELAY);
+        Ok(Fleet { day, ports, world, places: BTreeMap::new(), begins, starts: 0, load })
+    }
+
+    fn run(mut self) -> Result<Virtual, FleetError> {
+        let names: Vec<_> = ["list".to_string()]
+            .into_iter()
+            .chain(self.day.workers().map(|(name, ..)| name))
+            .chain(self.day.router_names())
+            .collect();
+        for name in &names {
+            self.start(name, false)?;
+        }
+        self.world.run_until(self.begins);
+        let client = self.world.place("load", "client", None);
+        self.world.start(client, Box::new(self.load.clone()));
+        let mut deeds = deeds(&self.day.troubles);
+        deeds.sort_by_key(|(at, _)| *at);
+        let killed = deeds.iter().filter_map(|(_, deed)| match deed {
+            Deed::Kill(who) => Some(who.to_string()),
+            _ => None,
+        });
+        let killed: Vec<String> = killed.collect();
+        for (at, deed) in deeds {
+            self.world.run_until(self.begins + at);
+            match deed {
+                Deed::Kill(who) => self.world.kill(self.places[who]),
+                Deed::Start(who) if !self.world.runs(self.places[who]) => self.start(who, true)?,
+                Deed::Start(_) => {}
+                Deed::Halt(who) => self.world.halt(self.places[who]),
+                Deed::GoOn(who) => self.world.go_on(self.places[who]),
+            }
+        }
+        self.world.run_until(self.begins + self.day.load.lasts);
+        let late = self.begins + self.day.load.lasts + DUSK;
+        while self.world.runs(client) && self.world.now() < late {
+            let next = self.world.now() + START;
+            self.world.run_until(next);
+        }
+        let fallen = names.iter().filter(|n| !self.world.runs(self.places[*n]) && !killed.contains(n));
+        let fallen = fallen.cloned().collect();
+        // Routers first, then those that they need.
+        for name in names.iter().rev() {
+            self.world.stop(self.places[name]);
+            let next = self.world.now() + START;
+            self.world.run_until(next);
+        }
+        let terms = serde_json::to_string(&files::rules(self.day, &self.ports)).unwrap_or_default();
+        let record = self.world.record(&terms)?;
+        let report = tideroute_rules::check(record.as_slice())?;
+        let (events, lasted) = (self.world.events(), self.world.now() - DAWN);
+        let mut load = self.load.0.lock().unwrap_or_else(|e| e.into_inner());
+        let tally = std::mem::replace(&mut load.tally, Tally::new(&self.day.tracks));
+        Ok(Virtual { report, tally, record, events, lasted, fallen })
+    }
+
+    fn start(&mut self, name: &str, cold: bool) -> Result<(), FleetError> {
+        let (day, ports, now) = (self.day, &self.ports, self.world.now());
+        let missing = || FleetError::Terms(format!("{name} is nobody"));
+        let bad = FleetError::Terms;
+        self.starts += 1;
+        let (role, address, program): (_, _, Box<dyn Program>) = if name == "list" {
+            let list = files::list(day, ports).list.ok_or_else(missing)?;
+            ("list", &ports.list, Box::new(List::new(convert::list(&list, self.begins, now))))
+        } else if let Some(n) = day.router_names().position(|r| r == name) {
+            let router = files::router(day, ports, n, String::new()).router.ok_or_else(missing)?;
+            let seed = day.seed << 16 | self.starts;
+            let kept = self.places.get(name).and_then(|&place| self.world.kept(place));
+            let host = Host::new(convert::router(&router, seed).map_err(bad)?, kept, now);
+            ("router", &ports.routers[n], Box::new(host))
+        } else {
+            let mut all = day.workers().enumerate();
+            let (place, (_, group, n)) = all.find(|(_, (w, ..))| w == name).ok_or_else(missing)?;
+            let worker = files::worker(day, ports, place, name, group, n).worker.ok_or_else(missing)?;
+            let terms = convert::worker(&worker, cold, self.begins, now).map_err(bad)?;
+            ("worker", &ports.workers[place], Box::new(Worker::new(terms, now)))
+        };
+        let address = convert::address(address).map_err(bad)?;
+        let world = &mut self.world;
+        let place =
+            *self.places.entry(name.to_string()).or_insert_with(|| world.place(name, role, Some(address)));
+        world.start(place, program);
+        Ok(())
+    }
+}
+
+/// The load, which is looked at after its program has ended.
+#[derive(Clone)]
+struct Shared(Arc<Mutex<Load>>);
+
+impl Shared {
+    fn with<T>(&self, call: impl FnOnce(&mut Load) -> T) -> T {
+        call(&mut self.0.lock().unwrap_or_else(|e| e.into_inner()))
+    }
+}
+
+impl Program for Shared {
+    fn begin(&mut self, now: Micros, out: &mut Outbox) {
+        self.with(|load| load.begin(now, out));
+    }
+
+    fn accepted(&mut self, now: Micros, link: Link, door: usize, out: &mut Outbox) {
+        self.with(|load| load.accepted(now, link, door, out));
+    }
+
+    fn opened(&mut self, now: Micros, link: Link, out: &mut Outbox) {
+        self.with(|load| load.opened(now, link, out));
+    }
+
+    fn heard(&mut self, now: Micros, link: Link, frame: &Bytes, out: &mut Outbox) {
+        self.with(|load| load.heard(now, link, frame, out));
+    }
+
+    fn lost(&mut self, now: Micros, link: Link, loss: Loss, out: &mut Outbox) {
+        self.with(|load| load.lost(now, link, loss, out));
+    }
+
+    fn crowded(&mut self, now: Micros, link: Link, crowded: bool, out: &mut Outbox) {
+        self.with(|load| load.crowded(now, link, crowded, out));
+    }
+
+    fn rang(&mut self, now: Micros, key: u64, out: &mut Outbox) {
+        self.with(|load| load.rang(now, key, out));
+    }
+
+    fn turn(&mut self, now: Micros, out: &mut Outbox) {
+        self.with(|load| load.turn(now, out));
+    }
+
+    fn stop(&mut self, now: Micros, out: &mut Outbox) {
+        self.with(|load| load.stop(now, out));
+    }
+
+    fn done(&self) -> bool {
+        self.with(|load| load.done())
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,12 +3,16 @@
 //! [`load::Load`] is a [`Program`](tideroute_wire::link::Program) that plays clients in open loop: when each
 //! submission comes is drawn ahead and never waits for an answer. [`day::play`] starts a fleet of processes on
 //! free loopback ports, makes things go wrong as a day file says, collects the record of what passed, and has
-//! the rules checked.
+//! the rules checked. [`world::World`] runs the same programs in virtual time, in one process and from one seed, and
+//! [`fleet::play`] a whole day in it.
 
+pub mod convert;
 pub mod day;
 mod files;
+pub mod fleet;
 pub mod load;
 mod parts;
 mod processes;
 pub mod tally;
 pub mod traffic;
+pub mod world;
--- a/crates/rules/src/shots.rs
+++ b/crates/rules/src/shots.rs
@@ -38,7 +38,8 @@
     held: BTreeSet<Address>,
     /// The last outcome, or the last place asked for.
     since: Micros,
-    relayed: bool,
+    /// When the first token went to the client.
+    relayed: Option<Micros>,
     over: Option<Micros>,
 }
 
@@ -194,7 +195,7 @@
             ran: None,
             held: BTreeSet::new(),
             since: passed.at,
-            relayed: false,
+            relayed: None,
             over: None,
         };
         self.ids.insert(number(passed, n), id);
@@ -208,7 +209,7 @@
         let Some(held) = id.and_then(|id| self.held.get_mut(&id)) else {
             return report.note(Rule::Record, passed.at, id, format!("a token for number {n}, never taken"));
         };
-        held.relayed = true;
+        held.relayed.get_or_insert(passed.at);
         if held.over.is_some() {
             report.note(Rule::Lost, passed.at, id, "a token was sent after the end");
         }
@@ -228,7 +229,7 @@
         };
         held.over.get_or_insert(passed.at);
         let late = passed.at.saturating_sub(held.at + held.left);
-        if late > 0 && !held.relayed {
+        if late > 0 && held.relayed.is_none() {
             let what = format!("it was answered {} us after its client's time was up", late);
             report.note(Rule::Lost, passed.at, id, what);
         }
@@ -472,8 +473,10 @@
                 }
             } else if asked.first_token.is_none_or(|t| t > asked.until) {
                 // The router's clock is the client's: on one machine they agree.
-                let sent = other.and_then(|(p, l)| self.answered.get(&(p, l, *n)));
-                if sent.is_some_and(|&at| at > asked.until) {
+                // A client that reads late has not been answered late.
+                let relayed = id.and_then(|id| self.held.get(&id)).and_then(|h| h.relayed);
+                let sent = other.and_then(|(p, l)| self.answered.get(&(p, l, *n)).copied());
+                if relayed.or(sent).is_some_and(|at| at > asked.until) {
                     let what = format!("client link {link:x} number {n} was answered after its time");
                     report.note(Rule::Lost, asked.until, id, what);
                 }
--- /dev/null
+++ b/crates/rules/tests/broken.rs
@@ -0,0 +1,419 @@
+//! The checker on short records: a clean one passes, one with a rule broken on purpose is found out by rule and
+//! submission, and nothing can be taken out of a clean one without being missed.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use tideroute_rules::{check, Group, Repeat, Report, Rule, Terms, TrackTerms, WorkerTerms};
+use tideroute_wire::list::{Page, Standing};
+use tideroute_wire::tap::{self, counts, Passed, What, Who};
+use tideroute_wire::{client, list, say_hello, worker, Address, Party};
+
+const CLIENT: u32 = 1;
+const ROUTER: u32 = 2;
+const READER: u32 = 3;
+const WRITER: u32 = 4;
+const LIST: u32 = 5;
+const OTHER: u32 = 6;
+const MS: u64 = 1000;
+/// The id of the one submission of most records.
+const ID: u64 = 77;
+
+fn address(process: u32) -> Address {
+    [127, 0, 0, 1, 0, process as u8]
+}
+
+fn terms() -> Terms {
+    let track =
+        |name: &str, repeat, group| TrackTerms { name: name.into(), repeat, group, window: 3000 * MS };
+    let worker = |reader, cell| WorkerTerms { rate: 1000.0, reader, cell, zone: 0 };
+    let at = |process: u32| format!("127.0.0.1:{process}");
+    Terms {
+        tracks: vec![
+            track("query", Repeat::Replayable, Group::All),
+            track("lodge", Repeat::SingleUse, Group::All),
+            track("note", Repeat::Referenced, Group::Cell),
+        ],
+        workers: BTreeMap::from([
+            (at(READER), worker(true, 0)),
+            (at(WRITER), worker(false, 0)),
+            (at(OTHER), worker(false, 1)),
+        ]),
+        release: 500 * MS,
+        drain_grace: 500 * MS,
+        cold_share: 0.25,
+        warm_after: 10_000 * MS,
+        fall_multiple: 2.0,
+        fall_span: 1000 * MS,
+        most_shots: 5,
+    }
+}
+
+/// One connection: who dialled and who took it, with frames said each way.
+struct Line {
+    from: u32,
+    to: u32,
+    link: u64,
+    said: [u64; 2],
+}
+
+/// A record being written.
+struct Book {
+    now: u64,
+    passed: Vec<Passed>,
+    lines: Vec<Line>,
+}
+
+impl Book {
+    /// Everybody is there and knows everybody: client 0, reader 1, writer 2, list 3, both workers' lists 4 to 6.
+    fn new() -> Book {
+        let mut book = Book { now: 1_000_000 * MS, passed: vec![], lines: vec![] };
+        for process in [CLIENT, ROUTER, READER, WRITER, LIST, OTHER] {
+            book.note(process, 0, What::Began, 0, Bytes::new());
+        }
+        for (from, to, party) in [
+            (CLIENT, ROUTER, Party::Client),
+            (ROUTER, READER, Party::Router),
+            (ROUTER, WRITER, Party::Router),
+            (ROUTER, LIST, Party::Router),
+            (READER, LIST, Party::Worker),
+            (WRITER, LIST, Party::Worker),
+            (ROUTER, OTHER, Party::Router),
+        ] {
+            book.connect(from, to, party);
+        }
+        book.say(4, true, list::here(address(READER), 0, 1.0, Standing::Ready, 0, 0, 0));
+        book.say(5, true, list::here(address(WRITER), 1, 1.0, Standing::Ready, 0, 0, 0));
+        book.say(3, true, list::watch(0));
+        book.page(&[(READER, Standing::Ready, 0), (WRITER, Standing::Ready, 0)]);
+        book
+    }
+
+    fn note(&mut self, process: u32, link: u64, what: What, place: u64, frame: Bytes) {
+        self.passed.push(Passed { at: self.now, process, link, what, place, frame });
+    }
+
+    fn connect(&mut self, from: u32, to: u32, party: Party) {
+        let link = self.lines.len() as u64;
+        let (dialler, taker) = ([127, 0, 0, 1, 9, link as u8], address(to));
+        self.note(from, link, What::Dialled, 0, Bytes::copy_from_slice(&taker));
+        self.note(to, link, What::Accepted, 0, Bytes::from([dialler, taker].concat()));
+        self.note(from, link, What::Met, 0, Bytes::from([taker, dialler].concat()));
+        self.lines.push(Line { from, to, link, said: [0, 0] });
+        self.say(link as usize, true, say_hello(party, "somebody"));
+    }
+
+    /// Something is said on a line, by who dialled it or by who took it, and heard.
+    fn say(&mut self, line: usize, by_dialler: bool, frame: Bytes) {
+        let Line { from, to, link, said } = &mut self.lines[line];
+        let (from, to, link, way) = (*from, *to, *link, usize::from(by_dialler));
+        let place = said[way];
+        said[way] += 1;
+        let (speaker, listener) = if by_dialler { (from, to) } else { (to, from) };
+        self.note(speaker, link, What::Sent, place, frame.clone());
+        self.note(listener, link, What::Heard, place, frame);
+    }
+
+    fn page(&mut self, entries: &[(u32, Standing, u64)]) {
+        let mut page = Page::new(self.now, false);
+        for &(process, standing, started) in entries {
+            page.add(address(process), u16::from(process != READER), 1.0, standing, 0, 0, started);
+        }
+        self.say(3, false, page.frame());
+    }
+
+    fn pass(&mut self, ms: u64) -> &mut Book {
+        self.now += ms * MS;
+        self
+    }
+
+    fn submit(&mut self, number: u64, track: u8, left_ms: u64) {
+        let prompt = Bytes::from_static(b"text");
+        self.say(0, true, client::submit(number, track, 1, 0, 100, 0, 20, left_ms * MS, 0, prompt));
+        self.say(0, false, client::taken(number, ID + number - 1));
+    }
+
+    fn read(&mut self, id: u64, shot: u16) {
+        self.say(1, true, worker::read(id, shot, 0, 1, 0, 100, 0, 0, Bytes::new()));
+    }
+
+    /// A send to the writer on line 2, or to the other one on line 6.
+    fn write(&mut self, line: usize, id: u64, shot: u16, most: u32) {
+        let reader = Some(address(READER));
+        self.say(line, true, worker::write(id, shot, 0, 100, most, 0, 0, reader, 8, 1, 0, 0, Bytes::new()));
+    }
+
+    fn stream(&mut self, number: u64, id: u64, shot: u16) {
+        for index in 0..2 {
+            let text = Bytes::from_static(b"word");
+            self.say(2, false, worker::token(id, shot, index, text.clone()));
+            self.say(0, false, client::token(number, index, text));
+        }
+        self.say(2, false, worker::finished(id, shot, 2));
+        self.say(0, false, client::honoured(number, 2));
+    }
+
+    /// A submission all the way, every kind of message in it.
+    fn whole(&mut self, number: u64, track: u8) {
+        let id = ID + number - 1;
+        self.pass(10).submit(number, track, 4000);
+        self.read(id, 0);
+        self.say(2, true, worker::hold(id, 100, 20, address(READER)));
+        self.pass(5).say(2, false, worker::hold_answer(id, true));
+        self.pass(50).say(1, false, worker::read_done(id, 0, 0, 1600));
+        self.pass(1).write(2, id, 1, 20);
+        self.pass(20).stream(number, id, 1);
+    }
+
+    fn close_all(&mut self) {
+        for line in 0..self.lines.len() {
+            let Line { from, to, link, said } = self.lines[line];
+            self.note(from, link, What::Closed, 0, counts(said[1], said[0]));
+            self.note(to, link, What::Closed, 0, counts(said[0], said[1]));
+        }
+    }
+
+    fn check(&mut self) -> Report {
+        self.close_all();
+        check_events(&self.passed)
+    }
+}
+
+fn check_events(passed: &[Passed]) -> Report {
+    let role = |process| match process {
+        CLIENT => "client",
+        ROUTER => "router",
+        LIST => "list",
+        _ => "worker",
+    };
+    let who = |number: u32| Who {
+        number,
+        name: format!("p{number}"),
+        role: role(number).into(),
+        address: Some(address(number)),
+    };
+    let mut record = Vec::new();
+    let processes: Vec<_> = (1..=6).map(who).collect();
+    tap::write_head(&mut record, &processes, &serde_json::to_string(&terms()).unwrap()).unwrap();
+    passed.iter().for_each(|p| tap::write(&mut record, p).unwrap());
+    check(record.as_slice()).unwrap()
+}
+
+/// The one rule that broke, and by which submission.
+fn broke(report: &Report, rule: Rule, submission: Option<u64>) {
+    let found = report.broken.iter().find(|b| b.rule == rule);
+    let found = found.unwrap_or_else(|| panic!("{rule:?} was not found: {:?}", report.broken));
+    assert_eq!(found.submission, submission, "{found:?}");
+    assert!(report.broken.iter().all(|b| b.rule == rule), "{:?}", report.broken);
+}
+
+fn clean() -> Book {
+    let mut book = Book::new();
+    book.whole(1, 0);
+    book.whole(2, 1);
+    // One that is turned back, one abandoned, one left, and a shot called back; a probe and its answer.
+    book.pass(10).submit(3, 0, 1000);
+    book.pass(5).say(0, false, client::turned_back(3, 500 * MS));
+    book.submit(4, 1, 1000);
+    book.read(ID + 3, 0);
+    book.pass(20).say(1, false, worker::read_done(ID + 3, 0, 0, 1600));
+    book.write(2, ID + 3, 1, 20);
+    book.pass(5).say(2, false, worker::ended(ID + 3, 1, worker::How::Fault));
+    book.say(1, true, worker::let_go(ID + 3));
+    book.say(0, false, client::abandoned(4));
+    book.submit(5, 0, 1000);
+    book.read(ID + 4, 0);
+    book.pass(5).say(0, true, client::leave(5));
+    book.say(1, true, worker::withdraw(ID + 4, 0));
+    book.say(1, true, worker::probe(9));
+    book.say(1, false, worker::probed(9, 0, 0, 0));
+    book.say(2, true, worker::more(ID, 1, 2));
+    book
+}
+
+#[test]
+fn a_clean_record_passes() {
+    let report = clean().check();
+    assert!(report.kept(), "{:?}", report.broken);
+    let c = report.counts;
+    assert_eq!((c.submitted, c.taken, c.honoured, c.turned_back, c.abandoned, c.left), (5, 5, 2, 1, 1, 1));
+}
+
+#[test]
+fn rule_1_an_answer_that_never_comes() {
+    let mut book = Book::new();
+    book.pass(10).submit(1, 0, 1000);
+    // The connection stays: nobody can say that it was lost with it.
+    let mut report = check_events(&book.passed);
+    report.broken.retain(|b| b.rule != Rule::Record);
+    broke(&report, Rule::Lost, Some(ID));
+}
+
+#[test]
+fn rule_1_late_answers_second_answers_and_shots_after_the_end() {
+    let mut book = Book::new();
+    book.pass(10).submit(1, 0, 1000);
+    book.pass(1001).say(0, false, client::turned_back(1, 0));
+    broke(&book.check(), Rule::Lost, Some(ID));
+    let mut book = Book::new();
+    book.whole(1, 0);
+    book.say(0, false, client::abandoned(1));
+    assert!(book.check().broken.iter().any(|b| b.rule == Rule::Lost && b.submission == Some(ID)));
+    let mut book = Book::new();
+    book.pass(10).submit(1, 0, 1000);
+    book.say(0, false, client::turned_back(1, 0));
+    book.read(ID, 0);
+    broke(&book.check(), Rule::Lost, Some(ID));
+}
+
+#[test]
+fn rule_2_a_single_use_submission_sent_again_or_turned_back() {
+    for again in [true, false] {
+        let mut book = Book::new();
+        book.pass(10).submit(1, 1, 4000);
+        book.write(2, ID, 0, 20);
+        book.pass(10).say(2, false, worker::ended(ID, 0, worker::How::Fault));
+        if again {
+            book.write(2, ID, 1, 20);
+            book.pass(10).say(2, false, worker::ended(ID, 1, worker::How::Fault));
+            book.say(0, false, client::abandoned(1));
+        } else {
+            book.say(0, false, client::turned_back(1, 0));
+        }
+        broke(&book.check(), Rule::Twice, Some(ID));
+    }
+    // One that is known not to have run may be both.
+    let mut book = Book::new();
+    book.pass(10).submit(1, 1, 4000);
+    book.write(2, ID, 0, 20);
+    book.pass(10).say(2, false, worker::ended(ID, 0, worker::How::Full));
+    book.write(2, ID, 1, 20);
+    book.pass(10).say(2, false, worker::ended(ID, 1, worker::How::Stateless));
+    book.say(0, false, client::turned_back(1, 0));
+    assert!(book.check().kept());
+}
+
+#[test]
+fn rule_2_a_referenced_one_outside_its_group_or_window() {
+    for (line, wait, kept) in [(2, 10, true), (6, 10, false), (2, 3100, false)] {
+        let mut book = Book::new();
+        book.pass(10).submit(1, 2, 9000);
+        book.write(2, ID, 0, 20);
+        book.pass(wait).say(2, false, worker::ended(ID, 0, worker::How::Fault));
+        book.write(line, ID, 1, 20);
+        book.pass(10).say(line, false, worker::ended(ID, 1, worker::How::Fault));
+        book.say(0, false, client::abandoned(1));
+        let report = book.check();
+        if kept {
+            assert!(report.kept(), "{:?}", report.broken);
+        } else {
+            broke(&report, Rule::Twice, Some(ID));
+        }
+    }
+}
+
+#[test]
+fn rule_2_two_shots_out_at_once() {
+    let mut book = Book::new();
+    book.pass(10).submit(1, 0, 4000);
+    book.read(ID, 0);
+    book.read(ID, 1);
+    book.say(0, false, client::turned_back(1, 0));
+    broke(&book.check(), Rule::Twice, Some(ID));
+}
+
+#[test]
+fn rule_3_sends_and_places_after_a_drain_was_told() {
+    for (wait, place, kept) in [(499, false, true), (501, false, false), (501, true, false)] {
+        let mut book = Book::new();
+        book.pass(10).submit(1, 0, 4000);
+        book.read(ID, 0);
+        book.page(&[(WRITER, Standing::Draining, 0)]);
+        book.pass(wait);
+        if place {
+            book.say(2, true, worker::hold(ID, 100, 20, address(READER)));
+            book.say(2, false, worker::hold_answer(ID, false));
+        }
+        book.say(1, false, worker::read_done(ID, 0, 0, 1600));
+        if !place {
+            book.write(2, ID, 1, 20);
+            book.stream(1, ID, 1);
+        } else {
+            book.say(1, true, worker::let_go(ID));
+            book.say(0, false, client::turned_back(1, 0));
+        }
+        let report = book.check();
+        if kept {
+            assert!(report.kept(), "{:?}", report.broken);
+        } else {
+            broke(&report, Rule::Drain, Some(ID));
+        }
+    }
+}
+
+#[test]
+fn rule_4_a_cold_worker_pushed_over() {
+    // It does 250 tokens a second at its start: twice that in a second makes it fall, a little later more.
+    for (tokens, told, kept) in [(480, true, true), (560, true, false), (560, false, true)] {
+        let mut book = Book::new();
+        let started = book.now;
+        book.say(5, true, list::here(address(WRITER), 1, 1.0, Standing::Ready, 0, 0, started));
+        if told {
+            book.page(&[(WRITER, Standing::Ready, started)]);
+        }
+        book.pass(10).submit(1, 0, 4000);
+        book.write(2, ID, 0, tokens);
+        book.pass(20).stream(1, ID, 0);
+        let report = book.check();
+        if kept {
+            assert!(report.kept(), "{:?}", report.broken);
+        } else {
+            broke(&report, Rule::Cold, Some(ID));
+        }
+    }
+}
+
+#[test]
+fn rule_5_a_state_left_pinned() {
+    for (wait, kept) in [(499, true), (501, false)] {
+        let mut book = Book::new();
+        book.pass(10).submit(1, 0, 4000);
+        book.read(ID, 0);
+        book.pass(50).say(1, false, worker::read_done(ID, 0, 0, 1600));
+        book.say(0, false, client::turned_back(1, 0));
+        book.pass(wait).say(1, true, worker::let_go(ID));
+        let report = book.check();
+        if kept {
+            assert!(report.kept(), "{:?}", report.broken);
+        } else {
+            broke(&report, Rule::Pinned, Some(ID));
+        }
+    }
+}
+
+#[test]
+fn nothing_can_be_taken_out_without_being_missed() {
+    let mut book = clean();
+    book.close_all();
+    // A kind: who recorded it, on which connection's conversation, and the first byte, which names the message.
+    let kind = |p: &Passed| (p.what == What::Sent, p.process, p.frame.first().copied());
+    let speaks = |p: &Passed| matches!(p.what, What::Sent | What::Heard);
+    let mut kinds: Vec<_> = book.passed.iter().filter(|p| speaks(p)).map(kind).collect();
+    kinds.sort_unstable();
+    kinds.dedup();
+    assert!(kinds.len() > 30, "only {} kinds", kinds.len());
+    for taken in kinds {
+        let both = |p: &Passed| speaks(p) && p.frame.first().copied() == taken.2;
+        for gone in [&|p: &Passed| speaks(p) && kind(p) == taken as _, &both as &dyn Fn(&Passed) -> bool] {
+            let left: Vec<_> = book.passed.iter().filter(|p| !gone(p)).cloned().collect();
+            assert!(left.len() < book.passed.len());
+            assert!(!check_events(&left).kept(), "without {taken:?} it passes");
+        }
+    }
+    for at in 0..book.passed.len() {
+        let mut left = book.passed.clone();
+        let gone = left.remove(at);
+        let matters = !matches!(gone.what, What::Began | What::Closed);
+        assert!(!matters || !check_events(&left).kept(), "without {gone:?} it passes");
+    }
+}
--- a/crates/standins/src/writing.rs
+++ b/crates/standins/src/writing.rs
@@ -204,7 +204,7 @@
         if offset == got.len() as u64 && crc32fast::hash(part) == crc {
             got.extend_from_slice(part);
         } else {
-            tracing::warn!(id, offset, "a chunk of a state is broken; the state is not used");
+            tracing::debug!(id, offset, "a chunk of a state is broken; the state is not used");
             self.missing(now, id, worker, out);
         }
     }
