--- /dev/null
+++ b/crates/command/tests/bad/names-itself.cue
@@ -0,0 +1,7 @@
+// expect: 3:8: name is named by its own value
+router: {
+	name: name, listen: "127.0.0.1:7001", list: "127.0.0.1:7000"
+	tracks: [{name: "quick", contract: 1s}]
+	kinds: [{name: "readers", role: "reader"}]
+	terms: {}
+}
--- /dev/null
+++ b/crates/command/tests/bad/names-nothing.cue
@@ -0,0 +1,7 @@
+// expect: 6:9: #Terns names nothing
+router: {
+	name: "r", listen: "127.0.0.1:7001", list: "127.0.0.1:7000"
+	tracks: [{name: "quick", contract: 1s}]
+	kinds: [{name: "readers", role: "reader"}]
+	terms: #Terns
+}
--- a/crates/records/src/problem.rs
+++ b/crates/records/src/problem.rs
@@ -2,7 +2,10 @@
 
 use std::ops::Range;
 
-use miette::{Diagnostic, LabeledSpan, NamedSource, SourceSpan};
+use miette::{Diagnostic, GraphicalReportHandler, LabeledSpan, NamedSource, SourceSpan};
+
+/// Columns of a report.
+const WIDE: usize = 1000;
 
 /// One thing that is wrong.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,38 +63,36 @@
 
     /// Each problem with the lines around it, for a terminal.
     pub fn report(&self) -> String {
+        // Wide enough that no line is broken: file, line and column stay where tools look for them.
+        let handler = GraphicalReportHandler::new().with_width(WIDE);
         let shown = self.problems.iter().zip(self.lines()).map(|(problem, line)| {
-            let shown = Shown { line, problem, file: NamedSource::new(&self.name, self.text.clone()) };
-            format!("{:?}", miette::Report::new(shown.owned()))
+            let length = problem.span.len().max(1);
+            let shown = Shown {
+                line,
+                label: problem.expected.clone(),
+                span: SourceSpan::new(problem.span.start.into(), length),
+                file: NamedSource::new(&self.name, self.text.clone()),
+            };
+            let mut text = String::new();
+            match handler.render_report(&mut text, &shown) {
+                Ok(()) => text,
+                Err(_) => shown.line,
+            }
         });
         shown.collect::<Vec<_>>().join("\n")
     }
 }
 
-struct Shown<'a> {
-    line: String,
-    problem: &'a Problem,
-    file: NamedSource<String>,
-}
-
-impl Shown<'_> {
-    fn owned(self) -> OwnedShown {
-        let length = self.problem.span.len().max(1);
-        let span = SourceSpan::new(self.problem.span.start.into(), length);
-        OwnedShown { line: self.line, label: self.problem.expected.clone(), span, file: self.file }
-    }
-}
-
 #[derive(Debug, thiserror::Error)]
 #[error("{line}")]
-struct OwnedShown {
+struct Shown {
     line: String,
     label: String,
     span: SourceSpan,
     file: NamedSource<String>,
 }
 
-impl Diagnostic for OwnedShown {
+impl Diagnostic for Shown {
     fn source_code(&self) -> Option<&dyn miette::SourceCode> {
         Some(&self.file)
     }
--- a/crates/records/src/value.rs
+++ b/crates/records/src/value.rs
@@ -321,9 +321,13 @@
         match (x, y) {
             (Some(x), Some(y)) => items.push(unify(x, y, problems)),
             _ => {
-                let (at, most) = if x.is_none() { (b, first.len()) } else { (a, second.len()) };
-                let what = format!("the list has {} elements", first.len().max(second.len()));
-                problems.push(Problem::new(at.span.clone(), what, format!("{most}")));
+                let expected = if x.is_none() {
+                    format!("at most {}", first.len())
+                } else {
+                    format!("at least {}", first.len())
+                };
+                let what = format!("the list has {} elements", second.len());
+                problems.push(Problem::new(b.span.clone(), what, expected));
                 break;
             }
         }
