What a router adds is measured leg by leg; the loop's tests on real sockets

The way through a router and straight to the stand-ins are taken in turn, with the work at the stations left out.

--- a/crates/command/src/main.rs
+++ b/crates/command/src/main.rs
@@ -4,6 +4,7 @@
 mod day;
 mod figures;
 mod logs;
+mod measure;
 mod serve;
 
 use std::path::PathBuf;
@@ -65,9 +66,17 @@
         /// Begins at that time, microseconds since 1970.
         #[arg(long, value_name = "MICROS")]
         begin_at: Option<u64>,
+        /// Straight to the workers that the file names, with no router between.
+        #[arg(long, value_name = "PATH", hide = true)]
+        straight_to: Option<PathBuf>,
         #[command(flatten)]
         run: Run,
     },
+    /// Measures the program on this machine.
+    Measure {
+        #[command(subcommand)]
+        what: Measure,
+    },
     /// Plays a scripted day on processes of its own and judges it.
     Day {
         file: PathBuf,
@@ -82,6 +91,18 @@
     Rules { record: PathBuf },
 }
 
+#[derive(Subcommand)]
+enum Measure {
+    /// What a router adds to the way of a first token and of each token, against going straight to the workers.
+    Through {
+        /// A day's file; its troubles are left out.
+        file: PathBuf,
+        /// How often each of the two ways is taken, in turn.
+        #[arg(long, default_value_t = 2)]
+        rounds: usize,
+    },
+}
+
 /// How a process is run as part of a day.
 #[derive(Args, Clone)]
 struct Run {
@@ -109,9 +130,13 @@
         Command::Router { file, run } => serve::router(&file, &run),
         Command::Worker { file, cold, run } => serve::worker(&file, cold, &run),
         Command::List { file, run } => serve::list(&file, &run),
-        Command::Load { file, json, table, begin_at, run } => {
+        Command::Load { file, straight_to: Some(workers), begin_at, table, json, run } => {
+            serve::straight(&file, &workers, [json, table], begin_at, &run)
+        }
+        Command::Load { file, json, table, begin_at, run, .. } => {
             serve::load(&file, json.as_deref(), table.as_deref(), begin_at, &run)
         }
+        Command::Measure { what: Measure::Through { file, rounds } } => measure::through(&file, rounds),
         Command::Check { files } => check(&files),
         Command::Day { file, out, in_virtual_time: true } => day::virtually(&file, out),
         Command::Day { file, out, .. } => day::play(&file, out),
--- a/crates/command/src/serve.rs
+++ b/crates/command/src/serve.rs
@@ -2,7 +2,7 @@
 
 use std::io::IsTerminal;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +10,7 @@
 use tideroute_host::Host;
 use tideroute_lab::convert;
 use tideroute_lab::load::Load;
+use tideroute_lab::straight::Straight;
 use tideroute_reactor::{Ended as Loop, Reactor, Tap};
 use tideroute_records::File;
 use tideroute_standins::{List, Worker};
@@ -72,7 +73,7 @@
     let now = reactor.clock().now();
     // No two starts of any router have the same ids: time and process tell them apart.
     let seed = record.seed.unwrap_or(now ^ u64::from(std::process::id()) << 8);
-    let keep = record.keep.as_ref().map(std::path::PathBuf::from);
+    let keep = record.keep.as_ref().map(PathBuf::from);
     let kept = keep.as_ref().and_then(|path| std::fs::read(path).ok());
     if let Some(path) = keep {
         reactor.keep(path);
@@ -99,6 +100,35 @@
     drive(reactor, &mut List::new(convert::list(&record, run.script_from.unwrap_or(now), now)))
 }
 
+/// The load straight to the workers; its few figures go where the day looks for them.
+pub fn straight(
+    path: &Path,
+    workers: &Path,
+    figures: [Option<PathBuf>; 2],
+    begin_at: Option<Micros>,
+    run: &Run,
+) -> Ended {
+    let record = part(path, read(path)?.load, "load")?;
+    let named = |path: &Path, e: String| format!("{}: {e}", path.display());
+    let known = std::fs::read(workers).map_err(|e| named(workers, e.to_string()))?;
+    let known = serde_json::from_slice(&known).map_err(|e| named(workers, e.to_string()))?;
+    let reactor = reactor(&[], run, "load", "client")?;
+    wait_for(begin_at, &reactor);
+    let mut program = Straight::new(&record, known);
+    let ended = drive(reactor, &mut program)?;
+    let line = format!("{} ended, {} of them failed\n", program.ended, program.failed);
+    for path in figures.iter().flatten() {
+        std::fs::write(path, &line).map_err(|e| named(path, e.to_string()))?;
+    }
+    Ok(ended && program.failed == 0)
+}
+
+fn wait_for(begin_at: Option<Micros>, reactor: &Reactor) {
+    if let Some(at) = begin_at {
+        std::thread::sleep(Duration::from_micros(at.saturating_sub(reactor.clock().now())));
+    }
+}
+
 pub fn load(
     path: &Path,
     json: Option<&Path>,
@@ -109,9 +139,7 @@
     let record = part(path, read(path)?.load, "load")?;
     let routers = record.routers.iter().map(|r| convert::address(r)).collect::<Result<_, _>>()?;
     let reactor = reactor(&[], run, "load", "client")?;
-    if let Some(at) = begin_at {
-        std::thread::sleep(Duration::from_micros(at.saturating_sub(reactor.clock().now())));
-    }
+    wait_for(begin_at, &reactor);
     let mut load = Load::new(record, routers);
     let over = Arc::new(AtomicBool::new(false));
     let shown = std::io::stderr().is_terminal().then(|| {
--- a/crates/command/tests/program.rs
+++ b/crates/command/tests/program.rs
@@ -84,7 +84,8 @@
     for entry in std::fs::read_dir(folder).expect("bad files").flatten() {
         let path = entry.path().display().to_string();
         let first = std::fs::read_to_string(entry.path()).expect("text");
-        let expected = first.lines().next().and_then(|l| l.strip_prefix("// expect: ")).expect("an expectation");
+        let expected =
+            first.lines().next().and_then(|l| l.strip_prefix("// expect: ")).expect("an expectation");
         let output = run(&["check", &path]);
         let said = text(&output.stderr);
         assert_eq!(output.status.code(), Some(2), "{path}: {said}");
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -17,6 +17,7 @@
 
 use crate::convert::address;
 use crate::files::{self, Ports};
+use crate::legs::{legs, Legs};
 use crate::parts;
 use crate::processes::{Processes, Recipe};
 
@@ -71,6 +72,43 @@
 
 /// Plays the day in a folder of its own. `program` is the program itself; `interrupted` ends the day early.
 pub fn play(day: &Day, program: &Path, folder: &Path, interrupted: &AtomicBool) -> Result<Played, DayError> {
+    let (player, ports) = pass(day, program, folder, interrupted, false)?;
+    let (table, exits, fallen) = (player.table.clone(), player.exits.clone(), player.fallen.clone());
+    let (memory, all) = (player.processes.memory.clone(), &player.processes.parts);
+    let record = folder.join("day.record.zst");
+    let terms = serde_json::to_string(&files::rules(day, &ports)).unwrap_or_default();
+    parts::merge(all, &terms, &record)?;
+    let report = check(&record)?;
+    let figures = std::fs::read(folder.join("load.json")).map_err(|_| DayError::NoFigures)?;
+    let figures = serde_json::from_slice(&figures).map_err(|_| DayError::NoFigures)?;
+    let expected = expectations(day, &figures, &memory, &exits, &fallen, &report);
+    Ok(Played { report, figures, table, expected, memory, record })
+}
+
+/// Plays the day only to see what the ways take, through its routers or straight to the workers.
+pub fn measure(
+    day: &Day,
+    program: &Path,
+    folder: &Path,
+    interrupted: &AtomicBool,
+    straight: bool,
+) -> Result<Legs, DayError> {
+    let (player, _) = pass(day, program, folder, interrupted, straight)?;
+    let record = folder.join("day.record.zst");
+    parts::merge(&player.processes.parts, "", &record)?;
+    let named = |e| DayError::File(record.display().to_string(), e);
+    let file = std::fs::File::open(&record).map_err(named)?;
+    Ok(legs(zstd::Decoder::new(file).map_err(named)?, !straight)?)
+}
+
+/// Lets the day pass, from the first process started to the last one ended.
+fn pass<'a>(
+    day: &'a Day,
+    program: &Path,
+    folder: &'a Path,
+    interrupted: &'a AtomicBool,
+    straight: bool,
+) -> Result<(Player<'a>, Ports), DayError> {
     std::fs::create_dir_all(folder).map_err(|e| DayError::File(folder.display().to_string(), e))?;
     let ports = free_ports(day).map_err(DayError::Start)?;
     let clock = Clock::start();
@@ -82,22 +120,16 @@
         processes: Processes::new(program, folder, clock),
         recipes: BTreeMap::new(),
         fallen: vec![],
+        exits: BTreeMap::new(),
+        table: String::new(),
+        straight,
         interrupted,
     };
     player.write_files(&ports)?;
     player.start_all()?;
-    let table = player.run()?;
-    let exits = player.stop_all()?;
-    let fallen = std::mem::take(&mut player.fallen);
-    let (memory, all) = (player.processes.memory.clone(), &player.processes.parts);
-    let record = folder.join("day.record.zst");
-    let terms = serde_json::to_string(&files::rules(day, &ports)).unwrap_or_default();
-    parts::merge(all, &terms, &record)?;
-    let report = check(&record)?;
-    let figures = std::fs::read(folder.join("load.json")).map_err(|_| DayError::NoFigures)?;
-    let figures = serde_json::from_slice(&figures).map_err(|_| DayError::NoFigures)?;
-    let expected = expectations(day, &figures, &memory, &exits, &fallen, &report);
-    Ok(Played { report, figures, table, expected, memory, record })
+    player.run()?;
+    player.stop_all()?;
+    Ok((player, ports))
 }
 
 /// Checks the rules on a record that was kept.
@@ -131,6 +163,12 @@
     recipes: BTreeMap<String, Recipe>,
     /// Workers that ended without being killed.
     fallen: Vec<String>,
+    /// Whether each router ended in order when it was told.
+    exits: BTreeMap<String, bool>,
+    /// What the load printed.
+    table: String,
+    /// The load goes straight to the workers; there are no routers.
+    straight: bool,
     interrupted: &'a AtomicBool,
 }
 
@@ -170,14 +208,21 @@
             let arguments = ["worker", &path, "--script-from", &begins];
             self.add(&name, "worker", Some(&ports.workers[place]), &arguments);
         }
-        for (n, name) in day.router_names().enumerate() {
+        let routers = if self.straight { 0 } else { day.routers };
+        for (n, name) in day.router_names().enumerate().take(routers) {
             let keep = folder.join(format!("{name}.list")).display().to_string();
             let path = write(folder, &name, &files::router(day, ports, n, keep))?;
             self.add(&name, "router", Some(&ports.routers[n]), &["router", &path]);
         }
         let path = write(folder, "load", &files::load(day, ports))?;
         let [json, table] = ["load.json", "load.txt"].map(|f| folder.join(f).display().to_string());
-        let arguments = ["load", &path, "--json", &json, "--table", &table, "--begin-at", &begins];
+        let mut arguments = vec!["load", &path, "--json", &json, "--table", &table, "--begin-at", &begins];
+        let straight = folder.join("workers.json").display().to_string();
+        if self.straight {
+            let known = serde_json::to_string(&files::known(day, ports)).unwrap_or_default();
+            std::fs::write(&straight, known).map_err(|e| DayError::File(straight.clone(), e))?;
+            arguments.extend(["--straight-to", &straight]);
+        }
         self.add("load", "client", None, &arguments);
         Ok(())
     }
@@ -219,9 +264,8 @@
         Ok(())
     }
 
-    /// Lets the day pass and makes go wrong what is to go wrong, until the load has ended. The load prints its
-    /// own table, which comes back.
-    fn run(&mut self) -> Result<String, DayError> {
+    /// Lets the day pass and makes go wrong what is to go wrong, until the load has ended.
+    fn run(&mut self) -> Result<(), DayError> {
         let mut deeds = deeds(&self.day.troubles);
         deeds.sort_by_key(|(at, _)| *at);
         let mut deeds = deeds.into_iter().peekable();
@@ -251,7 +295,8 @@
             }
             if self.processes.ended("load").is_some() {
                 let path = self.folder.join("load.txt");
-                return std::fs::read_to_string(path).map_err(|_| DayError::NoFigures);
+                self.table = std::fs::read_to_string(path).map_err(|_| DayError::NoFigures)?;
+                return Ok(());
             }
             if now > latest {
                 return Err(DayError::NoFigures);
@@ -259,8 +304,8 @@
         }
     }
 
-    /// Tells all to end, routers first; how each router ended comes back.
-    fn stop_all(&mut self) -> Result<BTreeMap<String, bool>, DayError> {
+    /// Tells all to end, routers first.
+    fn stop_all(&mut self) -> Result<(), DayError> {
         self.processes.look();
         let routers: Vec<_> = self.day.router_names().filter(|n| self.processes.runs(n)).collect();
         let mut exits = BTreeMap::new();
@@ -289,7 +334,8 @@
             }
         }
         exits.retain(|name, _| self.recipes[name].role == "router");
-        Ok(exits)
+        self.exits = exits;
+        Ok(())
     }
 }
 
--- a/crates/lab/src/files.rs
+++ b/crates/lab/src/files.rs
@@ -7,6 +7,8 @@
 };
 use tideroute_rules::{Group as Among, Repeat, TrackTerms, WorkerTerms};
 
+use crate::straight::Known;
+
 /// Where everybody listens.
 pub struct Ports {
     pub list: String,
@@ -90,6 +92,16 @@
     File { load: Some(load), ..File::default() }
 }
 
+/// The workers, as a client that goes straight to them knows them.
+pub fn known(day: &Day, ports: &Ports) -> Vec<Known> {
+    let workers = day.workers().enumerate().filter_map(|(place, (_, group, n))| {
+        let address = crate::convert::address(&ports.workers[place]).ok()?;
+        let cell = (n % usize::from(day.cells)) as u16;
+        Some(Known { address, reader: group.does.role == Role::Reader, cell })
+    });
+    workers.collect()
+}
+
 /// What the rules are read by.
 pub fn rules(day: &Day, ports: &Ports) -> tideroute_rules::Terms {
     let tracks = day.tracks.iter().map(|t| TrackTerms {
--- a/crates/reactor/benches/wheel.rs
+++ b/crates/reactor/benches/wheel.rs
@@ -1,32 +1,37 @@
-//! The wheel against a `BTreeMap`, as a router uses timers: one set for each submission, most long before they
-//! are due, and time passing in small steps.
+//! The wheel against a `BTreeMap`: so many timers open, time passing in steps of so many ticks that ten of them
+//! ring, each set anew.
 
 use std::collections::BTreeMap;
 use std::hint::black_box;
+use std::time::Duration;
 
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use tideroute_reactor::wheel::Wheel;
 
-/// Ticks between two steps, and the longest timer.
-const STEP: u64 = 10;
-const LONGEST: u64 = 60_000;
+/// Ticks to the latest timer, and timers that ring in one step.
+const LONGEST: u64 = 3_000_000;
+const RING: u64 = 10;
 
 fn timers(c: &mut Criterion) {
-    let mut group = c.benchmark_group("set one, pass ten ticks");
+    let mut group = c.benchmark_group("ten ring and are set anew");
+    group
+        .sample_size(20)
+        .measurement_time(Duration::from_millis(500))
+        .warm_up_time(Duration::from_millis(200));
     for open in [1_000u64, 30_000, 300_000] {
+        // Timers lie evenly between now and the latest, on average halfway.
+        let step = LONGEST / 2 * RING / open;
         let mut chance = Pcg64::seed_from_u64(7);
         let mut wheel = Wheel::new(0);
         let (mut now, mut due) = (0, vec![]);
         (0..open).for_each(|key| wheel.set(chance.random_range(1..LONGEST), key));
         group.bench_function(BenchmarkId::new("wheel", open), |b| {
             b.iter(|| {
-                now += STEP;
-                wheel.set(now + chance.random_range(1..LONGEST), now);
+                now += step;
                 due.clear();
                 wheel.advance(now, &mut due);
-                // What rang is set anew, so that as many stay open.
                 due.iter().for_each(|&key| wheel.set(now + chance.random_range(1..LONGEST), key));
                 black_box(&due);
             })
@@ -39,9 +44,7 @@
         });
         group.bench_function(BenchmarkId::new("map", open), |b| {
             b.iter(|| {
-                now += STEP;
-                order += 1;
-                plain.insert((now + chance.random_range(1..LONGEST), open + order), now);
+                now += step;
                 due.clear();
                 while let Some(entry) = plain.first_entry().filter(|e| e.key().0 <= now) {
                     due.push(entry.remove());
--- /dev/null
+++ b/crates/reactor/tests/links.rs
@@ -0,0 +1,229 @@
+//! The loop on real loopback sockets, with small programs at both ends.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tideroute_reactor::conn::{HIGH, MOST};
+use tideroute_reactor::{Ended, Reactor};
+use tideroute_wire::link::{Link, Loss, Outbox, Program};
+use tideroute_wire::{Address, Micros};
+
+/// What a program saw.
+#[derive(Debug, PartialEq)]
+enum Seen {
+    Accepted(Link),
+    Opened,
+    Heard(Bytes),
+    Lost(Loss),
+    Crowded(bool),
+    Rang(u64),
+}
+
+/// Tells all that it sees and does as its hands say; ends when told so by a frame `end`.
+struct Scripted<F> {
+    seen: Sender<Seen>,
+    hands: F,
+    over: bool,
+}
+
+impl<F: FnMut(&Seen, Link, &mut Outbox, Micros)> Scripted<F> {
+    fn saw(&mut self, now: Micros, link: Link, seen: Seen, out: &mut Outbox) {
+        (self.hands)(&seen, link, out, now);
+        self.over |= seen == Seen::Heard(Bytes::from_static(b"end"));
+        let _ = self.seen.send(seen);
+    }
+}
+
+impl<F: FnMut(&Seen, Link, &mut Outbox, Micros)> Program for Scripted<F> {
+    fn begin(&mut self, now: Micros, out: &mut Outbox) {
+        (self.hands)(&Seen::Rang(0), Link(0), out, now);
+    }
+    fn accepted(&mut self, now: Micros, link: Link, _door: usize, out: &mut Outbox) {
+        self.saw(now, link, Seen::Accepted(link), out);
+    }
+    fn opened(&mut self, now: Micros, link: Link, out: &mut Outbox) {
+        self.saw(now, link, Seen::Opened, out);
+    }
+    fn heard(&mut self, now: Micros, link: Link, frame: &Bytes, out: &mut Outbox) {
+        self.saw(now, link, Seen::Heard(frame.clone()), out);
+    }
+    fn lost(&mut self, now: Micros, link: Link, loss: Loss, out: &mut Outbox) {
+        self.saw(now, link, Seen::Lost(loss), out);
+    }
+    fn crowded(&mut self, now: Micros, link: Link, crowded: bool, out: &mut Outbox) {
+        self.saw(now, link, Seen::Crowded(crowded), out);
+    }
+    fn rang(&mut self, now: Micros, key: u64, out: &mut Outbox) {
+        self.saw(now, Link(0), Seen::Rang(key), out);
+    }
+    fn turn(&mut self, _now: Micros, _out: &mut Outbox) {}
+    fn stop(&mut self, _now: Micros, _out: &mut Outbox) {}
+    fn done(&self) -> bool {
+        self.over
+    }
+}
+
+type Run = (SocketAddr, Receiver<Seen>, JoinHandle<Ended>);
+
+fn run(hands: impl FnMut(&Seen, Link, &mut Outbox, Micros) + Send + 'static) -> Run {
+    let mut reactor = Reactor::new(&["127.0.0.1:0".parse().unwrap()]).unwrap();
+    let (at, (seen, all)) = (reactor.addresses()[0], channel());
+    let mut program = Scripted { seen, hands, over: false };
+    (at, all, std::thread::spawn(move || reactor.run(&mut program).unwrap()))
+}
+
+/// The next thing seen; a test that waits so long has failed.
+fn next(seen: &Receiver<Seen>) -> Seen {
+    seen.recv_timeout(Duration::from_secs(20)).expect("it is seen in time")
+}
+
+fn frame(body: &[u8]) -> Vec<u8> {
+    let mut out = bytes::BytesMut::new();
+    tideroute_wire::frame::put(&mut out, body);
+    out.to_vec()
+}
+
+fn bytes_of(at: SocketAddr) -> Address {
+    let port = at.port().to_be_bytes();
+    [127, 0, 0, 1, port[0], port[1]]
+}
+
+/// Ends a program by its own door.
+fn end(at: SocketAddr, thread: JoinHandle<Ended>) {
+    let mut stream = TcpStream::connect(at).unwrap();
+    stream.write_all(&frame(b"end")).unwrap();
+    assert_eq!(thread.join().unwrap(), Ended::Done);
+}
+
+#[test]
+fn frames_arrive_in_order_and_whole_both_ways() {
+    let (at, _seen, thread) = run(|seen, link, out, _| {
+        if let Seen::Heard(frame) = seen {
+            out.send(link, frame.clone());
+        }
+    });
+    let mut stream = TcpStream::connect(at).unwrap();
+    let sent: Vec<u8> = (0..3000u32).flat_map(|n| frame(&vec![n as u8; n as usize % 700])).collect();
+    let (mut back, mut reader) = (vec![0; sent.len()], stream.try_clone().unwrap());
+    let copy = sent.clone();
+    let writer = std::thread::spawn(move || copy.chunks(777).for_each(|c| stream.write_all(c).unwrap()));
+    reader.read_exact(&mut back).unwrap();
+    writer.join().unwrap();
+    assert!(back == sent);
+    end(at, thread);
+}
+
+#[test]
+fn a_peer_that_does_not_read_is_told_of_and_then_closed() {
+    let piece = Bytes::from(vec![7; 64 << 10]);
+    let mut began = false;
+    let (at, seen, thread) = run(move |seen, _, out, now| match seen {
+        // Sends on and on, a piece a ring, until the link is gone.
+        Seen::Accepted(Link(0)) => {
+            began = true;
+            out.ring(now, 0);
+        }
+        Seen::Rang(0) if began => {
+            out.send(Link(0), piece.clone());
+            out.ring(now + 200, 0);
+        }
+        _ => {}
+    });
+    let stream = TcpStream::connect(at).unwrap();
+    let mut crowded = false;
+    loop {
+        match next(&seen) {
+            Seen::Crowded(true) => crowded = true,
+            Seen::Lost(loss) => break assert_eq!(loss, Loss::Broken),
+            _ => {}
+        }
+    }
+    assert!(crowded, "closed without a warning");
+    // What it could have read is bounded: the loop's own bound and what the kernel holds for both ends.
+    let mut got = 0;
+    let mut stream = stream;
+    let mut rest = vec![0; 1 << 20];
+    while let Ok(n @ 1..) = stream.read(&mut rest) {
+        got += n;
+    }
+    assert!(got < MOST + (16 << 20) && MOST > HIGH, "{got} bytes");
+    end(at, thread);
+}
+
+#[test]
+fn a_peer_that_reads_again_is_no_longer_crowded() {
+    let mut full = false;
+    let (at, seen, thread) = run(move |seen, _, out, now| match seen {
+        Seen::Accepted(Link(0)) => out.ring(now, 5),
+        Seen::Crowded(crowded) => full |= *crowded,
+        // Sends on until the link is crowded, however much the kernel takes.
+        Seen::Rang(5) if !full => {
+            out.send(Link(0), vec![1; 50 << 10].into());
+            out.ring(now + 200, 5);
+        }
+        _ => {}
+    });
+    let mut stream = TcpStream::connect(at).unwrap();
+    while next(&seen) != Seen::Crowded(true) {}
+    let reader = std::thread::spawn(move || std::io::copy(&mut stream, &mut std::io::sink()));
+    while next(&seen) != Seen::Crowded(false) {}
+    end(at, thread);
+    assert!(reader.join().unwrap().unwrap_or(0) > 0);
+}
+
+#[test]
+fn a_hushed_link_waits_and_is_heard_later() {
+    let (at, seen, thread) = run(|seen, link, out, now| match seen {
+        Seen::Accepted(Link(0)) => {
+            out.hush(link, true);
+            out.ring(now + 50_000, 9);
+        }
+        Seen::Rang(9) => out.hush(Link(0), false),
+        _ => {}
+    });
+    let mut stream = TcpStream::connect(at).unwrap();
+    stream.write_all(&frame(b"late")).unwrap();
+    assert_eq!(next(&seen), Seen::Accepted(Link(0)));
+    // The timer rings first, though the frame was there long before.
+    assert_eq!(next(&seen), Seen::Rang(9));
+    assert_eq!(next(&seen), Seen::Heard(Bytes::from_static(b"late")));
+    end(at, thread);
+}
+
+#[test]
+fn dials_that_lead_nowhere_and_frames_sent_before_the_link_is_open() {
+    let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (there, heard, thread) = run(|_, _, _, _| {});
+    let (to, no) = (bytes_of(there), bytes_of(nobody));
+    let (at, seen, dialler) = run(move |seen, _, out, _| {
+        if matches!(seen, Seen::Rang(0)) {
+            out.dial(no, 1_000_000);
+            let link = out.dial(to, 1_000_000);
+            out.send(link, Bytes::from_static(b"early"));
+        }
+    });
+    let mut both = vec![next(&seen), next(&seen)];
+    both.sort_by_key(|s| *s == Seen::Opened);
+    assert_eq!(both, [Seen::Lost(Loss::Unreached), Seen::Opened]);
+    assert!(matches!(next(&heard), Seen::Accepted(_)));
+    assert_eq!(next(&heard), Seen::Heard(Bytes::from_static(b"early")));
+    end(at, dialler);
+    end(there, thread);
+}
+
+#[test]
+fn a_program_that_vanishes_resets_its_peers() {
+    let (at, _seen, thread) = run(|seen, _, out, _| {
+        if matches!(seen, Seen::Heard(_)) {
+            out.vanish();
+        }
+    });
+    let mut stream = TcpStream::connect(at).unwrap();
+    stream.write_all(&frame(b"go")).unwrap();
+    assert!(!matches!(stream.read(&mut [0; 8]), Ok(1..)));
+    assert_eq!(thread.join().unwrap(), Ended::Vanished);
+}
