Submissions whose answer streams are kept apart, so that no survey meets them

Each event paid for every open submission, most of which stream and need no decision. They stand in a map of their own until their shot ends; a worker keeps how many have begun there.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -67,6 +67,8 @@
     tokens: f64,
     reads: u32,
     streams: u32,
+    /// Those of them that have begun to answer.
+    begun: u32,
     oldest: Tenths,
     answers: u32,
     fresh_from: Tenths,
@@ -118,6 +120,8 @@
     chance: Chance,
     workers: BTreeMap<WorkerId, Worker>,
     open: BTreeMap<SubmissionId, Submission>,
+    /// Those whose answer streams: until it ends nothing is decided about them, so that no survey meets them.
+    streaming: BTreeMap<SubmissionId, Submission>,
     ready: VecDeque<Decision>,
     surveyed: bool,
     /// No reader takes any more: the rest of a flood need not look.
@@ -198,6 +202,10 @@
         }
         (submission.state, submission.place, submission.let_go) = (None, None, false);
         let (worker, sent, track) = (out.worker, out.sent, submission.arrival.track);
+        if let Some(w) = self.workers.get_mut(&worker) {
+            w.begun += 1;
+            self.streaming.extend(self.open.remove_entry(&id));
+        }
         self.answered(now, worker, track, 0, now - sent);
     }
 
@@ -223,6 +231,11 @@
     }
 
     pub fn settled(&mut self, now: Tenths, id: SubmissionId, shot: u16, ending: Ending, terminal: bool) {
+        if let Some((id, submission)) = self.streaming.remove_entry(&id) {
+            let worker = submission.out.as_ref().and_then(|out| self.workers.get_mut(&out.worker));
+            worker.into_iter().for_each(|w| w.begun -= 1);
+            self.open.insert(id, submission);
+        }
         let Some(submission) = self.open.get_mut(&id) else { return };
         let Some(out) = submission.out.take_if(|out| out.number == shot) else { return };
         submission.since = now;
@@ -271,7 +284,8 @@
     }
 
     pub fn dropped(&mut self, _now: Tenths, id: SubmissionId) {
-        self.open.get_mut(&id).into_iter().for_each(|s| s.ended = true);
+        let held = self.open.get_mut(&id).or_else(|| self.streaming.get_mut(&id));
+        held.into_iter().for_each(|s| s.ended = true);
     }
 
     pub fn woken(&mut self, now: Tenths) {
@@ -345,7 +359,7 @@
     /// Counts anew what this router has out at each worker.
     fn count(&mut self, now: Tenths) {
         for w in self.workers.values_mut() {
-            (w.tokens, w.reads, w.streams, w.oldest) = (0.0, 0, 0, now);
+            (w.tokens, w.reads, w.streams, w.oldest) = (0.0, 0, w.begun, now);
         }
         for s in self.open.values() {
             if let Some(out) = &s.out {
