--- /dev/null
+++ b/crates/command/src/cores.rs
@@ -0,0 +1,141 @@
+//! A router on several cores. Each core is a thread with a loop, a host and a decision module of its own behind
+//! the same address; they share nothing and say nothing to each other. A core that dies takes what it held with
+//! it, as a killed router does, and is started anew; the others go on.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Sender};
+use std::sync::Arc;
+
+use metrics::counter;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use tideroute_host::Host;
+use tideroute_lab::convert;
+use tideroute_reactor::{Ended as Loop, Reactor, ReactorError};
+use tideroute_records::kinds::Router;
+
+use crate::{figures, serve, Ended, Run};
+
+/// Numbers of cores in a record lie so far apart, as a day's player expects.
+const NUMBERS_A_CORE: u32 = 1000;
+
+pub fn router(path: &Path, fail_after: Option<u64>, run: &Run) -> Ended {
+    let record = serve::part(path, serve::read(path)?.router, "router")?;
+    let listen: SocketAddr = convert::socket(&record.listen)?.into();
+    let metrics = record.metrics.as_deref().map(convert::socket).transpose()?;
+    figures::serve(metrics.map(SocketAddr::from))?;
+    if run.tethered {
+        serve::tether();
+    }
+    if record.cores == 1 {
+        let reactor = Reactor::new(&[listen]).map_err(|e| e.to_string())?;
+        return Ok(core(&record, 0, reactor, listen, run, &AtomicBool::new(false))? == Loop::Done);
+    }
+    // Shared doors would let a second router in beside this one; a plain one shows whether somebody is there.
+    let alone = TcpListener::bind(listen).map_err(|e| ReactorError::Listen(listen, e).to_string())?;
+    drop(alone);
+    all(record, listen, fail_after, run.clone())
+}
+
+/// Runs all cores until each has ended; one that dies before it was told to end is started anew.
+fn all(record: Router, listen: SocketAddr, fail_after: Option<u64>, run: Run) -> Ended {
+    let stopping = Arc::new(AtomicBool::new(false));
+    for signal in [SIGINT, SIGTERM] {
+        signal_hook::flag::register(signal, stopping.clone()).map_err(|e| e.to_string())?;
+    }
+    let (ends, ended) = channel();
+    let start = |core: u32, fail_after: Option<u64>, life: u32| {
+        let (run, ends, stopping) = (run.clone(), ends.clone(), stopping.clone());
+        start(record.clone(), core, listen, fail_after, run, life, ends, stopping)
+    };
+    for core in 0..record.cores {
+        start(core, fail_after.filter(|_| core == 0), 0)?;
+    }
+    let (mut left, mut well, mut lives) = (record.cores, true, 0);
+    while left > 0 {
+        let Ok((core, end)) = ended.recv() else { break };
+        match end {
+            Some(Ok(end)) => {
+                left -= 1;
+                well &= end == Loop::Done;
+            }
+            Some(Err(problem)) => return Err(problem),
+            None if stopping.load(Ordering::Relaxed) => (left, well) = (left - 1, false),
+            None => {
+                lives += 1;
+                tracing::error!(core, "a core died; what it held is void, the others go on, it starts anew");
+                counter!("tideroute_cores_died_total").increment(1);
+                start(core, None, lives)?;
+            }
+        }
+    }
+    Ok(well)
+}
+
+/// How a core ended: None for a panic.
+type End = (u32, Option<Result<Loop, String>>);
+
+fn start(
+    record: Router,
+    n: u32,
+    listen: SocketAddr,
+    fail_after: Option<u64>,
+    mut run: Run,
+    life: u32,
+    ends: Sender<End>,
+    stopping: Arc<AtomicBool>,
+) -> Result<(), String> {
+    // A core's second life writes no record: its first one's stays as it was.
+    run.tap = run.tap.filter(|_| life == 0).map(|tap| core_path(&tap, n));
+    run.process += n * NUMBERS_A_CORE;
+    let thread = std::thread::Builder::new().name(format!("core {n}"));
+    let body = move || {
+        let run = std::panic::AssertUnwindSafe(|| {
+            let mut reactor = Reactor::sharing(&[listen]).map_err(|e| e.to_string())?;
+            if let Some(ms) = fail_after {
+                reactor.fail_after(ms * 1000);
+            }
+            core(&record, n, reactor, listen, &run, &stopping)
+        });
+        let _ = ends.send((n, std::panic::catch_unwind(run).ok()));
+    };
+    thread.spawn(body).map(drop).map_err(|e| e.to_string())
+}
+
+fn core_path(path: &Path, core: u32) -> PathBuf {
+    let extension = path.extension().unwrap_or_default().to_string_lossy().into_owned();
+    match core {
+        0 => path.to_path_buf(),
+        _ => path.with_extension(format!("{extension}.{core}")),
+    }
+}
+
+/// Runs one core on the loop it was given.
+fn core(
+    record: &Router,
+    n: u32,
+    reactor: Reactor,
+    listen: SocketAddr,
+    run: &Run,
+    stopping: &AtomicBool,
+) -> Result<Loop, String> {
+    let name = if record.cores > 1 { format!("{}/{n}", record.name) } else { record.name.clone() };
+    let mut reactor = serve::prepare(reactor, &[listen], run, &name, "router")?;
+    if stopping.load(Ordering::Relaxed) {
+        // Told to end while this core was starting, before its loop could hear of it.
+        return Ok(Loop::Done);
+    }
+    let now = reactor.clock().now();
+    // No two starts of any core have the same ids: time, process and core tell them apart.
+    let seed = record.seed.unwrap_or(now ^ u64::from(std::process::id()) << 8) ^ u64::from(n) << 18;
+    let mut kept = None;
+    if let Some(path) = record.keep.as_ref().map(PathBuf::from) {
+        let own = core_path(&path, n);
+        kept = std::fs::read(&own).or_else(|_| std::fs::read(&path)).ok();
+        reactor.keep(own);
+    }
+    let mut host = Host::new(convert::router(record, n, seed)?, kept.map(bytes::Bytes::from), now);
+    tracing::info!(name, listen = %listen, "the router is there");
+    reactor.run(&mut host).map_err(|e| e.to_string())
+}
--- a/crates/command/src/main.rs
+++ b/crates/command/src/main.rs
@@ -1,6 +1,7 @@
 //! The program `tideroute`. Each command has a module; all of them read typed records and end with 0 when all
 //! went well, 1 when it did not, and 2 when they were called or configured wrongly.
 
+mod cores;
 mod day;
 mod figures;
 mod logs;
@@ -31,6 +32,9 @@
     /// Runs a router until it is told to stop (SIGTERM or Ctrl-C); it then answers what it holds.
     Router {
         file: PathBuf,
+        /// Lets one core fail after so many milliseconds, to see what the others do.
+        #[arg(long, value_name = "MS", hide = true)]
+        fail_core_after: Option<u64>,
         #[command(flatten)]
         run: Run,
     },
@@ -101,6 +105,16 @@
         #[arg(long, default_value_t = 2)]
         rounds: usize,
     },
+    /// Throughput, latency, CPU and memory of one router at 1, 2, 4 and 8 cores.
+    Cores {
+        /// A day's file; its troubles are left out.
+        file: PathBuf,
+        #[arg(long, default_value_t = 5)]
+        seconds: u64,
+        /// Submissions a second.
+        #[arg(long, value_delimiter = ',', default_values_t = [1000.0, 3000.0])]
+        rates: Vec<f64>,
+    },
 }
 
 /// How a process is run as part of a day.
@@ -127,7 +141,7 @@
         return ExitCode::from(2);
     }
     let ended = match call.command {
-        Command::Router { file, run } => serve::router(&file, &run),
+        Command::Router { file, fail_core_after, run } => cores::router(&file, fail_core_after, &run),
         Command::Worker { file, cold, run } => serve::worker(&file, cold, &run),
         Command::List { file, run } => serve::list(&file, &run),
         Command::Load { file, straight_to: Some(workers), begin_at, table, json, run } => {
@@ -136,6 +150,9 @@
         Command::Load { file, json, table, begin_at, run, .. } => {
             serve::load(&file, json.as_deref(), table.as_deref(), begin_at, &run)
         }
+        Command::Measure { what: Measure::Cores { file, seconds, rates } } => {
+            measure::cores(&file, seconds, &rates)
+        }
         Command::Measure { what: Measure::Through { file, rounds } } => measure::through(&file, rounds),
         Command::Check { files } => check(&files),
         Command::Day { file, out, in_virtual_time: true } => day::virtually(&file, out),
--- a/crates/command/src/measure.rs
+++ b/crates/command/src/measure.rs
@@ -6,11 +6,12 @@
 
 use signal_hook::consts::{SIGINT, SIGTERM};
 use tideroute_lab::day::{self, DayError};
+use tideroute_records::kinds::Day;
 
 use crate::{serve, Ended};
 
-/// What the ways take through a router and straight, each in turn so that both meet the same machine.
-pub fn through(path: &Path, rounds: usize) -> Ended {
+/// A day without its troubles, and what tells that it shall end early.
+fn quiet_day(path: &Path) -> Result<(Day, Arc<AtomicBool>), String> {
     let file = serve::read(path)?;
     let mut record = file.day.ok_or_else(|| format!("{}: it has no part `day`", path.display()))?;
     // What clients do slowly would be measured as if the router had.
@@ -20,6 +21,51 @@
     for signal in [SIGINT, SIGTERM] {
         signal_hook::flag::register(signal, interrupted.clone()).map_err(|e| e.to_string())?;
     }
+    Ok((record, interrupted))
+}
+
+/// One router at 1, 2, 4 and 8 cores under the same load.
+pub fn cores(path: &Path, seconds: u64, rates: &[f64]) -> Ended {
+    let (mut record, interrupted) = quiet_day(path)?;
+    let program = std::env::current_exe().map_err(|e| format!("the program does not find itself: {e}"))?;
+    let folder = std::env::temp_dir().join(format!("tideroute-cores-{}", std::process::id()));
+    (record.routers, record.load.lasts) = (1, seconds * 1_000_000);
+    let machine = std::thread::available_parallelism().map_or(0, usize::from);
+    println!("{machine} cores on this machine, which clients and workers use too; {seconds} s each");
+    println!("cores  asked/s  honoured/s  first token p50      p99    p99.9 ms  CPU us a submission  memory MiB  rules");
+    let mut all_kept = true;
+    for &rate in rates {
+        for cores in [1, 2, 4, 8] {
+            (record.cores, record.load.rate) = (cores, rate);
+            let played = day::play(&record, &program, &folder, &interrupted);
+            let _ = std::fs::remove_dir_all(&folder);
+            let played = match played {
+                Ok(played) => played,
+                Err(DayError::Interrupted) => return Ok(false),
+                Err(problem) => return Err(problem.to_string()),
+            };
+            let figure = |name: &str| played.figures[name].as_f64().unwrap_or(f64::NAN);
+            let ms = |name: &str| played.figures["first_token"][name].as_f64().unwrap_or(f64::NAN) / 1e3;
+            let cpu = played.cpu.get("router0").copied().unwrap_or(0.0) * 1e6 / figure("submissions");
+            let memory = played.memory.get("router0").copied().unwrap_or(0) as f64 / 1048576.0;
+            let (asked, honoured) = (figure("submissions"), figure("honoured"));
+            let second = |n: f64| n / seconds as f64;
+            let kept = if played.report.kept() { "kept" } else { "BROKEN" };
+            all_kept &= played.report.kept();
+            let [p50, p99, p999] = ["p50_us", "p99_us", "p999_us"].map(ms);
+            println!(
+                "{cores:>5}{:>9.0}{:>12.0}{p50:>17.1}{p99:>9.1}{p999:>9.1}{cpu:>25.0}{memory:>12.1}  {kept}",
+                second(asked),
+                second(honoured)
+            );
+        }
+    }
+    Ok(all_kept)
+}
+
+/// What the ways take through a router and straight, each in turn so that both meet the same machine.
+pub fn through(path: &Path, rounds: usize) -> Ended {
+    let (record, interrupted) = quiet_day(path)?;
     let program = std::env::current_exe().map_err(|e| format!("the program does not find itself: {e}"))?;
     let folder = std::env::temp_dir().join(format!("tideroute-measure-{}", std::process::id()));
     let (rate, seconds) = (record.load.rate, record.load.lasts as f64 / 1e6);
--- a/crates/command/src/serve.rs
+++ b/crates/command/src/serve.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tideroute_host::Host;
 use tideroute_lab::convert;
 use tideroute_lab::load::Load;
 use tideroute_lab::straight::Straight;
@@ -18,7 +17,7 @@
 use tideroute_wire::tap::Who;
 use tideroute_wire::Micros;
 
-use crate::{figures, Ended, Run};
+use crate::{Ended, Run};
 
 /// Between two progress lines.
 const PROGRESS: Duration = Duration::from_millis(500);
@@ -36,13 +35,35 @@
     tideroute_records::read(&path.display().to_string(), &text).map_err(|p| p.report())
 }
 
-fn part<T>(path: &Path, part: Option<T>, name: &str) -> Result<T, String> {
+pub fn part<T>(path: &Path, part: Option<T>, name: &str) -> Result<T, String> {
     part.ok_or_else(|| format!("{}: it has no part `{name}`, which this command needs", path.display()))
 }
 
 /// A loop that listens at the address, with the record and the tether that a day asks for.
 fn reactor(addresses: &[SocketAddr], run: &Run, name: &str, role: &str) -> Result<Reactor, String> {
-    let mut reactor = Reactor::new(addresses).map_err(|e| e.to_string())?;
+    let reactor = Reactor::new(addresses).map_err(|e| e.to_string())?;
+    if run.tethered {
+        tether();
+    }
+    prepare(reactor, addresses, run, name, role)
+}
+
+/// Ends this process when standard input does.
+pub fn tether() {
+    std::thread::spawn(|| {
+        let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+        std::process::exit(3);
+    });
+}
+
+/// Has a loop catch signals and write down what passes.
+pub fn prepare(
+    mut reactor: Reactor,
+    addresses: &[SocketAddr],
+    run: &Run,
+    name: &str,
+    role: &str,
+) -> Result<Reactor, String> {
     reactor.catch_signals().map_err(|e| e.to_string())?;
     if let Some(path) = &run.tap {
         let address = addresses.first().and_then(|a| convert::address(&a.to_string()).ok());
@@ -50,12 +71,6 @@
         let tap = Tap::begin(path, &who).map_err(|e| format!("{}: {e}", path.display()))?;
         reactor.tap(tap);
     }
-    if run.tethered {
-        std::thread::spawn(|| {
-            let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
-            std::process::exit(3);
-        });
-    }
     Ok(reactor)
 }
 
@@ -64,25 +79,6 @@
     Ok(reactor.run(program).map_err(|e| e.to_string())? == Loop::Done)
 }
 
-pub fn router(path: &Path, run: &Run) -> Ended {
-    let record = part(path, read(path)?.router, "router")?;
-    let listen = convert::socket(&record.listen)?;
-    let metrics = record.metrics.as_deref().map(convert::socket).transpose()?;
-    figures::serve(metrics.map(SocketAddr::from))?;
-    let mut reactor = reactor(&[listen.into()], run, &record.name, "router")?;
-    let now = reactor.clock().now();
-    // No two starts of any router have the same ids: time and process tell them apart.
-    let seed = record.seed.unwrap_or(now ^ u64::from(std::process::id()) << 8);
-    let keep = record.keep.as_ref().map(PathBuf::from);
-    let kept = keep.as_ref().and_then(|path| std::fs::read(path).ok());
-    if let Some(path) = keep {
-        reactor.keep(path);
-    }
-    let mut host = Host::new(convert::router(&record, seed)?, kept.map(bytes::Bytes::from), now);
-    tracing::info!(name = record.name, listen = %listen, "the router is there");
-    drive(reactor, &mut host)
-}
-
 pub fn worker(path: &Path, cold: bool, run: &Run) -> Ended {
     let record = part(path, read(path)?.worker, "worker")?;
     let listen = convert::socket(&record.listen)?;
--- a/crates/command/tests/program.rs
+++ b/crates/command/tests/program.rs
@@ -1,6 +1,6 @@
 //! The program as a user meets it: good and bad files, a short day on real processes, signals, garbage.
 
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
@@ -243,3 +243,42 @@
     signal(&router, "-TERM");
     assert!(until(|| router.try_wait().expect("a child")).success());
 }
+
+#[test]
+fn a_core_that_dies_takes_only_its_own_with_it() {
+    let folder = Folder::new("core");
+    let port = free_port();
+    let file = router_file(&folder, port);
+    let text_of = std::fs::read_to_string(&file).expect("the file");
+    std::fs::write(&file, text_of.replace("name: \"r\",", "name: \"r\", cores: 3,")).expect("the file");
+    let mut router = tideroute()
+        .args(["router", &file, "--fail-core-after", "1500", "--log", "error"])
+        .stdin(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    // So many connections that each core has some; those of the core that dies end, the others stay.
+    let hello = frame(&[10, 7, 8, 1, 18, 1, b'c', 24, 1]);
+    let mut clients: Vec<_> = (0..48).map(|_| connect(port)).collect();
+    clients.iter_mut().for_each(|c| c.write_all(&hello).expect("it is sent"));
+    // A second router is not let in beside it.
+    assert_eq!(run(&["router", &file]).status.code(), Some(2));
+    let ended = |c: &mut TcpStream| {
+        c.set_nonblocking(true).expect("a mode");
+        let read = c.read(&mut [0; 8]);
+        !matches!(&read, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+    };
+    let gone = until(|| {
+        let gone = clients.iter_mut().filter_map(|c| ended(c).then_some(())).count();
+        (gone > 0).then_some(gone)
+    });
+    assert!(gone < clients.len(), "all {gone} connections ended with one core");
+    let mut said = BufReader::new(router.stderr.take().expect("its words")).lines();
+    assert!(said.any(|line| line.expect("text").contains("a core died")));
+    // The core that starts anew takes connections again, as do the others.
+    for _ in 0..24 {
+        connect(port).write_all(&hello).expect("it is sent");
+    }
+    signal(&router, "-TERM");
+    assert!(until(|| router.try_wait().expect("a child")).success());
+}
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -66,6 +66,8 @@
     pub(crate) stirred: bool,
     stopping: bool,
     kept: Option<Bytes>,
+    /// How many open submissions the figures show.
+    shown: Option<usize>,
 }
 
 impl Host {
@@ -88,6 +90,7 @@
             stirred: true,
             stopping: false,
             kept,
+            shown: None,
         }
     }
 
@@ -411,7 +414,10 @@
         if std::mem::take(&mut self.list_changed) {
             out.keep(self.list_to_keep());
         }
-        gauge!("tideroute_open").set(self.submissions.len() as f64);
+        if self.shown != Some(self.submissions.len()) {
+            self.shown = Some(self.submissions.len());
+            gauge!("tideroute_open", "core" => self.terms.name.clone()).set(self.submissions.len() as f64);
+        }
     }
 
     fn stop(&mut self, _now: Micros, _out: &mut Outbox) {
--- a/crates/lab/src/convert.rs
+++ b/crates/lab/src/convert.rs
@@ -66,18 +66,23 @@
     }
 }
 
-pub fn router(r: &Router, seed: u64) -> Result<tideroute_host::Terms, String> {
+/// The terms of one core of a router. Each is a router of its own to the decisions, so that what all of them
+/// send to a cold worker stays within the rule with no word between them; bounds are shared out evenly.
+pub fn router(r: &Router, core: u32, seed: u64) -> Result<tideroute_host::Terms, String> {
+    let cores = r.cores as usize;
+    let mut module = module(&r.terms, r);
+    module.routers = module.routers.saturating_mul(r.cores);
     Ok(tideroute_host::Terms {
-        name: r.name.clone(),
-        module: module(&r.terms, r),
+        name: if r.cores > 1 { format!("{}/{core}", r.name) } else { r.name.clone() },
+        module,
         tracks: r.tracks.iter().map(|t| t.name.clone()).collect(),
         list: address(&r.list)?,
         unheard: r.terms.unheard,
         travel: r.terms.travel,
         window: r.terms.window,
-        most_open: r.terms.most_open,
+        most_open: r.terms.most_open.div_ceil(cores),
         most_a_client: r.terms.most_a_client,
-        most_clients: r.terms.most_clients,
+        most_clients: r.terms.most_clients.div_ceil(cores),
         seed,
     })
 }
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{SocketAddrV4, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -21,6 +21,8 @@
 use crate::parts;
 use crate::processes::{Processes, Recipe};
 
+/// Ports from here on are tried; below those that a machine gives to outgoing connections.
+const FIRST_PORT: u16 = 20_000;
 /// Microseconds: how long everybody has to start before the load begins, beyond the list's lag.
 const START: Micros = 1_500_000;
 /// How often the player looks for what is to be done.
@@ -61,6 +63,8 @@
     /// Expectations of the day, each with what was seen and whether it held.
     pub expected: Vec<(String, String, bool)>,
     pub memory: BTreeMap<String, u64>,
+    /// Seconds of CPU of each process.
+    pub cpu: BTreeMap<String, f64>,
     pub record: PathBuf,
 }
 
@@ -82,7 +86,8 @@
     let figures = std::fs::read(folder.join("load.json")).map_err(|_| DayError::NoFigures)?;
     let figures = serde_json::from_slice(&figures).map_err(|_| DayError::NoFigures)?;
     let expected = expectations(day, &figures, &memory, &exits, &fallen, &report);
-    Ok(Played { report, figures, table, expected, memory, record })
+    let cpu = player.processes.cpu.clone();
+    Ok(Played { report, figures, table, expected, memory, cpu, record })
 }
 
 /// Plays the day only to see what the ways take, through its routers or straight to the workers.
@@ -140,15 +145,24 @@
     Ok(tideroute_rules::check(reader)?)
 }
 
+/// Addresses for everybody, on a loopback address of this process's own: a worker that was killed finds its port
+/// free when it comes back, as no connection and no other day can have taken it meanwhile.
 fn free_ports(day: &Day) -> io::Result<Ports> {
-    let workers = day.workers().count();
-    // All are bound at once, so that none is given out twice, and let go of just before they are used.
-    let all: io::Result<Vec<_>> =
-        (0..1 + day.routers + workers).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
-    let all = all?;
+    let (workers, process) = (day.workers().count(), std::process::id());
+    let own = Ipv4Addr::new(127, 1 + (process >> 8) as u8 % 250, 1 + process as u8 % 250, 1);
+    let count = 1 + day.routers + workers;
     let mut names = Vec::new();
-    for listener in &all {
-        names.push(listener.local_addr()?.to_string());
+    for port in FIRST_PORT..u16::MAX {
+        let at = SocketAddrV4::new(own, port);
+        if TcpListener::bind(at).is_ok() {
+            names.push(at.to_string());
+        }
+        if names.len() == count {
+            break;
+        }
+    }
+    if names.len() < count {
+        return Err(io::ErrorKind::AddrNotAvailable.into());
     }
     let workers = names.split_off(1 + day.routers);
     let routers = names.split_off(1);
@@ -195,6 +209,7 @@
             address: at.and_then(|a| address(a).ok()),
             arguments: arguments.iter().map(|a| a.to_string()).collect(),
             speaks: role == "client",
+            cores: if role == "router" { self.day.cores } else { 1 },
         };
         self.recipes.insert(name.to_string(), recipe);
     }
--- a/crates/lab/src/files.rs
+++ b/crates/lab/src/files.rs
@@ -42,6 +42,7 @@
         metrics: None,
         keep: Some(keep),
         seed: None,
+        cores: day.cores,
         tracks: day.tracks.clone(),
         kinds: day.kinds.clone(),
         terms: terms(day),
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -144,10 +144,12 @@
             let list = files::list(day, ports).list.ok_or_else(missing)?;
             ("list", &ports.list, Box::new(List::new(convert::list(&list, self.begins, now))))
         } else if let Some(n) = day.router_names().position(|r| r == name) {
-            let router = files::router(day, ports, n, String::new()).router.ok_or_else(missing)?;
+            let mut router = files::router(day, ports, n, String::new()).router.ok_or_else(missing)?;
+            // Here a router is one program; cores are a matter of the process.
+            router.cores = 1;
             let seed = day.seed << 16 | self.starts;
             let kept = self.places.get(name).and_then(|&place| self.world.kept(place));
-            let host = Host::new(convert::router(&router, seed).map_err(bad)?, kept, now);
+            let host = Host::new(convert::router(&router, 0, seed).map_err(bad)?, kept, now);
             ("router", &ports.routers[n], Box::new(host))
         } else {
             let mut all = day.workers().enumerate();
--- a/crates/lab/src/parts.rs
+++ b/crates/lab/src/parts.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::fs::File;
-use std::io::{BufReader, BufWriter, Write};
+use std::io::{BufReader, BufWriter, ErrorKind, Write};
 use std::path::{Path, PathBuf};
 
 use tideroute_wire::tap::{self, Passed, Reader, TapError, What, Who};
@@ -57,7 +57,13 @@
     let (mut streams, mut heap) = (Vec::new(), BinaryHeap::new());
     let mut pending: Vec<Option<Passed>> = Vec::new();
     for part in parts {
-        let mut reader = Reader::new(BufReader::new(File::open(&part.path)?));
+        let file = match File::open(&part.path) {
+            Ok(file) => file,
+            // Killed before it had begun to write.
+            Err(e) if e.kind() == ErrorKind::NotFound && part.killed.is_some() => continue,
+            Err(problem) => return Err(problem.into()),
+        };
+        let mut reader = Reader::new(BufReader::new(file));
         reader.head()?;
         let mut stream = Stream { reader, killed: part.killed, process: part.who.number };
         let first = stream.next()?;
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 
@@ -23,32 +24,46 @@
     pub arguments: Vec<String>,
     /// Its words go to the terminal and not into a file.
     pub speaks: bool,
+    /// Each writes a part of the record of its own.
+    pub cores: u32,
 }
 
 struct Running {
     child: Child,
-    part: usize,
+    /// Its parts among all.
+    parts: Range<usize>,
 }
 
+/// Ticks of CPU time a second, as Linux tells them to programs.
+const TICKS: f64 = 100.0;
+
+/// The numbers of a process's cores beyond the first lie so far apart in a record.
+pub const NUMBERS_A_CORE: u32 = 1000;
+
 pub struct Processes {
     program: PathBuf,
     folder: PathBuf,
     clock: Clock,
     running: BTreeMap<String, Running>,
     pub parts: Vec<Part>,
+    started: u32,
     /// The most memory that each process was seen to hold, bytes.
     pub memory: BTreeMap<String, u64>,
+    /// Seconds of CPU that each had used when it was last looked at.
+    pub cpu: BTreeMap<String, f64>,
 }
 
 impl Processes {
     pub fn new(program: &Path, folder: &Path, clock: Clock) -> Processes {
         let (running, parts, memory) = (BTreeMap::new(), vec![], BTreeMap::new());
-        Processes { program: program.into(), folder: folder.into(), clock, running, parts, memory }
+        let (program, folder) = (program.into(), folder.into());
+        Processes { program, folder, clock, running, parts, started: 0, memory, cpu: BTreeMap::new() }
     }
 
     /// Starts a process that writes its own part of the record.
     pub fn start(&mut self, recipe: &Recipe) -> io::Result<()> {
-        let number = self.parts.len() as u32 + 1;
+        self.started += 1;
+        let number = self.started;
         let path = self.folder.join(format!("{number:03}-{}.part", recipe.name));
         let log = File::create(self.folder.join(format!("{number:03}-{}.log", recipe.name)))?;
         let mut command = Command::new(&self.program);
@@ -59,10 +74,15 @@
             command.stdout(log.try_clone()?).stderr(log);
         }
         let child = command.spawn()?;
-        let who =
-            Who { number, name: recipe.name.clone(), role: recipe.role.clone(), address: recipe.address };
-        self.parts.push(Part { who, path, killed: None });
-        self.running.insert(recipe.name.clone(), Running { child, part: self.parts.len() - 1 });
+        let first = self.parts.len();
+        for core in 0..recipe.cores {
+            let name = if core > 0 { format!("{}/{core}", recipe.name) } else { recipe.name.clone() };
+            let path = if core > 0 { path.with_extension(format!("part.{core}")) } else { path.clone() };
+            let number = number + core * NUMBERS_A_CORE;
+            let who = Who { number, name, role: recipe.role.clone(), address: recipe.address };
+            self.parts.push(Part { who, path, killed: None });
+        }
+        self.running.insert(recipe.name.clone(), Running { child, parts: first..self.parts.len() });
         Ok(())
     }
 
@@ -74,7 +94,8 @@
             if let Ok(None) = running.child.try_wait() {
                 let _ = running.child.kill();
                 let _ = running.child.wait();
-                self.parts[running.part].killed = Some(self.clock.now());
+                let now = self.clock.now();
+                self.parts[running.parts].iter_mut().for_each(|part| part.killed = Some(now));
             }
         }
     }
@@ -112,6 +133,11 @@
         let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
         let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
         let kib = line.and_then(|l| l.trim().trim_end_matches(" kB").parse::<u64>().ok()).unwrap_or(0);
+        // The fields behind the name in brackets; user and system time are the 12th and 13th of them.
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+        let fields: Vec<_> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
+        let ticks = |n: usize| fields.get(n).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
+        self.cpu.insert(name.to_string(), (ticks(11) + ticks(12)) / TICKS);
         let most = self.memory.entry(name.to_string()).or_default();
         *most = (*most).max(kib * 1024);
     }
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -11,6 +11,7 @@
 use metrics::{counter, gauge};
 use polling::{Event, Events, PollMode, Poller};
 use slab::Slab;
+use socket2::{Domain, Protocol, Socket, Type};
 use tideroute_wire::link::{Act, Link, Loss, Outbox, Program};
 use tideroute_wire::tap::{counts, What};
 use tideroute_wire::Micros;
@@ -23,6 +24,8 @@
 
 /// Connections taken at a door in one turn, so that a flood of them leaves time for those that are there.
 const ACCEPTS: usize = 64;
+/// Connections that may wait at a door to be taken; the standard library's own number.
+const BACKLOG: i32 = 4096;
 /// Microseconds: how long a closed connection may take to send its last words.
 const LAST_WORDS: Micros = 500_000;
 /// Microseconds a tick of the wheel: as fine as the decisions' own clock.
@@ -79,16 +82,37 @@
 enum Ring {
     Program(u64),
     Patience(Link),
+    Fail,
 }
 
 impl Reactor {
     /// Listens at each address; port 0 lets the machine choose.
     pub fn new(addresses: &[SocketAddr]) -> Result<Reactor, ReactorError> {
+        Self::with_doors(addresses, TcpListener::bind)
+    }
+
+    /// The same beside other loops of this user at the same addresses (SO_REUSEPORT): the kernel gives each
+    /// connection to one of them.
+    pub fn sharing(addresses: &[SocketAddr]) -> Result<Reactor, ReactorError> {
+        Self::with_doors(addresses, |address| {
+            let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+            socket.set_reuse_address(true)?;
+            socket.set_reuse_port(true)?;
+            socket.bind(&address.into())?;
+            socket.listen(BACKLOG)?;
+            Ok(socket.into())
+        })
+    }
+
+    fn with_doors(
+        addresses: &[SocketAddr],
+        bind: impl Fn(SocketAddr) -> io::Result<TcpListener>,
+    ) -> Result<Reactor, ReactorError> {
         let (poller, clock) = (Poller::new()?, Clock::start());
         let mut doors = Vec::new();
         for &address in addresses {
             let listen = |e| ReactorError::Listen(address, e);
-            let door = TcpListener::bind(address).map_err(listen)?;
+            let door = bind(address).map_err(listen)?;
             door.set_nonblocking(true).map_err(listen)?;
             add(&poller, &door, Event::readable(doors.len()))?;
             doors.push(door);
@@ -126,6 +150,11 @@
         self.tap = Some(tap);
     }
 
+    /// Panics after so long, to test what the end of one loop means for others in the process.
+    pub fn fail_after(&mut self, after: Micros) {
+        self.wheel.set((self.now() + after) / TICK, Ring::Fail);
+    }
+
     /// Where the program's `Keep` goes.
     pub fn keep(&mut self, path: PathBuf) {
         self.keep = Some(path);
@@ -186,6 +215,7 @@
                         self.carry_out(&mut out);
                     }
                     Ring::Patience(link) => self.out_of_patience(link),
+                    Ring::Fail => panic!("told to fail"),
                 }
             }
         }
@@ -516,7 +546,7 @@
     fn reset_all(&mut self) {
         for conn in self.conns.drain() {
             let _ = self.poller.delete(&conn.stream);
-            let socket: socket2::Socket = conn.stream.into();
+            let socket: Socket = conn.stream.into();
             let _ = socket.set_linger(Some(Duration::ZERO));
         }
     }
--- a/crates/records/src/schema.cue
+++ b/crates/records/src/schema.cue
@@ -17,6 +17,8 @@
 	// Where it keeps the last list, to start with it again.
 	keep?: string
 	seed?: int & >=0
+	// Threads that each run a router of their own behind the same address.
+	cores: int & >=1 & <=64 | *1
 	tracks: [#Track, ...#Track]
 	kinds: [#Kind, ...#Kind]
 	terms: #Terms
@@ -171,6 +173,8 @@
 	note:    string | *""
 	seed:    int & >=0 | *7
 	routers: int & >=1 & <=64 | *3
+	// Of each router.
+	cores: int & >=1 & <=64 | *1
 	cells:   int & >=1 & <=1000 | *4
 	zones:   int & >=1 & <=255 | *2
 	kinds: [#Kind, ...#Kind]
--- a/crates/rules/src/cold.rs
+++ b/crates/rules/src/cold.rs
@@ -37,6 +37,11 @@
 
 pub struct Cold {
     terms: Terms,
+    /// Which cores are one process: those that listen at one address.
+    homes: BTreeMap<u32, Address>,
+    /// When the first core of a process was told that a worker drains or is gone, and by which version.
+    first: BTreeMap<(Address, Address), (u64, Option<Micros>)>,
+    version: u64,
     told: BTreeMap<(u32, Address), Told>,
     starts: BTreeMap<Address, Start>,
 }
@@ -46,12 +51,14 @@
 }
 
 impl Cold {
-    pub fn new(terms: &Terms) -> Cold {
-        Cold { terms: terms.clone(), told: BTreeMap::new(), starts: BTreeMap::new() }
+    pub fn new(terms: &Terms, homes: BTreeMap<u32, Address>) -> Cold {
+        let (first, told, starts) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Cold { terms: terms.clone(), homes, first, version: 0, told, starts }
     }
 
     /// A whole page: those that it does not name are gone.
-    pub fn page(&mut self, passed: &Passed, whole: bool) {
+    pub fn page(&mut self, passed: &Passed, version: u64, whole: bool) {
+        self.version = version;
         let mine = |(router, _): &(u32, Address)| *router == passed.process;
         for (_, told) in self.told.iter_mut().filter(|(key, _)| whole && mine(key)) {
             if told.standing == Standing::Ready {
@@ -66,6 +73,13 @@
         let before = told.filter(|t| t.standing != Standing::Ready && standing != Standing::Ready);
         let since = before.map_or(passed.at, |t| t.since);
         self.told.insert((passed.process, worker), Told { standing, since, started });
+        // The process as a whole knows what its first core was told; a slower core repeats an older version.
+        let Some(&home) = self.homes.get(&passed.process) else { return };
+        let (version, first) = self.first.entry((home, worker)).or_default();
+        if self.version > *version {
+            *version = self.version;
+            *first = (standing != Standing::Ready).then(|| first.unwrap_or(passed.at));
+        }
     }
 
     /// A worker's own word that it runs, and since when.
@@ -78,18 +92,17 @@
 
     /// Something new goes to a worker: rule 3.
     pub fn new_goes(&self, passed: &Passed, id: u64, worker: Address, report: &mut Report) {
-        let Some(told) = self.told.get(&(passed.process, worker)) else { return };
-        if told.standing == Standing::Ready {
-            return;
-        }
-        let late = passed.at.saturating_sub(told.since);
+        let told = self.told.get(&(passed.process, worker)).filter(|t| t.standing != Standing::Ready);
+        let home = self.homes.get(&passed.process);
+        let first = home.and_then(|&home| self.first.get(&(home, worker))).and_then(|(_, first)| *first);
+        let Some(since) = told.map(|t| t.since).into_iter().chain(first).min() else { return };
+        let late = passed.at.saturating_sub(since);
         report.counts.latest_after_drain = report.counts.latest_after_drain.max(late);
         if late > self.terms.drain_grace {
             let what = format!(
-                "sent to {} {} ms after it was told to be {:?}",
+                "sent to {} {} ms after it was told to drain or to be gone",
                 shown(worker),
-                late / 1000,
-                told.standing
+                late / 1000
             );
             report.note(Rule::Drain, passed.at, Some(id), what);
         }
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -120,7 +120,9 @@
     let mut report = Report::default();
     let roles = processes.iter().map(|p| (p.number, p.role.clone())).collect::<BTreeMap<_, _>>();
     let mut links = Links::new(&processes);
-    let mut shots = Shots::new(&terms);
+    let routers = processes.iter().filter(|p| p.role == "router");
+    let homes = routers.filter_map(|p| Some((p.number, p.address?))).collect();
+    let mut shots = Shots::new(&terms, homes);
     let mut last = 0;
     while let Some(passed) = reader.next_passed()? {
         report.counts.events += 1;
--- a/crates/rules/src/links.rs
+++ b/crates/rules/src/links.rs
@@ -34,8 +34,9 @@
     dialled: bool,
     unreached: bool,
     to: Option<Address>,
-    /// Both ends' addresses, the acceptor's first.
+    /// Both ends' addresses, the acceptor's first, and when they met.
     ends: Option<(Address, Address)>,
+    met: Micros,
     between: Option<Between>,
     /// Checksums of the frames that passed.
     sent: Vec<u32>,
@@ -84,8 +85,9 @@
                     );
                 }
             }
-            What::Met => end.ends = address(0).zip(address(6)),
+            What::Met => (end.ends, end.met) = (address(0).zip(address(6)), passed.at),
             What::Accepted => {
+                end.met = passed.at;
                 end.ends = address(6).zip(address(0));
                 end.to = address(6);
             }
@@ -133,19 +135,15 @@
 
     /// What one end heard is what the other sent, up to where the connection broke.
     pub fn finish(&self, report: &mut Report) {
-        let mut accepted = BTreeMap::new();
-        for (key, end) in self.ends.iter().filter(|(_, e)| !e.dialled) {
-            accepted.extend(end.ends.map(|ends| (ends, key)));
-        }
         for (key, end) in self.ends.iter().filter(|(_, e)| e.dialled && !e.unreached) {
-            let Some(ends) = end.ends else {
+            if end.ends.is_none() {
                 if !self.killed.contains_key(&key.0) {
                     let what = format!("what became of process {} link {:x} is not told", key.0, key.1);
                     report.note(Rule::Record, 0, None, what);
                 }
                 continue;
-            };
-            let Some(other) = accepted.get(&ends).and_then(|key| self.ends.get(key)) else {
+            }
+            let Some(other) = self.other(key.0, key.1).and_then(|key| self.ends.get(&key)) else {
                 // A connection that the other side never took from its queue: it ended before that.
                 if !end.heard.is_empty() {
                     let what = format!("process {} link {:x} heard words from nobody", key.0, key.1);
@@ -168,11 +166,14 @@
             || self.ends.get(&(process, link)).is_none_or(|e| e.closed.is_some())
     }
 
-    /// The other end of a connection.
+    /// The other end of a connection. A machine gives a port out again once it is free, so that two connections
+    /// may have the same ends; those that met at nearly the same time are one.
     pub fn other(&self, process: u32, link: u64) -> Option<Key> {
-        let ends = self.ends.get(&(process, link))?.ends?;
-        let other = |(key, end): &(&Key, &End)| end.ends == Some(ends) && **key != (process, link);
-        self.ends.iter().find(other).map(|(key, _)| *key)
+        let end = self.ends.get(&(process, link))?;
+        let ends = end.ends?;
+        let other = |(_, e): &(&Key, &End)| e.ends == Some(ends) && e.dialled != end.dialled;
+        let apart = |e: &End| e.met.abs_diff(end.met);
+        self.ends.iter().filter(other).min_by_key(|(_, e)| apart(e)).map(|(key, _)| *key)
     }
 }
 
--- a/crates/rules/src/shots.rs
+++ b/crates/rules/src/shots.rs
@@ -71,10 +71,10 @@
 }
 
 impl Shots {
-    pub fn new(terms: &Terms) -> Shots {
+    pub fn new(terms: &Terms, homes: BTreeMap<u32, Address>) -> Shots {
         Shots {
             terms: terms.clone(),
-            cold: Cold::new(terms),
+            cold: Cold::new(terms, homes),
             asked: BTreeMap::new(),
             coming: BTreeMap::new(),
             ids: BTreeMap::new(),
--- a/crates/rules/src/talk.rs
+++ b/crates/rules/src/talk.rs
@@ -231,8 +231,8 @@
 }
 
 impl list::Router for Ear<'_> {
-    fn page(&mut self, _version: u64, whole: bool) -> Result<(), Malformed> {
-        self.shots.cold.page(self.passed, whole);
+    fn page(&mut self, version: u64, whole: bool) -> Result<(), Malformed> {
+        self.shots.cold.page(self.passed, version, whole);
         Ok(())
     }
 
