--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -277,6 +277,10 @@
             }
             program.turn(self.clock.now(), out);
             self.carry_out(out);
+            // Written down before it leaves: a process killed in between has not sent what its record lacks.
+            if let Some(tap) = self.tap.as_mut() {
+                tap.flush();
+            }
             for place in std::mem::take(&mut self.dirty) {
                 self.flush(place);
             }
