--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -377,7 +377,11 @@
         if self.conns[place].stage == Stage::Dead {
             return;
         }
-        self.note_end(place);
+        if let Stage::Dialling { .. } = self.conns[place].stage {
+            self.note(link, What::Unreached, &Bytes::new());
+        } else {
+            self.note_end(place);
+        }
         let until = self.now() + LAST_WORDS;
         let conn = &mut self.conns[place];
         if conn.stage == Stage::Open && conn.waiting() > 0 {
--- a/crates/rules/src/cold.rs
+++ b/crates/rules/src/cold.rs
@@ -76,7 +76,8 @@
         // The process as a whole knows what its first core was told; a slower core repeats an older version.
         let Some(&home) = self.homes.get(&passed.process) else { return };
         let (version, first) = self.first.entry((home, worker)).or_default();
-        if self.version > *version {
+        // One page may tell of an end and of a new start.
+        if self.version >= *version {
             *version = self.version;
             *first = (standing != Standing::Ready).then(|| first.unwrap_or(passed.at));
         }
