--- a/crates/command/src/cores.rs
+++ b/crates/command/src/cores.rs
@@ -12,14 +12,12 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use tideroute_host::Host;
 use tideroute_lab::convert;
+use tideroute_lab::processes::NUMBERS_A_CORE;
 use tideroute_reactor::{Ended as Loop, Reactor, ReactorError};
 use tideroute_records::kinds::Router;
 
 use crate::{figures, serve, Ended, Run};
 
-/// Numbers of cores in a record lie so far apart, as a day's player expects.
-const NUMBERS_A_CORE: u32 = 1000;
-
 pub fn router(path: &Path, fail_after: Option<u64>, run: &Run) -> Ended {
     let record = serve::part(path, serve::read(path)?.router, "router")?;
     let listen: SocketAddr = convert::socket(&record.listen)?.into();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod legs;
 pub mod load;
 mod parts;
-mod processes;
+pub mod processes;
 pub mod straight;
 pub mod tally;
 pub mod traffic;
