--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -1,16 +1,28 @@
 //! What a decision costs: the module alone, driven in a loop by a plain host, with so many workers and so many
-//! submissions open whose answers stream for six seconds. `cargo bench --bench decisions`, a line a size.
+//! submissions open, beside the module as it was when it counted everything anew at each look; and the order of
+//! readers that is kept beside the one that is sorted each time. `cargo bench --bench decisions`.
 
-use std::collections::BinaryHeap;
-use std::time::Instant;
+// Less of it is called here than in its test.
+#[allow(dead_code)]
+#[path = "../tests/before/mod.rs"]
+mod before;
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::hint::black_box;
+use std::time::{Duration, Instant};
 
-use tideroute::choice::Router;
 use tideroute::interface::*;
+use tideroute::ranking::{draw, Ranking};
+// The old module names these by the root of its crate.
+use tideroute::{chance, fading, interface};
 
 const MS: Tenths = 10;
-/// How long a read and a whole answer take.
+const START: Tenths = 1_000_000;
+/// How long a read takes.
 const READ: Tenths = 60 * MS;
-const ANSWER: Tenths = 6_000 * MS;
+/// Runs of which the best counts: other work on the machine only adds.
+const RUNS: usize = 3;
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum What {
@@ -22,7 +34,58 @@
     Wake,
 }
 
-type Due = std::cmp::Reverse<(Tenths, u64, What)>;
+/// How much is measured.
+#[derive(Clone, Copy)]
+struct Size {
+    workers: u16,
+    /// Submissions a second; with the length of an answer they make how many are open.
+    rate: u64,
+    answer: Tenths,
+    measured: u64,
+    /// No two submissions share a prefix or a session.
+    alone: bool,
+}
+
+/// The calls that both modules have.
+trait Module {
+    fn begin(seed: u64) -> Self;
+    fn list_anew(&mut self, now: Tenths);
+    fn listed(&mut self, now: Tenths, list: Listing);
+    fn arrived(&mut self, now: Tenths, arrival: Arrival) -> bool;
+    fn answered_ahead(&mut self, now: Tenths, id: SubmissionId, held: bool);
+    fn started(&mut self, now: Tenths, id: SubmissionId, shot: u16);
+    fn settled(&mut self, now: Tenths, id: SubmissionId, shot: u16, ending: Ending, terminal: bool);
+    fn woken(&mut self, now: Tenths);
+    fn decide(&mut self, now: Tenths) -> Option<Decision>;
+}
+
+macro_rules! module {
+    ($router:ty, $($call:ident($($name:ident: $kind:ty),*) -> $gives:ty;)*) => {
+        impl Module for $router {
+            fn begin(seed: u64) -> Self {
+                <$router>::new(terms(), seed, START)
+            }
+            $(fn $call(&mut self, now: Tenths $(, $name: $kind)*) -> $gives {
+                <$router>::$call(self, now $(, $name)*)
+            })*
+        }
+    };
+    ($router:ty) => {
+        module!($router,
+            list_anew() -> ();
+            listed(list: Listing) -> ();
+            arrived(arrival: Arrival) -> bool;
+            answered_ahead(id: SubmissionId, held: bool) -> ();
+            started(id: SubmissionId, shot: u16) -> ();
+            settled(id: SubmissionId, shot: u16, ending: Ending, terminal: bool) -> ();
+            woken() -> ();
+            decide() -> Option<Decision>;
+        );
+    };
+}
+
+module!(tideroute::choice::Router);
+module!(before::choice::Router);
 
 fn terms() -> Terms {
     let track =
@@ -46,54 +109,61 @@
     }
 }
 
-/// Microseconds a submission, once as many are open as that rate brings; and how many were.
-fn cost(workers: u16, rate: u64, submissions: u64) -> (f64, usize) {
-    let mut now = 1_000_000;
-    let mut router = Router::new(terms(), 7, now);
-    router.list_anew(now);
-    for n in 0..workers {
+/// Microseconds within the module a submission, once as many are open as the size says, and how many were.
+fn cost<M: Module>(size: Size) -> (f64, usize) {
+    let mut now = START;
+    let mut module = M::begin(7);
+    module.list_anew(now);
+    for n in 0..size.workers {
         let worker = [10, 0, 0, (n >> 8) as u8, n as u8, 1];
         let (kind, cell, zone) = (u16::from(n % 3 != 0), n / 9, (n / 9 % 3) as u8);
         let standing = Standing::Ready;
-        router.listed(now, Listing { worker, kind, size: 8.0, standing, cell, zone, started: 0 });
+        module.listed(now, Listing { worker, kind, size: 8.0, standing, cell, zone, started: 0 });
     }
-    let gap = 10_000 / rate.max(1);
-    let warm_up = rate * 7;
-    let (mut due, mut order) = (BinaryHeap::<Due>::new(), 0u64);
-    let (mut came, mut shots) = (0u64, std::collections::HashMap::new());
-    let (mut open, mut began) = (0usize, Instant::now());
-    due.push(std::cmp::Reverse((now, 0, What::Arrive)));
-    while let Some(std::cmp::Reverse((at, _, what))) = due.pop() {
+    let gap = 10_000 / size.rate.max(1);
+    let warm_up = size.rate * (size.answer as u64 / 10_000 + 1);
+    let (mut due, mut order) = (BinaryHeap::<Reverse<(Tenths, u64, What)>>::new(), 0u64);
+    let (mut came, mut shots) = (0u64, HashMap::new());
+    let (mut open, mut took) = (0usize, Duration::ZERO);
+    due.push(Reverse((now, 0, What::Arrive)));
+    while let Some(Reverse((at, _, what))) = due.pop() {
         now = at;
         order += 1;
         match what {
             What::Arrive => {
                 came += 1;
                 if came == warm_up {
-                    began = Instant::now();
+                    took = Duration::ZERO;
                 }
-                if came == warm_up + submissions {
-                    let took = began.elapsed().as_secs_f64() * 1e6;
-                    return (took / submissions as f64, open);
+                if came == warm_up + size.measured {
+                    return (took.as_secs_f64() * 1e6 / size.measured as f64, open);
                 }
-                let (id, session, prefix) = (came, came % 997, came % 20);
-                let arrival = Arrival { id, track: 0, session, prefix, prompt: 800.0, left: 5_000 * MS };
-                assert!(router.arrived(now, arrival));
                 open += 1;
-                due.push(std::cmp::Reverse((now + gap as Tenths, order, What::Arrive)));
+                due.push(Reverse((now + gap as Tenths, order, What::Arrive)));
             }
-            What::Held(id) => router.answered_ahead(now, id, true),
-            What::Read(id, shot) => router.settled(now, id, shot, Ending::Read, false),
-            What::Start(id, shot) => router.started(now, id, shot),
-            What::End(id, shot) => {
-                router.settled(now, id, shot, Ending::Honoured, true);
-                open -= 1;
+            What::End(..) => open -= 1,
+            _ => {}
+        }
+        let began = Instant::now();
+        match what {
+            What::Arrive => {
+                let (session, prefix) = if size.alone { (came, 0) } else { (came % 997, came % 20) };
+                let arrival =
+                    Arrival { id: came, track: 0, session, prefix, prompt: 800.0, left: 5_000 * MS };
+                assert!(module.arrived(now, arrival));
             }
-            What::Wake => router.woken(now),
+            What::Held(id) => module.answered_ahead(now, id, true),
+            What::Read(id, shot) => module.settled(now, id, shot, Ending::Read, false),
+            What::Start(id, shot) => module.started(now, id, shot),
+            What::End(id, shot) => module.settled(now, id, shot, Ending::Honoured, true),
+            What::Wake => module.woken(now),
         }
-        while let Some(decision) = router.decide(now) {
+        let mut decisions = vec![];
+        decisions.extend(std::iter::from_fn(|| module.decide(now)));
+        took += began.elapsed();
+        for decision in decisions {
             order += 1;
-            let mut push = |after, what| due.push(std::cmp::Reverse((now + after, order, what)));
+            let mut push = |after, what| due.push(Reverse((now + after, order, what)));
             match decision {
                 Decision::Send { id, .. } => {
                     let shot = shots.entry(id).or_insert(0u16);
@@ -101,7 +171,7 @@
                         push(READ, What::Read(id, 0));
                     } else {
                         push(10 * MS, What::Start(id, *shot));
-                        push(ANSWER, What::End(id, *shot));
+                        push(size.answer, What::End(id, *shot));
                     }
                     *shot += 1;
                 }
@@ -115,17 +185,51 @@
     unreachable!("arrivals never end")
 }
 
+fn line(size: Size) {
+    let runs = (0..RUNS).map(|_| cost::<tideroute::choice::Router>(size));
+    let (now, open) = runs.min_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default();
+    let (then, _) = cost::<before::choice::Router>(Size { measured: size.measured.min(300), ..size });
+    let who = if size.alone { "alone" } else { "shared" };
+    let (workers, rate) = (size.workers, size.rate);
+    println!("{workers:>7}{rate:>9}{open:>9}{who:>9}{now:>9.1}{then:>10.1}{:>8.1}", then / now);
+}
+
+/// Nanoseconds to the reader tried first, kept and sorted anew.
+fn orders() {
+    println!("\nreaders   kept, ns   a new key, ns   sorted each time, ns");
+    for readers in [13u16, 37, 133, 400] {
+        let shares: Vec<_> = (0..readers).map(|n| ([10, 0, 0, (n >> 8) as u8, n as u8, 1], 1.0)).collect();
+        let mut ranking = Ranking::default();
+        ranking.anew(shares.clone());
+        let time = |look: &mut dyn FnMut(u64)| {
+            let began = Instant::now();
+            (0..20_000).for_each(look);
+            began.elapsed().as_nanos() as f64 / 20_000.0
+        };
+        let kept = time(&mut |n| _ = black_box(ranking.nth(n % 500, 0)));
+        let fresh = time(&mut |n| _ = black_box(ranking.nth(n + 1_000, 0)));
+        let plain = time(&mut |n| {
+            let ranks = shares.iter().map(|(id, share)| (share / -draw(n, *id).ln(), *id));
+            let mut ranks: Vec<_> = ranks.collect();
+            ranks.sort_by(|a, b| b.0.total_cmp(&a.0));
+            black_box(ranks);
+        });
+        println!("{readers:>7}{kept:>11.0}{fresh:>16.0}{plain:>23.0}");
+    }
+}
+
 fn main() {
-    println!("workers   a second      open   us a submission");
-    for (workers, rate, submissions) in [
-        (40, 100, 1000),
-        (110, 100, 1000),
-        (110, 300, 1000),
-        (110, 1_000, 1000),
-        (400, 1_000, 500),
-        (1_200, 1_000, 200),
-    ] {
-        let (took, open) = cost(workers, rate, submissions);
-        println!("{workers:>7}{rate:>11}{open:>10}{took:>18.1}");
+    println!("workers a second     open     keys   us now    before   ratio");
+    let size = Size { workers: 40, rate: 100, answer: 6_000 * MS, measured: 2_000, alone: false };
+    for workers in [40, 110, 400, 1_200] {
+        for answer in [6_000, 60_000, 600_000] {
+            line(Size { workers, answer: answer * MS, ..size });
+        }
+    }
+    for (workers, rate, alone) in
+        [(110, 300, false), (400, 1_000, false), (1_200, 5_000, false), (40, 100, true), (1_200, 100, true)]
+    {
+        line(Size { workers, rate, alone, ..size });
     }
+    orders();
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -2,11 +2,15 @@
 //! public calls, which only update what is known; after them it pulls `decide` until that gives None.
 //! The types at the edge are in `interface.rs`; the reasons are in `docs/design.md`.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use crate::chance::Chance;
 use crate::fading::{Fading, FadingMean};
 use crate::interface::*;
+use crate::ledger::{Booked, Ledger};
+use crate::needs::{Filed, Need, Needs};
+use crate::ranking::draw;
+use crate::roster::Roster;
 
 /// Prompt tokens of this router that may wait at a reader before reads spill.
 const SPILL: f64 = 4_000.0;
@@ -40,6 +44,8 @@
 const RESTS: u32 = 4;
 /// Tenths: the memory of losses, flows and which prefixes come: some forty submissions at one a second.
 const KNOWN: Tenths = 400_000;
+/// A prefix seen less than so often of late is forgotten.
+const FADED: f64 = 0.01;
 /// Standard deviations of a sum of many routers' chances that stay free at a cold worker.
 const SPREAD: f64 = 2.5;
 /// Shots that a fresh worker may have out before its first answer.
@@ -64,12 +70,6 @@
 struct Worker {
     list: Listing,
     role: Role,
-    tokens: f64,
-    reads: u32,
-    streams: u32,
-    /// Those of them that have begun to answer.
-    begun: u32,
-    oldest: Tenths,
     answers: u32,
     fresh_from: Tenths,
     read_wait: FadingMean,
@@ -112,6 +112,8 @@
     let_go: bool,
     let_in: bool,
     ended: bool,
+    booked: Booked,
+    filed: Filed,
 }
 
 #[derive(Default)]
@@ -119,9 +121,14 @@
     terms: Terms,
     chance: Chance,
     workers: BTreeMap<WorkerId, Worker>,
-    open: BTreeMap<SubmissionId, Submission>,
-    /// Those whose answer streams: until it ends nothing is decided about them, so that no survey meets them.
-    streaming: BTreeMap<SubmissionId, Submission>,
+    open: HashMap<SubmissionId, Submission>,
+    /// Those that events, and decisions, changed since what is out was last counted.
+    touched: BTreeSet<SubmissionId>,
+    looked: Vec<SubmissionId>,
+    ledger: Ledger,
+    needs: Needs,
+    /// Workers that rest or are suspected.
+    watched: BTreeSet<WorkerId>,
     ready: VecDeque<Decision>,
     surveyed: bool,
     /// No reader takes any more: the rest of a flood need not look.
@@ -131,11 +138,11 @@
     /// By track, how long first tokens take and, apart, reads.
     waits: [BTreeMap<u8, FadingMean>; 2],
     cross_wait: FadingMean,
-    /// Readers and mixed workers that are ready, and their parts of all reads.
-    shares: BTreeMap<WorkerId, f64>,
+    roster: Roster,
     relisted: bool,
-    /// How often each prefix was seen lately, and all submissions.
+    /// How often each prefix was seen lately, and all submissions; the size at which it is swept.
     seen: BTreeMap<u64, Fading>,
+    sweep: usize,
     all_seen: Fading,
     /// What was lately sent to and answered by writers and by readers.
     flows: [(Fading, Fading); 2],
@@ -183,29 +190,39 @@
         let stretch = track.per_thousand as f64 * arrival.prompt.max(0.0) / 1000.0;
         self.all_seen.add(now, KNOWN, 1.0);
         if arrival.prefix != 0 {
-            self.seen.entry(arrival.prefix).or_default().add(now, KNOWN, 1.0);
-            self.seen.retain(|_, s| s.read(now, KNOWN) > 0.01);
+            let seen = self.seen.entry(arrival.prefix).or_default();
+            if seen.read(now, KNOWN) <= FADED {
+                *seen = Fading::default();
+            }
+            seen.add(now, KNOWN, 1.0);
+            if self.seen.len() > self.sweep {
+                self.seen.retain(|_, s| s.read(now, KNOWN) > FADED);
+                self.sweep = 2 * self.seen.len();
+            }
         }
         let contract = now + track.contract + stretch as Tenths;
         let (came, cut_off) = (now, now + arrival.left);
         let submission = Submission { arrival, came, contract, cut_off, since: now, ..Submission::default() };
-        self.open.insert(arrival.id, submission);
+        if let Some(mut old) = self.open.insert(arrival.id, submission) {
+            self.needs.file(arrival.id, old.arrival.track, &mut old.filed, Filed::default());
+            self.ledger.leave(arrival.id, old.booked);
+        }
+        self.touched.insert(arrival.id);
         true
     }
 
     pub fn started(&mut self, now: Tenths, id: SubmissionId, shot: u16) {
         let Some(submission) = self.open.get_mut(&id) else { return };
-        let Some(out) = submission.out.as_mut().filter(|out| out.number == shot) else { return };
+        let Some(out) = submission.out.as_mut().filter(|out| out.number == shot && !out.started) else {
+            return;
+        };
         out.started = true;
         if out.cross {
             self.cross_wait.add(now, MEMORY, (now - out.sent) as f64);
         }
         (submission.state, submission.place, submission.let_go) = (None, None, false);
         let (worker, sent, track) = (out.worker, out.sent, submission.arrival.track);
-        if let Some(w) = self.workers.get_mut(&worker) {
-            w.begun += 1;
-            self.streaming.extend(self.open.remove_entry(&id));
-        }
+        self.touched.insert(id);
         self.answered(now, worker, track, 0, now - sent);
     }
 
@@ -225,19 +242,16 @@
         let Some(submission) = self.open.get_mut(&id) else { return };
         let Some((writer, _)) = submission.place else { return };
         submission.place = held.then_some((writer, true));
+        self.touched.insert(id);
         if let Some(w) = self.workers.get_mut(&writer) {
             w.denied = if held { now - BELIEF } else { now };
         }
     }
 
     pub fn settled(&mut self, now: Tenths, id: SubmissionId, shot: u16, ending: Ending, terminal: bool) {
-        if let Some((id, submission)) = self.streaming.remove_entry(&id) {
-            let worker = submission.out.as_ref().and_then(|out| self.workers.get_mut(&out.worker));
-            worker.into_iter().for_each(|w| w.begun -= 1);
-            self.open.insert(id, submission);
-        }
         let Some(submission) = self.open.get_mut(&id) else { return };
         let Some(out) = submission.out.take_if(|out| out.number == shot) else { return };
+        self.touched.insert(id);
         submission.since = now;
         submission.ended |= terminal;
         let proven = matches!(
@@ -269,7 +283,10 @@
                     self.waits[1].entry(track).or_default().add(now, MEMORY, all);
                 }
             }
-            Ending::Unreachable | Ending::Broken => worker.rest(now, 1.0 + self.chance.unit()),
+            Ending::Unreachable | Ending::Broken => {
+                worker.rest(now, 1.0 + self.chance.unit());
+                self.watched.insert(out.worker);
+            }
             Ending::Fault => self.judge(now, out.worker, track, 1.0),
             Ending::TimedOut | Ending::Withdrawn | Ending::NeverSent => {}
         }
@@ -280,12 +297,17 @@
         self.losses.entry(track).or_default().add(now, KNOWN, lost);
         let Some(w) = self.workers.get_mut(&worker) else { return };
         w.losses.entry(track).or_default().add(now, KNOWN, lost);
-        w.suspect |= lost > 0.0;
+        if lost > 0.0 {
+            w.suspect = true;
+            self.watched.insert(worker);
+        }
     }
 
     pub fn dropped(&mut self, _now: Tenths, id: SubmissionId) {
-        let held = self.open.get_mut(&id).or_else(|| self.streaming.get_mut(&id));
-        held.into_iter().for_each(|s| s.ended = true);
+        if let Some(s) = self.open.get_mut(&id) {
+            s.ended = true;
+            self.touched.insert(id);
+        }
     }
 
     pub fn woken(&mut self, now: Tenths) {
@@ -297,6 +319,7 @@
         w.probing = false;
         if !well {
             w.rest(now, 1.0 + self.chance.unit());
+            self.watched.insert(worker);
         } else if w.rests_until > 0 {
             w.back(now);
         }
@@ -316,76 +339,126 @@
         if std::mem::take(&mut self.relisted) {
             self.share_out();
         }
-        self.count(now);
+        let touched = std::mem::take(&mut self.touched);
+        self.count(&touched);
         self.shut = false;
         if self.subscribe.take_if(|at| *at <= now).is_some() {
             self.ready.push_back(Decision::Subscribe);
         }
         let mut open = std::mem::take(&mut self.open);
-        for s in open.values_mut() {
+        for id in &touched {
+            let Some(s) = open.get_mut(id) else { continue };
             if s.let_go || (s.ended && s.out.is_none() && (s.state.is_some() || s.place.is_some())) {
                 self.let_go(s);
             }
+            self.file(id, false, &mut open);
         }
-        open.retain(|_, s| !s.ended || s.out.is_some());
-        self.watch(now, &mut open);
-        let mut order: Vec<_> = open
-            .iter()
-            .filter(|(_, s)| !s.ended)
-            .map(|(&id, s)| (s.state.is_none(), s.contract, id))
-            .collect();
-        order.sort_unstable();
+        self.watch(now, &touched, &mut open);
+        self.look(now, &mut open);
         let mut waits = false;
-        for (.., id) in order {
-            let Some(s) = open.get_mut(&id) else { continue };
+        for id in std::mem::take(&mut self.looked) {
+            self.file(&id, true, &mut open);
+            waits |= open.get(&id).is_some_and(|s| s.out.is_none());
+            self.looked.push(id);
+        }
+        waits |= self.needs.any_parked();
+        let busy = self.needs.any_awaited();
+        let resting = self.watched.iter().any(|id| self.workers[id].rests_until > 0);
+        self.open = open;
+        let pause = if waits { LOOK } else { WATCH };
+        if (waits || busy || resting || self.subscribe.is_some()) && self.wake > now + pause {
+            self.wake = now + pause;
+            self.ready.push_back(Decision::Wake { after: pause });
+        }
+    }
+
+    /// Decides about all that need it, best first; once no reader takes any more, about those that a look can
+    /// still change.
+    fn look(&mut self, now: Tenths, open: &mut HashMap<SubmissionId, Submission>) {
+        let (mut last, mut due) = (None, None);
+        loop {
+            let next = if self.shut {
+                let due = due.get_or_insert_with(|| self.parked_due(now, open));
+                self.needs.next_eager(last, due)
+            } else {
+                self.needs.next(last)
+            };
+            let Some(need) = next else { return };
+            last = Some(need);
+            let Some(s) = open.get_mut(&need.2) else { continue };
             if s.out.is_none() {
                 self.forward(now, s);
-                waits |= s.out.is_none() && !s.ended;
             } else {
                 self.ask(now, s);
             }
+            self.looked.push(need.2);
         }
-        open.retain(|_, s| !s.ended || s.out.is_some());
-        let busy = open.values().any(|s| s.out.as_ref().is_some_and(|o| !o.started));
-        let resting = self.workers.values().any(|w| w.rests_until > 0);
-        self.open = open;
-        let pause = if waits { LOOK } else { WATCH };
-        if (waits || busy || resting || self.subscribe.is_some()) && self.wake > now + pause {
-            self.wake = now + pause;
-            self.ready.push_back(Decision::Wake { after: pause });
+    }
+
+    /// Those parked that may be hopeless or have to end by now.
+    fn parked_due(&mut self, now: Tenths, open: &HashMap<SubmissionId, Submission>) -> BTreeSet<Need> {
+        let mut due = BTreeSet::new();
+        for track in self.needs.tracks() {
+            let until = now + (self.usual(now, track) * SLACK) as Tenths + LOOK;
+            due.extend(self.needs.parked(track, until).filter_map(|id| open.get(&id)?.filed.need));
         }
+        due
     }
 
-    /// Counts anew what this router has out at each worker.
-    fn count(&mut self, now: Tenths) {
-        for w in self.workers.values_mut() {
-            (w.tokens, w.reads, w.streams, w.oldest) = (0.0, 0, w.begun, now);
+    /// Brings what this router has out at each worker up to date.
+    fn count(&mut self, touched: &BTreeSet<SubmissionId>) {
+        self.ledger.close();
+        for id in std::mem::take(&mut self.looked).iter().chain(touched) {
+            let Some(s) = self.open.get_mut(id) else { continue };
+            self.ledger.book(*id, s.booked, false);
+            s.booked = s.occupies();
+            self.ledger.book(*id, s.booked, true);
         }
-        for s in self.open.values() {
-            if let Some(out) = &s.out {
-                if let Some(w) = self.workers.get_mut(&out.worker) {
-                    if out.reading {
-                        w.reads += 1;
-                        w.tokens += s.arrival.prompt;
-                    } else {
-                        w.streams += 1;
-                    }
-                    w.oldest = if out.started { w.oldest } else { w.oldest.min(out.sent) };
-                }
-            }
-            if let Some((place, _)) = s.place.filter(|(p, _)| s.out.as_ref().is_none_or(|o| o.worker != *p)) {
-                if let Some(w) = self.workers.get_mut(&place) {
-                    w.streams += 1;
-                }
+    }
+
+    /// Files a submission as it now stands, or takes it off all books if it is over.
+    fn file(&mut self, id: &SubmissionId, looked: bool, open: &mut HashMap<SubmissionId, Submission>) {
+        let Some(s) = open.get_mut(id) else { return };
+        let (track, mut to) = (s.arrival.track, Filed::default());
+        if let Some(out) = s.out.as_ref().filter(|out| !out.started) {
+            let least = (s.contract - s.came) as f64 * PATIENCE_LEAST;
+            to.doubt = Some(out.sent + least as Tenths);
+        }
+        let asks = |out: &Shot| out.reading && !out.withdrawn && s.place.is_none() && self.terms.places;
+        if !s.ended && s.out.as_ref().is_none_or(asks) {
+            to.need = Some((s.state.is_none(), s.contract, *id));
+            if looked && s.out.is_none() && s.state.is_none() {
+                let window = match self.terms.tracks[usize::from(track)].repeat {
+                    Repeat::Referenced { window, .. } => s.ran.map(|(first, _)| first + window),
+                    _ => None,
+                };
+                to.parked = Some(s.contract.min(s.cut_off).min(window.unwrap_or(s.cut_off)));
             }
         }
+        self.needs.file(*id, track, &mut s.filed, to);
+        if s.ended && s.out.is_none() {
+            self.ledger.leave(*id, s.booked);
+            open.remove(id);
+        }
     }
 
     /// Guards against answers that never come, of a worker or of one track there: a shot out for some times
     /// the usual wait is called back where it may run again and counts against its worker there. Its age is
     /// a wait too, so that patience grows when all is slow. Harms when a slow read is taken for lost.
-    fn watch(&mut self, now: Tenths, open: &mut BTreeMap<SubmissionId, Submission>) {
-        for (&id, s) in open {
+    fn watch(
+        &mut self,
+        now: Tenths,
+        touched: &BTreeSet<SubmissionId>,
+        open: &mut HashMap<SubmissionId, Submission>,
+    ) {
+        // No other shot can be called back: it is too young to be lost, awaited, and at a worker that works.
+        let mut suspects: BTreeSet<_> = self.needs.doubtful(now).collect();
+        suspects.extend(touched.iter().filter(|id| open.get(id).is_some_and(|s| s.ended)));
+        for id in self.watched.iter().filter(|id| self.workers[*id].rests_until > 0) {
+            suspects.extend(self.ledger.at(*id).awaited.iter().map(|(_, id)| id));
+        }
+        for id in suspects {
+            let Some(s) = open.get_mut(&id) else { continue };
             let repeat = self.terms.tracks[usize::from(s.arrival.track)].repeat;
             let Some(out) = s.out.as_mut().filter(|o| !o.started && !o.withdrawn) else { continue };
             let resting = self.workers.get(&out.worker).is_some_and(|w| w.rests_until > 0);
@@ -408,7 +481,10 @@
                 self.ready.push_back(Decision::Withdraw { id, shot: out.number });
             }
         }
-        for (&id, w) in self.workers.iter_mut().filter(|(_, w)| w.list.standing != Standing::Gone) {
+        for &id in &self.watched {
+            let Some(w) = self.workers.get_mut(&id).filter(|w| w.list.standing != Standing::Gone) else {
+                continue;
+            };
             let rested = w.rests_until > 0 && now >= w.rests_until;
             if self.terms.probes && !w.probing && (rested || w.suspect && w.rests_until == 0) {
                 (w.probing, w.suspect) = (true, false);
@@ -417,15 +493,18 @@
                 w.back(now);
             }
         }
+        let workers = &self.workers;
+        self.watched.retain(|id| workers[id].suspect || workers[id].rests_until > 0);
     }
 
     /// Whether a shot or place may go to the worker, a choice for all or for those read in one cell.
     fn usable(&mut self, now: Tenths, id: WorkerId, (ticket, track): Ticket, cell: Option<u16>) -> bool {
         let Some(w) = self.workers.get(&id) else { return false };
+        let load = self.ledger.at(id);
         let fresh = now - w.fresh_from < self.terms.warm_after && w.fresh_from > 0;
         let cold = w.cold(now, self.terms.warm_after);
         w.alive()
-            && !(fresh && w.reads + w.streams >= FRESH + w.answers)
+            && !(fresh && load.reads + load.streams >= FRESH + w.answers)
             && !self.doubted(now, id, track)
             && (!cold || self.lot(now, id, ticket, cell))
     }
@@ -442,12 +521,10 @@
     /// there, so few that their sum stays under the stated multiple of what it can do by some times its own
     /// spread, reckoned from what warm peers answer. Harms where many are cold: they do little till warm.
     fn lot(&mut self, now: Tenths, id: WorkerId, ticket: SubmissionId, cell: Option<u16>) -> bool {
-        let flow = cell.map_or(1.0, |cell| self.flow(cell));
+        let flow = cell.map_or(1.0, |cell| self.roster.part(cell));
         let (t, w) = (&self.terms, &self.workers[&id]);
-        let kin = self.workers.values().filter(|k| k.role == w.role && k.list.standing == Standing::Ready);
-        let (all, warm) = kin.fold((0.0, 0.0), |(all, warm), k| {
-            (all + 1.0, warm + f64::from(u8::from(!k.cold(now, t.warm_after))))
-        });
+        let (all, warm) = self.roster.ready(w.role, now, t.warm_after);
+        let (all, warm) = (all as f64, warm as f64);
         let (sent, done) = &mut self.flows[usize::from(w.role == Role::Reader)];
         let (sent, done) = (sent.read(now, KNOWN), done.read(now, KNOWN));
         let part = (now - w.list.started) as f64 / t.warm_after as f64;
@@ -478,34 +555,37 @@
         };
         let readers = self.workers.iter().filter(|(_, w)| ready(w) && w.role != Role::Writer);
         let leans: Vec<_> = readers.map(|(&id, w)| (id, w.list.size.max(0.01), lean(w))).collect();
-        let mut scale = 1.0;
+        let (mut scale, mut shares) = (1.0, vec![]);
         for _ in 0..ROUNDS {
             let parts = leans.iter().map(|&(id, size, l)| (id, size * (l * scale).clamp(LEAN_LEAST, LEAN)));
-            self.shares = parts.collect();
-            scale *= leans.iter().map(|l| l.1).sum::<f64>() / self.shares.values().sum::<f64>().max(0.01);
+            shares = parts.collect();
+            scale *= leans.iter().map(|l| l.1).sum::<f64>()
+                / shares.iter().map(|(_, part)| part).sum::<f64>().max(0.01);
         }
+        let workers = self.workers.values().map(|w| (&w.list, w.role));
+        self.roster = Roster::new(workers, shares);
     }
 
-    /// Readers and mixed workers, best first, by rendezvous hashing of the prefix or session.
-    fn readers(&mut self, now: Tenths, arrival: &Arrival) -> Vec<WorkerId> {
-        let key = if arrival.prefix != 0 { arrival.prefix } else { arrival.session };
-        let mut ranked = Vec::new();
-        let shares = std::mem::take(&mut self.shares);
-        for (&id, share) in &shares {
-            // A cold reader that the submission drew comes first, or its part would fall to the hash again.
-            let cold = self.workers[&id].cold(now, self.terms.warm_after);
-            let drawn = cold && self.lot(now, id, arrival.id, None);
-            let rank = if drawn { f64::MAX } else { share / -draw(key, id).ln() };
-            ranked.push((rank, id));
-        }
-        self.shares = shares;
-        ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
+    /// The readers to try first, by rendezvous hashing of the prefix or session, and how many of its order these
+    /// take up.
+    fn readers(&mut self, now: Tenths, arrival: &Arrival) -> (Vec<WorkerId>, usize) {
+        let key = arrival.key();
+        // A cold reader that the submission drew comes first, or its part would fall to the hash again.
+        let mut first = self.roster.cold_readers(now, self.terms.warm_after);
+        first.retain(|id| self.lot(now, *id, arrival.id, None));
         // Exception to one home: a prefix has as many as its part of all needs, shared out by session.
-        let drawn = ranked.iter().take_while(|(rank, _)| *rank == f64::MAX).count();
-        let homes = self.homes(now, arrival.prefix, ranked.len()).min(ranked.len() - drawn);
-        ranked[drawn..drawn + homes]
-            .sort_by(|a, b| draw(arrival.session, b.1).total_cmp(&draw(arrival.session, a.1)));
-        ranked.into_iter().map(|(_, id)| id).collect()
+        let (drawn, readers) = (first.len(), self.roster.readers.len());
+        let homes = self.homes(now, arrival.prefix, readers).min(readers - drawn);
+        let mut place = 0;
+        while first.len() < drawn + homes {
+            let Some(id) = self.roster.readers.nth(key, place) else { break };
+            place += 1;
+            if !first[..drawn].contains(&id) {
+                first.push(id);
+            }
+        }
+        first[drawn..].sort_by_cached_key(|id| std::cmp::Reverse(draw(arrival.session, *id).to_bits()));
+        (first, place)
     }
 
     /// How many readers a prefix takes: its part of what this router has seen, less what chance adds to it.
@@ -518,21 +598,15 @@
 
     /// Whether a writer in the cell, or beyond it through the gate, may grant.
     fn grants(&mut self, now: Tenths, cell: u16, ticket: Ticket) -> bool {
-        let writers = self.writers(|w| !w.tight(now));
-        writers.into_iter().any(|id| {
+        let writers = std::mem::take(&mut self.roster.writers);
+        let grants = writers.iter().any(|&id| {
             let near = self.workers[&id].list.cell == cell;
-            (near || self.gate(now)) && self.usable(now, id, ticket, near.then_some(cell))
-        })
-    }
-
-    fn writers(&self, fits: impl Fn(&Worker) -> bool) -> Vec<WorkerId> {
-        self.workers.iter().filter(|(_, w)| w.role != Role::Reader && fits(w)).map(|(&id, _)| id).collect()
-    }
-
-    /// The part of all reads that a cell's readers take.
-    fn flow(&self, cell: u16) -> f64 {
-        let own = self.shares.iter().filter(|(id, _)| self.workers[*id].list.cell == cell);
-        own.map(|(_, share)| share).sum::<f64>() / self.shares.values().sum::<f64>().max(0.01)
+            !self.workers[&id].tight(now)
+                && (near || self.gate(now))
+                && self.usable(now, id, ticket, near.then_some(cell))
+        });
+        self.roster.writers = writers;
+        grants
     }
 
     /// Of the writers that fit, in the reader's cell or beyond it, the usable one with the fewest own streams
@@ -544,13 +618,16 @@
         (near, cell, zone): (bool, u16, u8),
         fits: impl Fn(&Worker) -> bool,
     ) -> Option<WorkerId> {
-        let mut fitting = self.writers(|w| (w.list.cell == cell) == near && fits(w));
+        let writers = if near { self.roster.near(cell) } else { &self.roster.writers };
+        let in_place = |w: &&Worker| (w.list.cell == cell) == near && fits(w);
+        let mut fitting = writers.to_vec();
+        fitting.retain(|id| self.workers.get(id).filter(in_place).is_some());
         fitting.retain(|&id| self.usable(now, id, ticket, near.then_some(cell)));
         // Ties go by chance: of many routers most have no stream there, and the first id would get them all.
         let mut best: Option<((bool, bool, f64, f64), WorkerId)> = None;
         for id in fitting {
             let w = &self.workers[&id];
-            let own = f64::from(w.streams) / w.list.size.max(0.01);
+            let own = f64::from(self.ledger.at(id).streams) / w.list.size.max(0.01);
             let warm = !w.cold(now, self.terms.warm_after);
             let rank = (w.list.zone != zone, warm, own, self.chance.unit());
             best = Some(best.filter(|b| b.0 <= rank).unwrap_or((rank, id)));
@@ -613,26 +690,39 @@
             return None;
         }
         let ticket = (s.arrival.id, s.arrival.track);
-        let readers = self.readers(now, &s.arrival);
-        if readers.is_empty() && self.terms.writers_read {
+        if self.roster.readers.is_empty() && self.terms.writers_read {
             return self.least(now, ticket, (false, u16::MAX, 0), |w| now >= w.denied + DENIAL);
         }
         self.shut = true;
         let usable_wait = (s.contract - s.came) as f64 * READING;
         let mut past: Option<(f64, WorkerId)> = None;
-        for id in readers {
+        let (first, mut place) = self.readers(now, &s.arrival);
+        let (key, mut tried) = (s.arrival.key(), 0);
+        loop {
+            let id = if let Some(id) = first.get(tried) {
+                *id
+            } else {
+                place += 1;
+                match self.roster.readers.nth(key, place - 1) {
+                    Some(id) if first.contains(&id) => continue,
+                    Some(id) => id,
+                    None => break,
+                }
+            };
+            tried += 1;
             if !self.usable(now, id, ticket, None) {
                 continue;
             }
             let Some(w) = self.workers.get_mut(&id) else { continue };
-            let slow =
-                w.read_wait.read(now, MEMORY).unwrap_or(0.0).max((now - w.oldest) as f64) > usable_wait;
+            let load = self.ledger.at(id);
+            let slow = w.read_wait.read(now, MEMORY).unwrap_or(0.0).max((now - load.oldest(now)) as f64)
+                > usable_wait;
             let (cell, mixed) = (w.list.cell, w.role == Role::Mixed);
-            let tokens = if w.reads > 0 { w.tokens + s.arrival.prompt } else { 0.0 };
-            if now < w.denied + DENIAL || w.reads > 0 && w.tokens > SPILL * FILLED {
+            let tokens = if load.reads > 0 { load.tokens + s.arrival.prompt } else { 0.0 };
+            if now < w.denied + DENIAL || load.reads > 0 && load.tokens > SPILL * FILLED {
                 continue;
             }
-            let busy = w.reads > 0 && slow || tokens > SPILL * FILLED;
+            let busy = load.reads > 0 && slow || tokens > SPILL * FILLED;
             // Exception to the wait: a reader further down whose cell grants is taken first.
             if !mixed && !self.grants(now, cell, ticket) {
                 continue;
@@ -695,10 +785,8 @@
         let Some(worker) = writer.filter(|&w| self.may_run(now, s, w)) else { return };
         s.asked.push(worker);
         s.place = Some((worker, false));
-        if let Some(w) = self.workers.get_mut(&worker) {
-            // A place is a send to come: a cold writer's cap must know of it from the start.
-            w.streams += 1;
-        }
+        // A place is a send to come: a cold writer's cap must know of it from the start.
+        self.ledger.add_ahead(worker, None);
         self.ready.push_back(Decision::Hold { id: s.arrival.id, worker });
     }
 
@@ -706,12 +794,11 @@
         let number = s.shots;
         s.shots += 1;
         s.out = Some(Shot { number, worker, reading, sent: now, cross, ..Shot::default() });
-        if let Some(w) = self.workers.get_mut(&worker) {
+        if self.workers.contains_key(&worker) {
             if reading {
-                w.reads += 1;
-                w.tokens += s.arrival.prompt;
+                self.ledger.add_ahead(worker, Some(s.arrival.prompt));
             } else if s.place.is_none_or(|(p, _)| p != worker) {
-                w.streams += 1;
+                self.ledger.add_ahead(worker, None);
             }
             self.flows[usize::from(reading)].0.add(now, KNOWN, 1.0);
         }
@@ -782,6 +869,17 @@
     }
 }
 
+impl Submission {
+    fn occupies(&self) -> Booked {
+        let shot = self.out.as_ref().map(|out| {
+            let prompt = (out.reading && !out.started).then_some(self.arrival.prompt);
+            (out.worker, prompt, (!out.started).then_some(out.sent))
+        });
+        let place = self.place.map(|(place, _)| place);
+        Booked { shot, place: place.filter(|p| shot.is_none_or(|(worker, ..)| worker != *p)) }
+    }
+}
+
 impl Worker {
     /// Back through a trickle: the cap on what is in flight starts anew.
     fn back(&mut self, now: Tenths) {
@@ -816,12 +914,3 @@
     let (lost, shots) = losses.sums(now, KNOWN);
     (lost + 2.0 * RARE) / (shots + 2.0)
 }
-
-/// A number between 0 and 1 that depends only on the key and the worker.
-fn draw(key: u64, worker: WorkerId) -> f64 {
-    let mut x = worker.iter().fold(key, |x, &b| (x ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
-    for _ in 0..2 {
-        x = (x ^ (x >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    }
-    ((x >> 12) as f64 + 0.5) / (1u64 << 52) as f64
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -112,6 +112,17 @@
     pub left: Tenths,
 }
 
+impl Arrival {
+    /// What its reads are placed by: the prefix that it shares, or its session.
+    pub fn key(&self) -> u64 {
+        if self.prefix != 0 {
+            self.prefix
+        } else {
+            self.session
+        }
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum Decision {
     Send {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,3 +4,7 @@
 pub mod choice;
 pub mod fading;
 pub mod interface;
+pub mod ledger;
+pub mod needs;
+pub mod ranking;
+pub mod roster;
--- /dev/null
+++ b/src/needs.rs
@@ -0,0 +1,92 @@
+//! Who needs a decision, filed as it changes, so that a look costs what happens and not what is open. It decides
+//! nothing: the choices say what to file and until when to look.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+
+use crate::interface::{SubmissionId, Tenths};
+
+/// The order of decisions: whether nothing is read yet, then by contract time.
+pub type Need = (bool, Tenths, SubmissionId);
+
+/// Under what a submission stands.
+#[derive(Clone, Copy, Default)]
+pub struct Filed {
+    /// It needs a decision.
+    pub need: Option<Need>,
+    /// While no reader takes any more a look changes nothing about it before this time.
+    pub parked: Option<Tenths>,
+    /// Its shot has not begun to answer, and may from then on count as lost.
+    pub doubt: Option<Tenths>,
+}
+
+#[derive(Default)]
+pub struct Needs {
+    all: BTreeSet<Need>,
+    eager: BTreeSet<Need>,
+    parked: BTreeMap<u8, BTreeSet<(Tenths, SubmissionId)>>,
+    doubtful: BTreeSet<(Tenths, SubmissionId)>,
+}
+
+impl Needs {
+    /// Files a submission of a track anew, `filed` being where it stands so far.
+    pub fn file(&mut self, id: SubmissionId, track: u8, filed: &mut Filed, to: Filed) {
+        let old = std::mem::replace(filed, to);
+        if let Some(need) = old.need {
+            self.all.remove(&need);
+            self.eager.remove(&need);
+        }
+        if let (Some(at), Some(parked)) = (old.parked, self.parked.get_mut(&track)) {
+            parked.remove(&(at, id));
+        }
+        if let Some(at) = old.doubt {
+            self.doubtful.remove(&(at, id));
+        }
+        self.all.extend(to.need);
+        match to.parked {
+            Some(at) => _ = self.parked.entry(track).or_default().insert((at, id)),
+            None => self.eager.extend(to.need),
+        }
+        self.doubtful.extend(to.doubt.map(|at| (at, id)));
+    }
+
+    /// The next of all that need a decision.
+    pub fn next(&self, last: Option<Need>) -> Option<Need> {
+        self.all.range(after(last)).next().copied()
+    }
+
+    /// The next of those that are not parked, or are in `due`.
+    pub fn next_eager(&self, last: Option<Need>, due: &BTreeSet<Need>) -> Option<Need> {
+        let firsts = [&self.eager, due].map(|set| set.range(after(last)).next());
+        firsts.into_iter().flatten().min().copied()
+    }
+
+    /// The tracks of which any was ever parked.
+    pub fn tracks(&self) -> Vec<u8> {
+        self.parked.keys().copied().collect()
+    }
+
+    /// Those of a track that are parked no longer than until then.
+    pub fn parked(&self, track: u8, until: Tenths) -> impl Iterator<Item = SubmissionId> + '_ {
+        let parked = self.parked.get(&track).into_iter();
+        parked.flat_map(move |p| p.range(..=(until, SubmissionId::MAX)).map(|(_, id)| *id))
+    }
+
+    pub fn any_parked(&self) -> bool {
+        self.parked.values().any(|p| !p.is_empty())
+    }
+
+    /// Those whose shot may count as lost by now.
+    pub fn doubtful(&self, now: Tenths) -> impl Iterator<Item = SubmissionId> + '_ {
+        self.doubtful.range(..=(now, SubmissionId::MAX)).map(|(_, id)| *id)
+    }
+
+    /// Whether any shot has not begun to answer.
+    pub fn any_awaited(&self) -> bool {
+        !self.doubtful.is_empty()
+    }
+}
+
+fn after(last: Option<Need>) -> (Bound<Need>, Bound<Need>) {
+    (last.map_or(Bound::Unbounded, Bound::Excluded), Bound::Unbounded)
+}
--- /dev/null
+++ b/src/roster.rs
@@ -0,0 +1,74 @@
+//! The list of workers as choices look into it, made anew when it changes. It decides nothing.
+
+use std::collections::BTreeMap;
+
+use crate::interface::{Listing, Role, Standing, Tenths, WorkerId};
+use crate::ranking::Ranking;
+
+#[derive(Default)]
+pub struct Roster {
+    /// Readers and mixed workers that are ready, by their parts of all reads.
+    pub readers: Ranking,
+    /// Of them those of which a start is known, and when it was.
+    started: Vec<(Tenths, WorkerId)>,
+    /// The part of all reads that the readers of a cell take.
+    parts: BTreeMap<u16, f64>,
+    /// Writers and mixed workers, all and by cell.
+    pub writers: Vec<WorkerId>,
+    near: BTreeMap<u16, Vec<WorkerId>>,
+    /// By role, how many are ready, and the known starts of them in order.
+    kin: [(usize, Vec<Tenths>); 3],
+}
+
+impl Roster {
+    /// Workers, and the parts of all reads of those that read, both by id.
+    pub fn new<'a>(
+        workers: impl Iterator<Item = (&'a Listing, Role)>,
+        shares: Vec<(WorkerId, f64)>,
+    ) -> Roster {
+        let mut roster = Roster::default();
+        let all = shares.iter().map(|(_, part)| part).sum::<f64>().max(0.01);
+        let mut share = shares.iter().peekable();
+        for (list, role) in workers {
+            if let Some((id, part)) = share.next_if(|(id, _)| *id == list.worker) {
+                *roster.parts.entry(list.cell).or_default() += part;
+                roster.started.extend((list.started > 0).then_some((list.started, *id)));
+            }
+            if role != Role::Reader {
+                roster.writers.push(list.worker);
+                roster.near.entry(list.cell).or_default().push(list.worker);
+            }
+            if list.standing == Standing::Ready {
+                let (ready, starts) = &mut roster.kin[role as usize];
+                *ready += 1;
+                starts.extend((list.started > 0).then_some(list.started));
+            }
+        }
+        roster.parts.values_mut().for_each(|part| *part /= all);
+        roster.kin.iter_mut().for_each(|(_, starts)| starts.sort_unstable());
+        roster.readers.anew(shares);
+        roster
+    }
+
+    /// The part of all reads that the readers of a cell take.
+    pub fn part(&self, cell: u16) -> f64 {
+        self.parts.get(&cell).copied().unwrap_or(0.0)
+    }
+
+    /// The writers of a cell, by id.
+    pub fn near(&self, cell: u16) -> &[WorkerId] {
+        self.near.get(&cell).map_or(&[], Vec::as_slice)
+    }
+
+    /// Readers that started less than so long ago, by id.
+    pub fn cold_readers(&self, now: Tenths, warm_after: Tenths) -> Vec<WorkerId> {
+        self.started.iter().filter(|(at, _)| now - at < warm_after).map(|(_, id)| *id).collect()
+    }
+
+    /// How many workers of a role are ready, and how many of them warm.
+    pub fn ready(&self, role: Role, now: Tenths, warm_after: Tenths) -> (usize, usize) {
+        let (ready, starts) = &self.kin[role as usize];
+        let cold = starts.len() - starts.partition_point(|at| now - at >= warm_after);
+        (*ready, ready - cold)
+    }
+}
--- /dev/null
+++ b/tests/equal.rs
@@ -0,0 +1,394 @@
+//! The module against itself as it was when it counted everything anew at each look: the same events must give
+//! the same decisions, each at the same call.
+
+mod before;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use quickcheck::{QuickCheck, TestResult};
+use tideroute::chance::Chance;
+use tideroute::choice::Router;
+use tideroute::interface::*;
+// The old module names these by the root of its crate.
+use tideroute::{chance, fading, interface};
+
+const MS: Tenths = 10;
+
+/// What a world is like: sizes, and how often things go wrong, in parts of a hundred.
+#[derive(Clone, Copy, Debug)]
+struct Kind {
+    workers: u16,
+    /// Submissions a second, and times as many for a second in every four.
+    rate: u64,
+    burst: u64,
+    wrong: u64,
+    /// List changes in ten seconds, and whether many workers began a moment ago.
+    changes: u64,
+    cold: bool,
+    mixed: bool,
+    places: bool,
+    probes: bool,
+    prefixes: u64,
+    events: u64,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord, Debug)]
+enum What {
+    Arrive,
+    Answered(SubmissionId, bool),
+    Start(SubmissionId, u16),
+    /// How it ends is drawn when it does.
+    End(SubmissionId, u16),
+    Drop(SubmissionId),
+    Probed(WorkerId, bool),
+    Relist,
+    Wake,
+}
+
+struct Pair {
+    kind: Kind,
+    chance: Chance,
+    new: Router,
+    old: before::choice::Router,
+    now: Tenths,
+    due: BinaryHeap<Reverse<(Tenths, u64, What)>>,
+    order: u64,
+    list: BTreeMap<WorkerId, Listing>,
+    /// By submission: its track, when its time is up, and its shot out, its worker, and whether it began.
+    open: BTreeMap<SubmissionId, (u8, Tenths, Option<(u16, WorkerId, bool)>)>,
+    shots: BTreeMap<SubmissionId, u16>,
+    seen: BTreeMap<&'static str, u64>,
+}
+
+fn terms(kind: Kind) -> Terms {
+    let track = |repeat, contract: Tenths, earnings| Track {
+        repeat,
+        contract: contract * MS,
+        per_thousand: 40 * MS,
+        earnings,
+    };
+    let cell = Repeat::Referenced { group: Group::Cell, window: 900 * MS };
+    Terms {
+        routers: 2,
+        tracks: vec![
+            track(Repeat::Replayable, 1_500, 1.0),
+            track(Repeat::SingleUse, 2_500, 3.0),
+            track(cell, 1_000, 2.0),
+            track(Repeat::Referenced { group: Group::All, window: 400 * MS }, 3_000, 0.5),
+        ],
+        roles: vec![Role::Reader, Role::Writer, Role::Mixed],
+        places: kind.places,
+        writers_read: kind.mixed,
+        release: 500 * MS,
+        cold_share: 0.3,
+        warm_after: 10_000 * MS,
+        fall_multiple: 2.5,
+        fall_span: 2_000 * MS,
+        max_shots: 5,
+        withdrawals: kind.wrong % 2 == 0,
+        probes: kind.probes,
+        subscribes: kind.changes > 0,
+        advice: true,
+        longest_advice: 1_000 * MS,
+    }
+}
+
+impl Pair {
+    fn new(kind: Kind, seed: u64) -> Pair {
+        let (now, terms) = (2_000_000, terms(kind));
+        let mut pair = Pair {
+            kind,
+            chance: Chance::new(seed ^ 0x5eed),
+            new: Router::new(terms.clone(), seed, now),
+            old: before::choice::Router::new(terms, seed, now),
+            now,
+            due: BinaryHeap::new(),
+            order: 0,
+            list: BTreeMap::new(),
+            open: BTreeMap::new(),
+            shots: BTreeMap::new(),
+            seen: BTreeMap::new(),
+        };
+        for n in 0..kind.workers {
+            let worker = [10, 0, 0, (n >> 8) as u8, n as u8, 1];
+            let role = if kind.mixed && n % 5 == 4 { 2 } else { u16::from(n % 3 != 0) };
+            let started = if kind.cold && n % 2 == 0 { now - 900 * MS } else { 0 };
+            let (cell, zone) = (n / 9, (n / 27) as u8);
+            let standing = Standing::Ready;
+            let size = 1.0 + f64::from(n % 4);
+            pair.list.insert(worker, Listing { worker, kind: role, size, standing, cell, zone, started });
+        }
+        pair.relist();
+        pair.push(0, What::Arrive);
+        if kind.changes > 0 {
+            pair.push(50 * MS, What::Relist);
+        }
+        pair
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        (self.chance.unit() * below as f64) as u64
+    }
+
+    fn push(&mut self, after: Tenths, what: What) {
+        self.order += 1;
+        self.due.push(Reverse((self.now + after, self.order, what)));
+    }
+
+    fn relist(&mut self) {
+        self.new.list_anew(self.now);
+        self.old.list_anew(self.now);
+        for listing in self.list.values() {
+            self.new.listed(self.now, *listing);
+            self.old.listed(self.now, *listing);
+        }
+    }
+
+    fn run(mut self) -> BTreeMap<&'static str, u64> {
+        for _ in 0..self.kind.events {
+            let Some(Reverse((at, _, what))) = self.due.pop() else { break };
+            self.now = at;
+            self.happens(what);
+            loop {
+                let (new, old) = (self.new.decide(self.now), self.old.decide(self.now));
+                assert_eq!(new, old, "at {} of {:?}", self.now, self.kind);
+                let Some(decision) = new else { break };
+                self.carry_out(decision);
+            }
+        }
+        self.seen
+    }
+
+    fn happens(&mut self, what: What) {
+        let now = self.now;
+        match what {
+            What::Arrive => self.arrive(),
+            What::Answered(id, held) => {
+                self.new.answered_ahead(now, id, held);
+                self.old.answered_ahead(now, id, held);
+            }
+            What::Start(id, shot) => {
+                let Some((_, _, Some(out))) = self.open.get_mut(&id) else { return };
+                if out.0 != shot {
+                    return;
+                }
+                out.2 = true;
+                self.new.started(now, id, shot);
+                self.old.started(now, id, shot);
+                let answer = 200 + self.draw(4_000) as Tenths;
+                self.push(answer * MS, What::End(id, shot));
+            }
+            What::End(id, shot) => self.end(id, shot),
+            What::Drop(id) => {
+                if self.open.contains_key(&id) {
+                    self.new.dropped(now, id);
+                    self.old.dropped(now, id);
+                }
+            }
+            What::Probed(worker, well) => {
+                self.new.probed(now, worker, well);
+                self.old.probed(now, worker, well);
+            }
+            What::Relist => {
+                self.change();
+                let after = 10_000 / self.kind.changes.max(1);
+                self.push(after as Tenths * MS, What::Relist);
+            }
+            What::Wake => {
+                self.new.woken(now);
+                self.old.woken(now);
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let id = self.order + 1;
+        let (track, prefix) = (self.draw(4) as u8, self.draw(self.kind.prefixes + 1));
+        let prefix = if self.draw(3) == 0 { prefix.min(1) } else { prefix };
+        let (session, prompt) = (self.draw(300), 50.0 + self.draw(3_000) as f64);
+        let left = (400 + self.draw(6_000) as Tenths) * MS;
+        let arrival = Arrival { id, track, session, prefix, prompt, left };
+        assert!(self.new.arrived(self.now, arrival) && self.old.arrived(self.now, arrival));
+        self.open.insert(id, (track, self.now + left, None));
+        let busy = self.now / (1_000 * MS) % 4 == 3;
+        let rate = self.kind.rate * if busy { self.kind.burst } else { 1 };
+        let gap = self.draw(2 * 10_000 / rate.max(1) + 1);
+        self.push(gap as Tenths, What::Arrive);
+        if self.draw(100) < self.kind.wrong / 4 {
+            let after = self.draw(2_000) as Tenths;
+            self.push(after * MS, What::Drop(id));
+        }
+    }
+
+    /// A shot ends, well or otherwise.
+    fn end(&mut self, id: SubmissionId, shot: u16) {
+        let wrong = self.draw(100) < self.kind.wrong;
+        let which = self.draw(7) as usize;
+        let Some((_, _, out)) = self.open.get_mut(&id) else { return };
+        let Some((_, worker, started)) = out.take_if(|out| out.0 == shot) else { return };
+        let reading = self.list[&worker].kind == 0;
+        let bad = [
+            Ending::Fault,
+            Ending::Full,
+            Ending::Stateless,
+            Ending::Unreachable,
+            Ending::Broken,
+            Ending::TimedOut,
+            Ending::NeverSent,
+        ];
+        let ending = match (wrong, reading) {
+            (true, _) if started => Ending::Broken,
+            (true, _) => bad[which],
+            (false, true) => Ending::Read,
+            (false, false) => Ending::Honoured,
+        };
+        let terminal = started || ending == Ending::Honoured;
+        self.new.settled(self.now, id, shot, ending, terminal);
+        self.old.settled(self.now, id, shot, ending, terminal);
+        if terminal {
+            self.open.remove(&id);
+        }
+    }
+
+    fn change(&mut self) {
+        let ids: Vec<WorkerId> = self.list.keys().copied().collect();
+        for _ in 0..1 + self.draw(1 + ids.len() as u64 / 8) {
+            let id = ids[self.draw(ids.len() as u64) as usize];
+            let (draw, now) = (self.draw(4), self.now);
+            let Some(listing) = self.list.get_mut(&id) else { continue };
+            match draw {
+                0 => listing.standing = Standing::Draining,
+                1 => listing.standing = Standing::Gone,
+                2 => (listing.standing, listing.started) = (Standing::Ready, now),
+                _ => listing.standing = Standing::Ready,
+            }
+        }
+        match self.draw(3) {
+            0 => self.relist(),
+            1 => {
+                self.new.list_failed(self.now);
+                self.old.list_failed(self.now);
+            }
+            _ => {
+                for listing in self.list.values() {
+                    self.new.listed(self.now, *listing);
+                    self.old.listed(self.now, *listing);
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, decision: Decision) {
+        let wrong = self.draw(100) < self.kind.wrong;
+        let name = match decision {
+            Decision::Send { id, worker, .. } => {
+                let number = self.shots.entry(id).or_default();
+                *number += 1;
+                let shot = *number - 1;
+                let (_, up, out) = self.open.get_mut(&id).expect("a send is for one that is open");
+                *out = Some((shot, worker, false));
+                let up = *up - self.now;
+                let reading = self.list[&worker].kind == 0;
+                let took = (5 + self.draw(if wrong { 2_500 } else { 120 }) as Tenths) * MS;
+                // One that is silent ends when its time is up.
+                let silent = wrong && self.draw(3) == 0;
+                let (took, begins) = if silent { (up, false) } else { (took.min(up), !reading) };
+                let what = if begins { What::Start(id, shot) } else { What::End(id, shot) };
+                self.push(took.max(0), what);
+                "send"
+            }
+            Decision::Hold { id, .. } => {
+                let after = self.draw(30) as Tenths;
+                self.push(after, What::Answered(id, !wrong));
+                "hold"
+            }
+            Decision::Withdraw { id, shot } => {
+                self.push(MS, What::End(id, shot));
+                "withdraw"
+            }
+            Decision::TurnBack { id, .. } => {
+                self.open.remove(&id);
+                "turn back"
+            }
+            Decision::Abandon { id } => {
+                self.open.remove(&id);
+                "abandon"
+            }
+            Decision::Probe { worker } => {
+                self.push(2 * MS, What::Probed(worker, !wrong));
+                "probe"
+            }
+            Decision::Wake { after } => {
+                self.push(after, What::Wake);
+                "wake"
+            }
+            Decision::LetGo { .. } => "let go",
+            Decision::Subscribe => "subscribe",
+        };
+        *self.seen.entry(name).or_default() += 1;
+    }
+}
+
+const CALM: Kind = Kind {
+    workers: 18,
+    rate: 100,
+    burst: 1,
+    wrong: 0,
+    changes: 0,
+    cold: false,
+    mixed: false,
+    places: true,
+    probes: true,
+    prefixes: 12,
+    events: 10_000,
+};
+
+#[test]
+fn streams_of_many_sizes_give_the_same_decisions() {
+    let kinds = [
+        CALM,
+        Kind { workers: 110, rate: 300, wrong: 6, changes: 8, ..CALM },
+        Kind { workers: 40, rate: 200, burst: 12, wrong: 10, changes: 20, cold: true, ..CALM },
+        Kind { workers: 9, rate: 150, burst: 20, wrong: 31, events: 4_000, ..CALM },
+        Kind { workers: 30, wrong: 12, cold: true, mixed: true, changes: 30, ..CALM },
+        Kind { workers: 27, wrong: 25, places: false, probes: false, changes: 5, ..CALM },
+        Kind { workers: 400, rate: 500, wrong: 4, prefixes: 300, cold: true, events: 4_000, ..CALM },
+        Kind { workers: 1_200, rate: 800, changes: 3, wrong: 3, events: 2_000, ..CALM },
+        Kind { workers: 6, rate: 10, wrong: 40, prefixes: 1, ..CALM },
+    ];
+    let mut seen = BTreeMap::new();
+    for (kind, seed) in kinds.into_iter().zip(1..) {
+        for (name, times) in Pair::new(kind, seed).run() {
+            *seen.entry(name).or_insert(0) += times;
+        }
+    }
+    let names = ["send", "hold", "withdraw", "turn back", "abandon", "probe", "wake", "let go", "subscribe"];
+    for name in names {
+        assert!(seen.get(name).is_some_and(|times| *times > 5), "{name} is hardly met: {seen:?}");
+    }
+}
+
+#[test]
+fn drawn_worlds_give_the_same_decisions() {
+    fn same(seed: u64, sizes: (u8, u8, u8), flags: u8, wrong: u8, changes: u8) -> TestResult {
+        let flag = |n: u32| flags >> n & 1 == 1;
+        let kind = Kind {
+            workers: u16::from(sizes.0 % 64),
+            rate: 1 + 2 * u64::from(sizes.1),
+            burst: 1 + u64::from(sizes.2 % 16),
+            wrong: u64::from(wrong % 50),
+            changes: u64::from(changes % 24) * u64::from(sizes.0 % 64 > 0),
+            cold: flag(0),
+            mixed: flag(1),
+            places: flag(2) || flag(3),
+            probes: flag(4) || flag(5),
+            prefixes: u64::from(flags) % 30,
+            events: 1_200,
+        };
+        Pair::new(kind, seed).run();
+        TestResult::passed()
+    }
+    let same: fn(u64, (u8, u8, u8), u8, u8, u8) -> TestResult = same;
+    QuickCheck::new().tests(150).quickcheck(same);
+}
