--- a/src/choice.rs
+++ b/src/choice.rs
@@ -120,7 +120,7 @@
 pub struct Router {
     terms: Terms,
     chance: Chance,
-    workers: BTreeMap<WorkerId, Worker>,
+    workers: HashMap<WorkerId, Worker>,
     open: HashMap<SubmissionId, Submission>,
     /// Those that events, and decisions, changed since what is out was last counted.
     touched: BTreeSet<SubmissionId>,
@@ -540,8 +540,10 @@
     /// lone readers among writers would drown, and readers with no writers near choke their link.
     fn share_out(&mut self) {
         let mut around: [BTreeMap<u16, (f64, f64)>; 2] = Default::default();
-        let ready = |w: &&Worker| w.list.standing == Standing::Ready;
-        for w in self.workers.values().filter(ready) {
+        let ready = |w: &&&Worker| w.list.standing == Standing::Ready;
+        let mut workers: Vec<&Worker> = self.workers.values().collect();
+        workers.sort_unstable_by_key(|w| w.list.worker);
+        for w in workers.iter().filter(ready) {
             for (map, place) in around.iter_mut().zip([w.list.cell, u16::from(w.list.zone)]) {
                 let (reads, writes) = map.entry(place).or_default();
                 *reads += if w.role == Role::Writer { 0.0 } else { w.list.size.max(0.01) };
@@ -553,8 +555,8 @@
             let near = [around[0][&w.list.cell], around[1][&u16::from(w.list.zone)]].map(per_reader);
             (near[0] * near[1]).sqrt()
         };
-        let readers = self.workers.iter().filter(|(_, w)| ready(w) && w.role != Role::Writer);
-        let leans: Vec<_> = readers.map(|(&id, w)| (id, w.list.size.max(0.01), lean(w))).collect();
+        let readers = workers.iter().filter(|w| ready(w) && w.role != Role::Writer);
+        let leans: Vec<_> = readers.map(|w| (w.list.worker, w.list.size.max(0.01), lean(w))).collect();
         let (mut scale, mut shares) = (1.0, vec![]);
         for _ in 0..ROUNDS {
             let parts = leans.iter().map(|&(id, size, l)| (id, size * (l * scale).clamp(LEAN_LEAST, LEAN)));
@@ -562,8 +564,7 @@
             scale *= leans.iter().map(|l| l.1).sum::<f64>()
                 / shares.iter().map(|(_, part)| part).sum::<f64>().max(0.01);
         }
-        let workers = self.workers.values().map(|w| (&w.list, w.role));
-        self.roster = Roster::new(workers, shares);
+        self.roster = Roster::new(workers.iter().map(|w| (&w.list, w.role)), shares);
     }
 
     /// The readers to try first, by rendezvous hashing of the prefix or session, and how many of its order these
@@ -577,11 +578,12 @@
         let (drawn, readers) = (first.len(), self.roster.readers.len());
         let homes = self.homes(now, arrival.prefix, readers).min(readers - drawn);
         let mut place = 0;
-        while first.len() < drawn + homes {
-            let Some(id) = self.roster.readers.nth(key, place) else { break };
-            place += 1;
-            if !first[..drawn].contains(&id) {
-                first.push(id);
+        for id in self.roster.readers.first(key, drawn + homes) {
+            if first.len() < drawn + homes {
+                place += 1;
+                if !first[..drawn].contains(&id) {
+                    first.push(id);
+                }
             }
         }
         first[drawn..].sort_by_cached_key(|id| std::cmp::Reverse(draw(arrival.session, *id).to_bits()));
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -1,6 +1,6 @@
 //! What a router has out at each worker, booked as it changes. It decides nothing.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeSet, HashMap};
 
 use crate::interface::{SubmissionId, Tenths, WorkerId};
 
@@ -25,7 +25,7 @@
 
 #[derive(Default)]
 pub struct Ledger {
-    loads: BTreeMap<WorkerId, Load>,
+    loads: HashMap<WorkerId, Load>,
     /// What was counted ahead, and what is over: both are taken off when the books are closed.
     ahead: Vec<(WorkerId, Option<f64>)>,
     over: Vec<(SubmissionId, Booked)>,
--- a/src/ranking.rs
+++ b/src/ranking.rs
@@ -33,17 +33,20 @@
 
     /// The reader that comes after so many others for the key.
     pub fn nth(&mut self, key: u64, place: usize) -> Option<WorkerId> {
-        if place >= self.readers.len() {
-            return None;
-        }
+        self.first(key, place + 1).nth(place)
+    }
+
+    /// The first so many for the key.
+    pub fn first(&mut self, key: u64, most: usize) -> impl Iterator<Item = WorkerId> + '_ {
+        let most = most.min(self.readers.len());
         if self.kept.len() >= KEYS && !self.kept.contains_key(&key) {
             self.kept.clear();
         }
         let order = self.kept.entry(key).or_default();
-        if place >= order.len() {
-            *order = sorted(&self.readers, key, if place < FEW { FEW } else { self.readers.len() });
+        if most > order.len() {
+            *order = sorted(&self.readers, key, if most <= FEW { FEW } else { self.readers.len() });
         }
-        self.readers.get(*order.get(place)? as usize).map(|reader| reader.0)
+        order[..most].iter().filter_map(|n| self.readers.get(*n as usize)).map(|(id, _)| *id)
     }
 }
 
