Waiting submissions that no reader has room for are not looked at again; the loop's lateness counts

With all readers full each event looked at all readers for each submission that waits: three quarters of a router's time at 3,300 asked a second. Those whose prompt is longer than any reader's room are passed over where a look is sure to change nothing; tests/equal.rs holds. The host counts how late its loop hears as time gone of a client's.

--- a/crates/host/src/hear.rs
+++ b/crates/host/src/hear.rs
@@ -37,7 +37,7 @@
             return Err(Malformed::Range("most_tokens"));
         }
         // A day is longer than any client waits, and keeps sums of times far from their ends.
-        let left = left.min(DAY).saturating_sub(self.host.terms.travel);
+        let left = self.host.lateness.left(left.min(DAY)).saturating_sub(self.host.terms.travel);
         let submission = Submission {
             client: self.link,
             number,
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -11,6 +11,7 @@
 use tideroute_wire::{client, list, worker, Malformed, Micros, Party};
 
 use crate::clients::Clients;
+use crate::lateness::Lateness;
 use crate::lines::Lines;
 use crate::submissions::{Submission, Submissions};
 use crate::terms::Terms;
@@ -64,6 +65,7 @@
     pub(crate) nonce: u64,
     /// The module has heard something since it was last asked.
     pub(crate) stirred: bool,
+    pub(crate) lateness: Lateness,
     stopping: bool,
     kept: Option<Bytes>,
     /// How many open submissions the figures show.
@@ -88,6 +90,7 @@
             probes: BTreeMap::new(),
             nonce: 0,
             stirred: true,
+            lateness: Lateness::default(),
             stopping: false,
             kept,
             shown: None,
@@ -420,6 +423,12 @@
         }
     }
 
+    fn late(&mut self, now: Micros, by: Micros) {
+        self.lateness.note(now, by);
+        gauge!("tideroute_late_seconds", "core" => self.terms.name.clone())
+            .set(self.lateness.worst() as f64 / 1e6);
+    }
+
     fn stop(&mut self, _now: Micros, _out: &mut Outbox) {
         tracing::info!(open = self.submissions.len(), "stops: takes nothing new");
         self.stopping = true;
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -10,6 +10,7 @@
 mod clients;
 mod hear;
 mod host;
+mod lateness;
 mod lines;
 mod submissions;
 mod terms;
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -192,6 +192,8 @@
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) => return Err(e.into()),
             }
+            let woke = self.now();
+            let due_at = self.wheel.next().map_or(woke, |at| at * TICK);
             for event in events.iter() {
                 match event.key {
                     SIGNALS => {
@@ -218,6 +220,8 @@
                     Ring::Fail => panic!("told to fail"),
                 }
             }
+            let now = self.now();
+            program.late(now, (now - woke).max(woke.saturating_sub(due_at)));
         }
     }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,11 +4,13 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
+use foldhash::fast::FixedState;
+
 use crate::chance::Chance;
 use crate::fading::{Fading, FadingMean};
 use crate::interface::*;
-use crate::ledger::{Booked, Ledger};
-use crate::needs::{Filed, Need, Needs};
+use crate::ledger::{Booked, Ledger, Load};
+use crate::needs::{Filed, Need, Needs, Prompt};
 use crate::ranking::draw;
 use crate::roster::Roster;
 
@@ -65,6 +67,7 @@
 const WATCH: Tenths = 500;
 
 type Ticket = (SubmissionId, u8);
+type Open = HashMap<SubmissionId, Submission>;
 
 #[derive(Default)]
 struct Worker {
@@ -120,8 +123,8 @@
 pub struct Router {
     terms: Terms,
     chance: Chance,
-    workers: HashMap<WorkerId, Worker>,
-    open: HashMap<SubmissionId, Submission>,
+    workers: HashMap<WorkerId, Worker, FixedState>,
+    open: Open,
     /// Those that events, and decisions, changed since what is out was last counted.
     touched: BTreeSet<SubmissionId>,
     looked: Vec<SubmissionId>,
@@ -372,13 +375,16 @@
         }
     }
 
-    /// Decides about all that need it, best first; once no reader takes any more, about those that a look can
-    /// still change.
-    fn look(&mut self, now: Tenths, open: &mut HashMap<SubmissionId, Submission>) {
-        let (mut last, mut due) = (None, None);
+    /// Decides about all that need it, best first; of those that wait, while no reader takes any more or only
+    /// short prompts, about those that a look can change.
+    fn look(&mut self, now: Tenths, open: &mut Open) {
+        let (mut last, mut due, mut sent, mut room) = (None, None, usize::MAX, None);
         loop {
-            let next = if self.shut {
-                let due = due.get_or_insert_with(|| self.parked_due(now, open));
+            if !self.shut && self.needs.any_parked() && sent != self.ledger.ahead() {
+                (sent, room) = (self.ledger.ahead(), self.room(now));
+            }
+            let next = if self.shut || room.is_some() {
+                let due = due.get_or_insert_with(|| self.due(now, room, open));
                 self.needs.next_eager(last, due)
             } else {
                 self.needs.next(last)
@@ -395,13 +401,47 @@
         }
     }
 
-    /// Those parked that may be hopeless or have to end by now.
-    fn parked_due(&mut self, now: Tenths, open: &HashMap<SubmissionId, Submission>) -> BTreeSet<Need> {
+    /// The longest prompt that a reader may still take, if a look for a longer one is sure to change nothing:
+    /// no chance is drawn, and some reader, of which nothing is doubted, will take shorter ones.
+    fn room(&mut self, now: Tenths) -> Option<f64> {
+        let (tracks, warm) = (self.terms.tracks.len() as u8, self.terms.warm_after);
+        let readers = self.roster.readers.all();
+        let (mut room, mut takes): (f64, Option<WorkerId>) = (0.0, None);
+        for id in readers {
+            let w = self.workers.get_mut(&id).filter(|w| w.alive() && now >= w.denied + DENIAL);
+            let (Some(w), load) = (w, self.ledger.at(id)) else { continue };
+            let left = SPILL * FILLED - load.tokens;
+            if load.reads == 0 {
+                return None;
+            }
+            if w.wait(now, load) <= self.needs.longest_wait() {
+                room = room.max(left);
+            }
+            let sure = takes.is_none() && left >= 0.0 && !w.cold(now, warm);
+            if sure && (0..tracks).all(|track| self.usable(now, id, (0, track), None)) {
+                takes = Some(id);
+            }
+        }
+        takes.filter(|id| self.workers[id].role == Role::Mixed || self.grants_any(now)).map(|_| room)
+    }
+
+    /// Whether a writer grants wherever the read is, and whatever is read.
+    fn grants_any(&mut self, now: Tenths) -> bool {
+        let (tracks, warm) = (self.terms.tracks.len() as u8, self.terms.warm_after);
+        let open = self.cross_wait.read(now, MEMORY).is_none_or(|mean| mean < self.gate_bound());
+        let sure = |w: &Worker| !w.tight(now) && !w.cold(now, warm);
+        let first = self.roster.writers.iter().copied().find(|id| sure(&self.workers[id]));
+        open && first.is_some_and(|id| (0..tracks).all(|track| self.usable(now, id, (0, track), None)))
+    }
+
+    /// Those parked that may be hopeless, may have to end by now, or have no longer prompt than there is room for.
+    fn due(&mut self, now: Tenths, room: Option<f64>, open: &Open) -> BTreeSet<Need> {
         let mut due = BTreeSet::new();
         for track in self.needs.tracks() {
             let until = now + (self.usual(now, track) * SLACK) as Tenths + LOOK;
             due.extend(self.needs.parked(track, until).filter_map(|id| open.get(&id)?.filed.need));
         }
+        due.extend(room.iter().flat_map(|room| self.needs.short(*room)));
         due
     }
 
@@ -417,7 +457,7 @@
     }
 
     /// Files a submission as it now stands, or takes it off all books if it is over.
-    fn file(&mut self, id: &SubmissionId, looked: bool, open: &mut HashMap<SubmissionId, Submission>) {
+    fn file(&mut self, id: &SubmissionId, looked: bool, open: &mut Open) {
         let Some(s) = open.get_mut(id) else { return };
         let (track, mut to) = (s.arrival.track, Filed::default());
         if let Some(out) = s.out.as_ref().filter(|out| !out.started) {
@@ -432,10 +472,12 @@
                     Repeat::Referenced { window, .. } => s.ran.map(|(first, _)| first + window),
                     _ => None,
                 };
-                to.parked = Some(s.contract.min(s.cut_off).min(window.unwrap_or(s.cut_off)));
+                let latest = s.contract.min(s.cut_off).min(window.unwrap_or(s.cut_off));
+                to.parked = Some((latest, Prompt(s.arrival.prompt)));
             }
         }
         self.needs.file(*id, track, &mut s.filed, to);
+        to.parked.into_iter().for_each(|_| self.needs.may_wait(s.usable_wait()));
         if s.ended && s.out.is_none() {
             self.ledger.leave(*id, s.booked);
             open.remove(id);
@@ -445,12 +487,7 @@
     /// Guards against answers that never come, of a worker or of one track there: a shot out for some times
     /// the usual wait is called back where it may run again and counts against its worker there. Its age is
     /// a wait too, so that patience grows when all is slow. Harms when a slow read is taken for lost.
-    fn watch(
-        &mut self,
-        now: Tenths,
-        touched: &BTreeSet<SubmissionId>,
-        open: &mut HashMap<SubmissionId, Submission>,
-    ) {
+    fn watch(&mut self, now: Tenths, touched: &BTreeSet<SubmissionId>, open: &mut Open) {
         // No other shot can be called back: it is too young to be lost, awaited, and at a worker that works.
         let mut suspects: BTreeSet<_> = self.needs.doubtful(now).collect();
         suspects.extend(touched.iter().filter(|id| open.get(id).is_some_and(|s| s.ended)));
@@ -639,11 +676,15 @@
 
     /// The gate to another cell: open while first tokens over cells come soon enough, else now and then.
     fn gate(&mut self, now: Tenths) -> bool {
-        let bound = self.terms.tracks.iter().map(|t| t.contract).min().unwrap_or(0) as f64 / 2.0;
+        let bound = self.gate_bound();
         self.cross_wait.read(now, MEMORY).is_none_or(|mean| mean < bound)
             || self.chance.unit() * MEASURE < 1.0
     }
 
+    fn gate_bound(&self) -> f64 {
+        self.terms.tracks.iter().map(|t| t.contract).min().unwrap_or(0) as f64 / 2.0
+    }
+
     /// The next step of a submission that has no shot out.
     fn forward(&mut self, now: Tenths, s: &mut Submission) {
         if now + LOOK >= s.cut_off || !self.may_repeat(now, s) {
@@ -696,7 +737,7 @@
             return self.least(now, ticket, (false, u16::MAX, 0), |w| now >= w.denied + DENIAL);
         }
         self.shut = true;
-        let usable_wait = (s.contract - s.came) as f64 * READING;
+        let usable_wait = s.usable_wait();
         let mut past: Option<(f64, WorkerId)> = None;
         let (first, mut place) = self.readers(now, &s.arrival);
         let (key, mut tried) = (s.arrival.key(), 0);
@@ -717,8 +758,7 @@
             }
             let Some(w) = self.workers.get_mut(&id) else { continue };
             let load = self.ledger.at(id);
-            let slow = w.read_wait.read(now, MEMORY).unwrap_or(0.0).max((now - load.oldest(now)) as f64)
-                > usable_wait;
+            let slow = w.wait(now, load) > usable_wait;
             let (cell, mixed) = (w.list.cell, w.role == Role::Mixed);
             let tokens = if load.reads > 0 { load.tokens + s.arrival.prompt } else { 0.0 };
             if now < w.denied + DENIAL || load.reads > 0 && load.tokens > SPILL * FILLED {
@@ -872,6 +912,11 @@
 }
 
 impl Submission {
+    /// How long a reader may take to begin a read.
+    fn usable_wait(&self) -> f64 {
+        (self.contract - self.came) as f64 * READING
+    }
+
     fn occupies(&self) -> Booked {
         let shot = self.out.as_ref().map(|out| {
             let prompt = (out.reading && !out.started).then_some(self.arrival.prompt);
@@ -888,6 +933,11 @@
         (self.rests_until, self.answers, self.fresh_from) = (0, 0, now);
     }
 
+    /// How long reads take there, of late or by the oldest that is out.
+    fn wait(&mut self, now: Tenths, load: &Load) -> f64 {
+        self.read_wait.read(now, MEMORY).unwrap_or(0.0).max((now - load.oldest(now)) as f64)
+    }
+
     fn alive(&self) -> bool {
         self.list.standing == Standing::Ready && self.rests_until == 0
     }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeSet, HashMap};
 
+use foldhash::fast::FixedState;
+
 use crate::interface::{SubmissionId, Tenths, WorkerId};
 
 #[derive(Default)]
@@ -25,7 +27,7 @@
 
 #[derive(Default)]
 pub struct Ledger {
-    loads: HashMap<WorkerId, Load>,
+    loads: HashMap<WorkerId, Load, FixedState>,
     /// What was counted ahead, and what is over: both are taken off when the books are closed.
     ahead: Vec<(WorkerId, Option<f64>)>,
     over: Vec<(SubmissionId, Booked)>,
@@ -42,6 +44,11 @@
         self.ahead.push((worker, prompt));
     }
 
+    /// How much has been counted ahead.
+    pub fn ahead(&self) -> usize {
+        self.ahead.len()
+    }
+
     /// A submission is over; what it counted for stands until the books are closed.
     pub fn leave(&mut self, id: SubmissionId, booked: Booked) {
         self.over.push((id, booked));
--- a/src/needs.rs
+++ b/src/needs.rs
@@ -15,16 +15,23 @@
     /// It needs a decision.
     pub need: Option<Need>,
     /// While no reader takes any more a look changes nothing about it before this time.
-    pub parked: Option<Tenths>,
+    pub parked: Option<(Tenths, Prompt)>,
     /// Its shot has not begun to answer, and may from then on count as lost.
     pub doubt: Option<Tenths>,
 }
 
+/// Tokens of a prompt, in order.
+#[derive(Clone, Copy, Default)]
+pub struct Prompt(pub f64);
+
 #[derive(Default)]
 pub struct Needs {
     all: BTreeSet<Need>,
     eager: BTreeSet<Need>,
     parked: BTreeMap<u8, BTreeSet<(Tenths, SubmissionId)>>,
+    /// Those parked, by their prompts; and the longest that any of them may wait for a read.
+    prompts: BTreeSet<(Prompt, Need)>,
+    longest_wait: f64,
     doubtful: BTreeSet<(Tenths, SubmissionId)>,
 }
 
@@ -36,16 +43,20 @@
             self.all.remove(&need);
             self.eager.remove(&need);
         }
-        if let (Some(at), Some(parked)) = (old.parked, self.parked.get_mut(&track)) {
-            parked.remove(&(at, id));
+        if let (Some((at, prompt)), Some(need)) = (old.parked, old.need) {
+            self.parked.get_mut(&track).into_iter().for_each(|parked| _ = parked.remove(&(at, id)));
+            self.prompts.remove(&(prompt, need));
+            self.longest_wait = if self.prompts.is_empty() { 0.0 } else { self.longest_wait };
         }
         if let Some(at) = old.doubt {
             self.doubtful.remove(&(at, id));
         }
         self.all.extend(to.need);
-        match to.parked {
-            Some(at) => _ = self.parked.entry(track).or_default().insert((at, id)),
-            None => self.eager.extend(to.need),
+        if let (Some((at, prompt)), Some(need)) = (to.parked, to.need) {
+            self.parked.entry(track).or_default().insert((at, id));
+            self.prompts.insert((prompt, need));
+        } else {
+            self.eager.extend(to.need);
         }
         self.doubtful.extend(to.doubt.map(|at| (at, id)));
     }
@@ -73,7 +84,23 @@
     }
 
     pub fn any_parked(&self) -> bool {
-        self.parked.values().any(|p| !p.is_empty())
+        !self.prompts.is_empty()
+    }
+
+    /// Those parked whose prompt is no longer.
+    pub fn short(&self, prompt: f64) -> impl Iterator<Item = Need> + '_ {
+        let last = (Prompt(prompt), (true, Tenths::MAX, SubmissionId::MAX));
+        self.prompts.range(..=last).map(|(_, need)| *need)
+    }
+
+    /// One that is parked may wait so long for a read.
+    pub fn may_wait(&mut self, wait: f64) {
+        self.longest_wait = self.longest_wait.max(wait);
+    }
+
+    /// No one parked may wait longer for a read.
+    pub fn longest_wait(&self) -> f64 {
+        self.longest_wait
     }
 
     /// Those whose shot may count as lost by now.
@@ -87,6 +114,26 @@
     }
 }
 
+impl Ord for Prompt {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
+
+impl PartialOrd for Prompt {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Prompt {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Prompt {}
+
 fn after(last: Option<Need>) -> (Bound<Need>, Bound<Need>) {
     (last.map_or(Bound::Unbounded, Bound::Excluded), Bound::Unbounded)
 }
--- a/src/ranking.rs
+++ b/src/ranking.rs
@@ -31,6 +31,11 @@
         self.readers.is_empty()
     }
 
+    /// All of them, by id.
+    pub fn all(&self) -> Vec<WorkerId> {
+        self.readers.iter().map(|(id, _)| *id).collect()
+    }
+
     /// The reader that comes after so many others for the key.
     pub fn nth(&mut self, key: u64, place: usize) -> Option<WorkerId> {
         self.first(key, place + 1).nth(place)
