Tenants: a client shows a key, and its share decides when the module hears of a submission

Routers' records name tenants by the BLAKE3 of their keys, with weights and limits, of which each core keeps its part. A Hello without a tenant's key is denied in a word. Shares let in or turn back; the host tells them what came in time.

--- a/crates/host/src/clients.rs
+++ b/crates/host/src/clients.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use tideroute::interface::SubmissionId;
+use tideroute_shares::Tenant;
 use tideroute_wire::link::Link;
 
 #[derive(Default)]
@@ -13,6 +14,8 @@
     pub last: Option<u64>,
     /// It does not read what is sent: its streams get no more tokens from their workers until it does.
     pub crowded: bool,
+    /// Whose it is, where there are tenants.
+    pub tenant: Option<Tenant>,
 }
 
 #[derive(Default)]
@@ -31,8 +34,8 @@
         self.links.contains_key(&link)
     }
 
-    pub fn greeted(&mut self, link: Link) {
-        self.links.insert(link, Some(Client::default()));
+    pub fn greeted(&mut self, link: Link, tenant: Option<Tenant>) {
+        self.links.insert(link, Some(Client { tenant, ..Client::default() }));
     }
 
     pub fn is_silent(&self, link: Link) -> bool {
--- a/crates/host/src/hear.rs
+++ b/crates/host/src/hear.rs
@@ -55,9 +55,10 @@
             shot: None,
             state: None,
             places: vec![],
+            first: None,
             over: false,
         };
-        self.host.submitted(self.now, submission, left, self.out)
+        self.host.submitted(self.now, submission, self.out)
     }
 
     /// A number that is not open was answered a moment ago.
@@ -144,7 +145,7 @@
         (out.tokens, out.owed) = (out.tokens + 1, out.owed + 1);
         let first = !std::mem::replace(&mut out.started, true);
         if first {
-            s.state = None;
+            (s.state, s.first) = (None, Some(self.now));
             for place in std::mem::take(&mut s.places) {
                 self.host.lines.at(place).places.remove(&id);
                 if place != worker {
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -7,6 +7,7 @@
 use metrics::{counter, gauge, histogram};
 use tideroute::choice::Router;
 use tideroute::interface::{Ending, Listing, Role, Standing, SubmissionId, Tenths, WorkerId};
+use tideroute_shares::{Asked, Known, Ticket, Verdict};
 use tideroute_wire::link::{Link, Loss, Outbox, Program};
 use tideroute_wire::{client, list, worker, Malformed, Micros, Party};
 
@@ -14,6 +15,7 @@
 use crate::lateness::Lateness;
 use crate::lines::Lines;
 use crate::submissions::{Submission, Submissions};
+use crate::tenancy::Tenancy;
 use crate::terms::Terms;
 
 /// Microseconds in one of the module's tenths of a millisecond.
@@ -32,6 +34,8 @@
     Probe(u64),
     /// A connection, by its number, has not said Hello.
     Hello(Link),
+    /// A verdict on what waits to be let in may be due.
+    Shares,
 }
 
 pub(crate) fn tenths(at: Micros) -> Tenths {
@@ -66,6 +70,7 @@
     /// The module has heard something since it was last asked.
     pub(crate) stirred: bool,
     pub(crate) lateness: Lateness,
+    tenancy: Option<Tenancy>,
     stopping: bool,
     kept: Option<Bytes>,
     /// How many open submissions the figures show.
@@ -78,6 +83,7 @@
         Host {
             module: Router::new(terms.module.clone(), terms.seed, tenths(now)),
             submissions: Submissions::new(terms.seed),
+            tenancy: Tenancy::new(&terms.tenants, shares_terms(&terms), now),
             terms,
             clients: Clients::default(),
             lines: Lines::default(),
@@ -108,6 +114,7 @@
             Timer::CutOff(id) => (1, Submissions::short(id)),
             Timer::Probe(nonce) => (2, nonce),
             Timer::Hello(link) => (3, link.0),
+            Timer::Shares => (4, 0),
         };
         kind << KIND | what
     }
@@ -117,6 +124,8 @@
         let Some(s) = self.submissions.get_mut(id).filter(|s| !s.over) else { return };
         s.over = true;
         self.closing.push(id);
+        let first = s.first.or_else(|| matches!(answer, Answer::TurnedBack(_)).then_some(Micros::MAX));
+        let (came, prompt, track_of) = (s.came, s.prompt_tokens, usize::from(s.track));
         let (frame, outcome) = match answer {
             Answer::Honoured(tokens) => (client::honoured(s.number, tokens), "honoured"),
             Answer::TurnedBack(after) => (client::turned_back(s.number, after), "turned back"),
@@ -130,6 +139,13 @@
         if let Some(client) = self.clients.get_mut(s.client) {
             client.open.remove(&s.number);
         }
+        if let (Some(tenancy), Some(track)) = (&mut self.tenancy, self.terms.module.tracks.get(track_of)) {
+            let stretch = track.per_thousand as f64 * f64::from(prompt) / 1000.0;
+            let contract = came + (track.contract as f64 + stretch) as Micros * TENTH;
+            let known = first.map(|at| if at <= contract { Known::InTime } else { Known::Late });
+            tenancy.shares.answered(now, Ticket(id), known.unwrap_or(Known::Nothing));
+            self.stirred = true;
+        }
     }
 
     /// A shot has ended: the module hears of it, and the client if that was the end of its stream.
@@ -167,6 +183,7 @@
         self.closing.push(id);
         counter!("tideroute_left_total").increment(1);
         self.module.dropped(tenths(now), id);
+        self.tenancy.iter_mut().for_each(|t| t.shares.left(now, Ticket(id)));
         self.stirred = true;
         if let Some(shot) = s.shot.as_ref().filter(|shot| shot.started) {
             let (worker, number) = (shot.worker, shot.number);
@@ -180,7 +197,6 @@
         &mut self,
         now: Micros,
         s: Submission,
-        left: Micros,
         out: &mut Outbox,
     ) -> Result<(), Malformed> {
         let track = s.track;
@@ -203,24 +219,70 @@
             return Ok(());
         }
         let (link, number, cut_off) = (s.client, s.number, s.cut_off);
-        let arrival = tideroute::interface::Arrival {
-            id: 0,
-            track,
-            session: s.session,
-            prefix: s.prefix,
-            prompt: f64::from(s.prompt_tokens),
-            left: tenths(left),
-        };
+        let (tenant, tokens) = (client.tenant, s.prompt_tokens);
         let id = self.submissions.insert(s);
         client.open.insert(number, id);
         out.send(link, client::taken(number, id));
         counter!("tideroute_taken_total").increment(1);
         out.ring(cut_off, Self::key(Timer::CutOff(id)));
-        self.module.arrived(tenths(now), tideroute::interface::Arrival { id, ..arrival });
         self.stirred = true;
+        let earnings = self.terms.module.tracks.get(usize::from(track)).map_or(0.0, |t| t.earnings);
+        match (&mut self.tenancy, tenant) {
+            (Some(tenancy), Some(tenant)) => {
+                let ticket = Ticket(id);
+                tenancy.shares.asked(now, Asked { ticket, tenant, tokens, earnings, cut_off });
+            }
+            _ => self.let_in(now, id),
+        }
         Ok(())
     }
 
+    /// The module hears of a submission.
+    fn let_in(&mut self, now: Micros, id: SubmissionId) {
+        let Some(s) = self.submissions.get(id).filter(|s| !s.over) else { return };
+        let arrival = tideroute::interface::Arrival {
+            id,
+            track: s.track,
+            session: s.session,
+            prefix: s.prefix,
+            prompt: f64::from(s.prompt_tokens),
+            left: tenths(s.cut_off.saturating_sub(now)),
+        };
+        self.module.arrived(tenths(now), arrival);
+        self.stirred = true;
+    }
+
+    /// Carries out what the shares decide.
+    fn admit(&mut self, now: Micros, out: &mut Outbox) {
+        while let Some(verdict) = self.tenancy.as_mut().and_then(|t| t.shares.decide(now)) {
+            match verdict {
+                Verdict::Let(Ticket(id)) => self.let_in(now, id),
+                Verdict::TurnBack { ticket: Ticket(id), after } => {
+                    counter!("tideroute_untaken_total", "why" => "share").increment(1);
+                    let after = if self.terms.module.advice { after } else { 0 };
+                    self.answer(now, id, Answer::TurnedBack(after), out);
+                }
+                Verdict::Wake { at } => out.ring(at, Self::key(Timer::Shares)),
+            }
+        }
+    }
+
+    /// A client has said Hello; where there are tenants it must speak for one.
+    fn greeted(&mut self, link: Link, name: &str, key: &[u8], out: &mut Outbox) {
+        let tenant = self.tenancy.as_ref().map(|t| t.of_key(key));
+        if tenant == Some(None) {
+            counter!("tideroute_denied_total").increment(1);
+            tracing::debug!(link = link.0, name, "a client without a tenant's key");
+            self.clients.lose(link);
+            out.send(link, client::denied("no tenant has this key"));
+            return out.close(link, "no tenant has its key");
+        }
+        let tenant = tenant.flatten();
+        let of = self.tenancy.as_ref().zip(tenant).map(|(t, tenant)| t.name(tenant));
+        tracing::debug!(link = link.0, name, tenant = of, "a client is there");
+        self.clients.greeted(link, tenant);
+    }
+
     /// The client's time is up: a shot that has not begun to answer has timed out.
     fn cut_off(&mut self, now: Micros, id: SubmissionId, out: &mut Outbox) {
         let Some(s) = self.submissions.get(id).filter(|s| !s.over && !s.streams()) else { return };
@@ -337,10 +399,9 @@
         } else if self.list_link == Some(link) {
             list::hear_list(frame, &mut crate::hear::ListLink { host: self, now })
         } else if self.clients.is_silent(link) {
-            tideroute_wire::first(frame).and_then(|(party, name)| match party {
+            tideroute_wire::first(frame).and_then(|(party, name, key)| match party {
                 Party::Client => {
-                    tracing::debug!(link = link.0, name, "a client is there");
-                    self.clients.greeted(link);
+                    self.greeted(link, &name, &key, out);
                     Ok(())
                 }
                 _ => Err(Malformed::Range("party")),
@@ -394,6 +455,7 @@
             }
             1 => self.cut_off(now, self.submissions.long(what), out),
             2 => self.probed(now, what, false),
+            4 => self.stirred = true,
             _ => {
                 let link = Link(what);
                 if self.clients.is_silent(link) {
@@ -406,6 +468,7 @@
 
     fn turn(&mut self, now: Micros, out: &mut Outbox) {
         while std::mem::take(&mut self.stirred) {
+            self.admit(now, out);
             while let Some(decision) = self.module.decide(tenths(now)) {
                 self.carry_out(now, decision, out);
             }
@@ -439,6 +502,15 @@
     }
 }
 
+/// A quarter of what may be open may wait to be let in.
+fn shares_terms(terms: &Terms) -> tideroute_shares::Terms {
+    tideroute_shares::Terms {
+        longest_wait: terms.longest_wait,
+        most_waiting: (terms.most_open / 4).max(1),
+        longest_advice: terms.module.longest_advice.max(0) as Micros * TENTH,
+    }
+}
+
 fn name_of(ending: Ending) -> &'static str {
     match ending {
         Ending::Honoured => "honoured",
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -13,7 +13,9 @@
 mod lateness;
 mod lines;
 mod submissions;
+mod tenancy;
 mod terms;
 
 pub use host::Host;
+pub use tenancy::TenantTerms;
 pub use terms::Terms;
--- a/crates/host/src/submissions.rs
+++ b/crates/host/src/submissions.rs
@@ -31,6 +31,8 @@
     pub state: Option<WorkerId>,
     /// Writers asked for a place that have not said no, the last one last.
     pub places: Vec<WorkerId>,
+    /// When its first token came.
+    pub first: Option<Micros>,
     /// The final answer was given, or nobody waits for one.
     pub over: bool,
 }
--- a/crates/host/src/terms.rs
+++ b/crates/host/src/terms.rs
@@ -2,6 +2,8 @@
 
 use tideroute_wire::{Address, Micros};
 
+use crate::tenancy::TenantTerms;
+
 #[derive(Clone, Debug)]
 pub struct Terms {
     /// How it names itself to workers and the list.
@@ -23,6 +25,10 @@
     pub most_a_client: usize,
     /// Clients connected at once; one more is sent away.
     pub most_clients: usize,
+    /// Who may use it; with none anybody may.
+    pub tenants: Vec<TenantTerms>,
+    /// How long a tenant's submission may wait to be let in.
+    pub longest_wait: Micros,
     /// Where the module's chance and the ids start.
     pub seed: u64,
 }
--- a/crates/host/tests/noise.rs
+++ b/crates/host/tests/noise.rs
@@ -44,6 +44,8 @@
         most_open: 40,
         most_a_client: 30,
         most_clients: 4,
+        tenants: vec![],
+        longest_wait: 1_000_000,
         seed: 5,
     }
 }
@@ -83,6 +85,10 @@
     fn abandoned(&mut self, number: u64) -> Result<(), Malformed> {
         self.word(number, true)
     }
+
+    fn denied(&mut self, _why: &str) -> Result<(), Malformed> {
+        Ok(())
+    }
 }
 
 struct World {
--- a/crates/lab/src/convert.rs
+++ b/crates/lab/src/convert.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddrV4;
 
 use tideroute::interface::{self, Group, Repeat};
-use tideroute_records::kinds::{Able, List, Role, Router, Step, Terms, Track, Worker};
+use tideroute_records::kinds::{Able, List, Role, Router, Step, Tenant, Terms, Track, Worker};
+use tideroute_shares::{Limits, Rate};
 use tideroute_standins::{Does, ListTerms, Trouble, WorkerTerms};
 use tideroute_wire::{Address, Micros};
 
@@ -83,10 +84,29 @@
         most_open: r.terms.most_open.div_ceil(cores),
         most_a_client: r.terms.most_a_client,
         most_clients: r.terms.most_clients.div_ceil(cores),
+        tenants: r.tenants.iter().map(|t| tenant(t, r)).collect::<Result<_, _>>()?,
+        longest_wait: r.terms.longest_wait,
         seed,
     })
 }
 
+/// What one core of one router keeps of a tenant's limits: its part of them, so that no word is needed between.
+fn tenant(t: &Tenant, r: &Router) -> Result<tideroute_host::TenantTerms, String> {
+    let part = 1.0 / f64::from(r.terms.routers) / f64::from(r.cores);
+    let rate = |a_second: Option<f64>, once: f64| {
+        a_second.map(|a_second| Rate { a_second: a_second * part, burst: (once * part).max(1.0) })
+    };
+    let key = blake3::Hash::from_hex(&t.key).map_err(|e| format!("the key of {}: {e}", t.name))?;
+    let limits = Limits {
+        submissions: rate(t.submissions, t.submissions_once),
+        tokens: rate(t.tokens, t.tokens_once),
+        in_flight: t.in_flight.map(|most| (f64::from(most) * part).ceil() as u32),
+        weight: t.weight,
+        waiting: t.waiting,
+    };
+    Ok(tideroute_host::TenantTerms { name: t.name.clone(), key: *key.as_bytes(), limits })
+}
+
 /// What of a script is still to come, from `now` on.
 fn to_come<T>(from: Micros, now: Micros, steps: Vec<(u64, T)>) -> Vec<(Micros, T)> {
     let later = steps.into_iter().map(|(at, what)| (from + at, what)).filter(|(at, _)| *at >= now);
--- a/crates/lab/src/files.rs
+++ b/crates/lab/src/files.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use tideroute_records::kinds::{
-    Burst, Day, File, Group, Late, List, Load, Role, Router, Step, Terms, Worker,
+    Burst, Day, File, Group, Key, Late, List, Load, Role, Router, Step, Tenant, Terms, Worker,
 };
 use tideroute_rules::{Group as Among, Repeat, TrackTerms, WorkerTerms};
 
@@ -46,10 +46,23 @@
         tracks: day.tracks.clone(),
         kinds: day.kinds.clone(),
         terms: terms(day),
+        tenants: tenants(day),
     };
     File { router: Some(router), ..File::default() }
 }
 
+/// The day's tenants as its routers know them.
+fn tenants(day: &Day) -> Vec<Tenant> {
+    let known = day.tenants.iter().filter(|_| day.shares);
+    let hash = |name: &str| blake3::hash(key(name).as_bytes()).to_hex().to_string();
+    known.map(|t| Tenant { key: hash(&t.name), ..t.clone() }).collect()
+}
+
+/// What a day's clients show for a tenant.
+fn key(tenant: &str) -> String {
+    format!("the key of {tenant}")
+}
+
 /// The worker that stands at a place among all of the day's.
 pub fn worker(day: &Day, ports: &Ports, place: usize, name: &str, group: &Group, n: usize) -> File {
     let cell = (n % usize::from(day.cells)) as u16;
@@ -73,7 +86,13 @@
 
 pub fn load(day: &Day, ports: &Ports) -> File {
     let bursts = day.troubles.iter().filter(|t| t.act == "burst");
-    let bursts = bursts.map(|t| Burst { at: t.at, lasts: t.lasts.unwrap_or(0), times: t.times }).collect();
+    let burst = |t: &tideroute_records::kinds::Trouble| Burst {
+        at: t.at,
+        lasts: t.lasts.unwrap_or(0),
+        times: t.times,
+        tenant: t.tenant.clone(),
+    };
+    let bursts = bursts.map(burst).collect();
     let bytes = day.fleet.first().map_or(16, |g| g.does.state_bytes_a_token);
     let load = Load {
         routers: ports.routers.clone(),
@@ -88,6 +107,7 @@
         leaves: day.load.leaves,
         sluggish: day.load.sluggish,
         bursts,
+        keys: day.tenants.iter().map(|t| Key { tenant: t.name.clone(), key: key(&t.name) }).collect(),
         state_bytes_a_token: bytes,
     };
     File { load: Some(load), ..File::default() }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -131,7 +131,7 @@
         let report = tideroute_rules::check(record.as_slice())?;
         let (events, lasted) = (self.world.events(), self.world.now() - DAWN);
         let mut load = self.load.0.lock().unwrap_or_else(|e| e.into_inner());
-        let tally = std::mem::replace(&mut load.tally, Tally::new(&self.day.tracks));
+        let tally = std::mem::replace(&mut load.tally, Tally::new(&self.day.tracks, []));
         Ok(Virtual { report, tally, record, events, lasted, fallen })
     }
 
--- a/crates/lab/src/legs.rs
+++ b/crates/lab/src/legs.rs
@@ -183,6 +183,10 @@
     fn abandoned(&mut self, _number: u64) -> Result<(), Malformed> {
         Ok(())
     }
+
+    fn denied(&mut self, _why: &str) -> Result<(), Malformed> {
+        Ok(())
+    }
 }
 
 impl worker::Worker for Ear {
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -10,7 +10,7 @@
 use tideroute_records::kinds::Load as Record;
 use tideroute_standins::state;
 use tideroute_wire::link::{Link, Loss, Outbox, Program};
-use tideroute_wire::{client, say_hello, Address, Malformed, Micros, Party};
+use tideroute_wire::{client, say_hello_with, Address, Malformed, Micros, Party};
 
 use crate::tally::{Progress, Tally};
 use crate::traffic::{plan, Planned};
@@ -93,7 +93,7 @@
         progress.planned.store(planned.len() as u64, Ordering::Relaxed);
         Load {
             clients: (0..terms.clients).map(client).collect(),
-            tally: Tally::new(&terms.tracks),
+            tally: Tally::new(&terms.tracks, terms.keys.iter().map(|k| k.tenant.clone())),
             terms,
             routers,
             planned,
@@ -120,7 +120,7 @@
         while let Some(p) = self.planned.get(self.next).filter(|p| self.began + p.at <= now) {
             let (place, left) = (self.next, p.left);
             let earnings = self.terms.tracks[usize::from(p.track)].earnings;
-            self.tally.ask(p.track, earnings, self.second(place));
+            self.tally.ask(p.track, p.tenant, earnings, self.second(place));
             let began = self.began + self.planned[place].at;
             let course = Course {
                 began,
@@ -152,7 +152,9 @@
         client.link = Some(link);
         (client.numbers, client.out) = (0, HashMap::new());
         self.by_link.insert(link, n);
-        out.send(link, say_hello(Party::Client, &format!("client{n}")));
+        let keys = &self.terms.keys;
+        let shown = if keys.is_empty() { "" } else { &keys[n % keys.len()].key };
+        out.send(link, say_hello_with(Party::Client, &format!("client{n}"), shown.as_bytes()));
         if client.sluggish {
             out.ring(0, key(DOZE, n));
         }
@@ -251,7 +253,8 @@
         let contract = track.contract + u64::from(p.prompt_tokens) * track.per_thousand / 1000;
         let late = (took > contract).then_some(track.late);
         let (number, earnings, second) = (p.track, track.earnings, self.second(place));
-        self.tally.earn(number, earnings, late, second);
+        let tenant = p.tenant;
+        self.tally.earn(number, tenant, earnings, late, second);
         self.tally.note_first(took);
         if let Some(course) = self.courses.get_mut(&place) {
             (course.over, course.out) = (true, None);
@@ -334,6 +337,12 @@
         }
         Ok(())
     }
+
+    fn denied(&mut self, why: &str) -> Result<(), Malformed> {
+        tracing::error!(client = self.n, why, "a router does not take this client");
+        self.load.tally.denied += 1;
+        Ok(())
+    }
 }
 
 impl Program for Load {
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -62,6 +62,9 @@
     /// Asked and in time, by track and by second of asking.
     pub by_track: Vec<(String, f64, f64)>,
     pub by_second: Vec<(f64, f64)>,
+    pub by_tenant: Vec<(String, f64, f64)>,
+    /// Hellos that a router did not take.
+    pub denied: u64,
 }
 
 fn histogram() -> Histogram<u64> {
@@ -70,7 +73,7 @@
 }
 
 impl Tally {
-    pub fn new(tracks: &[Track]) -> Tally {
+    pub fn new(tracks: &[Track], tenants: impl IntoIterator<Item = String>) -> Tally {
         Tally {
             submissions: 0,
             tries: 0,
@@ -89,14 +92,17 @@
             gaps: histogram(),
             by_track: tracks.iter().map(|t| (t.name.clone(), 0.0, 0.0)).collect(),
             by_second: vec![],
+            by_tenant: tenants.into_iter().map(|name| (name, 0.0, 0.0)).collect(),
+            denied: 0,
         }
     }
 
     /// Earnings asked for at a second of the load.
-    pub fn ask(&mut self, track: u8, earnings: f64, second: usize) {
+    pub fn ask(&mut self, track: u8, tenant: Option<usize>, earnings: f64, second: usize) {
         self.submissions += 1;
         self.asked += earnings;
         self.by_track[usize::from(track)].1 += earnings;
+        tenant.into_iter().for_each(|t| self.by_tenant[t].1 += earnings);
         if self.by_second.len() <= second {
             self.by_second.resize(second + 1, (0.0, 0.0));
         }
@@ -104,7 +110,14 @@
     }
 
     /// An answer that came whole: its earnings, in time or the late part of them.
-    pub fn earn(&mut self, track: u8, earnings: f64, late: Option<f64>, second: usize) {
+    pub fn earn(
+        &mut self,
+        track: u8,
+        tenant: Option<usize>,
+        earnings: f64,
+        late: Option<f64>,
+        second: usize,
+    ) {
         self.honoured += 1;
         if let Some(part) = late {
             self.late += 1;
@@ -114,6 +127,7 @@
         self.earned += earnings;
         self.in_time += earnings;
         self.by_track[usize::from(track)].2 += earnings;
+        tenant.into_iter().for_each(|t| self.by_tenant[t].2 += earnings);
         if let Some(slot) = self.by_second.get_mut(second) {
             slot.1 += earnings;
         }
@@ -146,6 +160,7 @@
             ("router not there", self.unheard),
             ("unanswered", self.unanswered),
             ("wrong tokens", self.wrong),
+            ("clients denied", self.denied),
         ];
         lines.extend(rows.iter().map(|(name, n)| format!("  {name:<22}{n:>8}  {:>6.2}%", part(*n))));
         for (name, h) in [("first token", &self.first_token), ("between tokens", &self.gaps)] {
@@ -157,7 +172,8 @@
             self.earned, self.asked, self.in_time
         );
         lines.push(format!("  {:<22}{earned} ({:.1}%)", "earnings", 100.0 * self.service()));
-        for (name, asked, in_time) in self.by_track.iter().filter(|(_, asked, _)| *asked > 0.0) {
+        let parts = self.by_track.iter().chain(&self.by_tenant);
+        for (name, asked, in_time) in parts.filter(|(_, asked, _)| *asked > 0.0) {
             lines.push(format!("    {name:<20}{:>6.1}% in contract time", 100.0 * in_time / asked));
         }
         lines.join("\n")
@@ -180,6 +196,7 @@
             "wrong": self.wrong, "asked": self.asked, "earned": self.earned, "in_time": self.in_time,
             "service": self.service(), "honoured_part": self.honoured_part(),
             "first_token": h(&self.first_token), "gaps": h(&self.gaps), "by_second": self.by_second,
+            "by_tenant": self.by_tenant, "denied": self.denied,
         })
     }
 }
--- a/crates/lab/src/traffic.rs
+++ b/crates/lab/src/traffic.rs
@@ -26,6 +26,8 @@
     pub leaves_after: Option<u32>,
     /// Which client makes it.
     pub client: usize,
+    /// Whose it is, by its place among the load's keys.
+    pub tenant: Option<usize>,
 }
 
 /// Microseconds between two turns of a session on average: a person reads the answer and asks on.
@@ -35,23 +37,26 @@
 
 /// All submissions of a load, in order of time.
 pub fn plan(load: &Load) -> Vec<Planned> {
-    let mut chance = Pcg64::seed_from_u64(load.seed);
     let mut planned = Vec::new();
     // A session brings so many submissions on average; sessions come as a Poisson process.
     let parts: f64 = load.traffic.iter().map(|t| t.part).sum();
+    let mut all = Pcg64::seed_from_u64(load.seed);
     for (place, traffic) in load.traffic.iter().enumerate() {
+        // A tenant's traffic is drawn by itself, so that it is the same whatever others do.
+        let mut own = Pcg64::seed_from_u64(load.seed ^ (place as u64 + 1) << 40);
+        let chance = if load.keys.is_empty() { &mut all } else { &mut own };
         let rate = load.rate * traffic.part / parts / traffic.turns / 1e6;
         let mut at = 0.0;
         // Sessions that began before the load are in the middle of their turns when it begins.
         let before = THINKS * (traffic.turns - 1.0);
         at -= before;
         loop {
-            let surge = surge(&load.bursts, at);
+            let surge = surge(&load.bursts, traffic, at);
             at += -(1.0 - chance.random::<f64>()).ln() / (rate * surge);
             if at >= load.lasts as f64 {
                 break;
             }
-            session(load, traffic, place, at, &mut chance, &mut planned);
+            session(load, traffic, place, at, chance, &mut planned);
         }
     }
     planned.sort_by_key(|p| (p.at, p.session, p.prompt_tokens));
@@ -59,8 +64,9 @@
 }
 
 /// How many times the usual traffic comes at a moment.
-fn surge(bursts: &[Burst], at: f64) -> f64 {
-    let now = |b: &&Burst| at >= b.at as f64 && at < (b.at + b.lasts) as f64;
+fn surge(bursts: &[Burst], traffic: &Traffic, at: f64) -> f64 {
+    let its = |b: &&Burst| b.tenant.is_none() || b.tenant == traffic.tenant;
+    let now = |b: &&Burst| its(b) && at >= b.at as f64 && at < (b.at + b.lasts) as f64;
     bursts.iter().filter(now).map(|b| b.times).product()
 }
 
@@ -84,7 +90,15 @@
     let prefix = if shares { 1 + text + ((place as u64 + 1) << 32) } else { 0 };
     let mut of_text = Pcg64::seed_from_u64(load.seed ^ prefix);
     let prefix_tokens = if shares { within(traffic.text_tokens, &mut of_text) } else { 0 };
-    let client = chance.random_range(0..load.clients);
+    let tenant = load.keys.iter().position(|k| Some(&k.tenant) == traffic.tenant.as_ref());
+    // Clients speak for the tenants in turn.
+    let client = match tenant {
+        Some(tenant) => {
+            let of_it = (load.clients - tenant).div_ceil(load.keys.len());
+            tenant + load.keys.len() * chance.random_range(0..of_it)
+        }
+        None => chance.random_range(0..load.clients),
+    };
     let (mut at, mut prompt_tokens) = (began, prefix_tokens);
     let terms = &load.tracks[track];
     loop {
@@ -112,6 +126,7 @@
                 prompt: prompt.into(),
                 leaves_after: leaves.then(|| chance.random_range(0..=most_tokens / 2)),
                 client,
+                tenant,
             });
         }
         if chance.random::<f64>() > 1.0 - 1.0 / traffic.turns {
--- a/crates/records/src/kinds.rs
+++ b/crates/records/src/kinds.rs
@@ -29,6 +29,26 @@
     pub tracks: Vec<Track>,
     pub kinds: Vec<Kind>,
     pub terms: Terms,
+    pub tenants: Vec<Tenant>,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Tenant {
+    pub name: String,
+    pub key: String,
+    pub weight: f64,
+    pub submissions: Option<f64>,
+    pub submissions_once: f64,
+    pub tokens: Option<f64>,
+    pub tokens_once: f64,
+    pub in_flight: Option<u32>,
+    pub waiting: u32,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Key {
+    pub tenant: String,
+    pub key: String,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -71,6 +91,7 @@
     pub most_shots: u16,
     pub withdrawals: bool,
     pub probes: bool,
+    pub longest_wait: u64,
     pub advice: bool,
     pub longest_advice: u64,
     pub drain_grace: u64,
@@ -150,6 +171,7 @@
     pub leaves: f64,
     pub sluggish: usize,
     pub bursts: Vec<Burst>,
+    pub keys: Vec<Key>,
     pub state_bytes_a_token: u32,
 }
 
@@ -159,11 +181,13 @@
     #[serde(rename = "for")]
     pub lasts: u64,
     pub times: f64,
+    pub tenant: Option<String>,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Traffic {
     pub track: String,
+    pub tenant: Option<String>,
     pub part: f64,
     pub turns: f64,
     pub adds: Range,
@@ -189,6 +213,8 @@
     pub cells: u16,
     pub zones: u8,
     pub kinds: Vec<Kind>,
+    pub tenants: Vec<Tenant>,
+    pub shares: bool,
     pub fleet: Vec<Group>,
     pub tracks: Vec<Track>,
     pub terms: Terms,
@@ -233,6 +259,7 @@
     pub lag: Option<u64>,
     #[serde(default = "once")]
     pub times: f64,
+    pub tenant: Option<String>,
 }
 
 fn once() -> f64 {
@@ -269,6 +296,13 @@
         }
         checks.tracks("router.tracks", &r.tracks);
         checks.unlike("router.kinds", r.kinds.iter().map(|k| &k.name));
+        checks.unlike("router.tenants", r.tenants.iter().map(|t| &t.name));
+        for (n, t) in r.tenants.iter().enumerate() {
+            if t.key.len() != 64 || !t.key.bytes().all(|b| b.is_ascii_hexdigit()) {
+                let what = format!("the key of {:?} is {} characters", t.name, t.key.len());
+                checks.fault(&format!("router.tenants[{n}].key"), what, "64 hexadecimal digits");
+            }
+        }
     }
     if let Some(w) = &file.worker {
         checks.address("worker.listen", &w.listen);
@@ -282,7 +316,9 @@
             checks.address(&format!("load.routers[{n}]"), router);
         }
         checks.tracks("load.tracks", &l.tracks);
-        checks.traffic("load.traffic", &l.traffic, &l.tracks);
+        let tenants: Vec<_> = l.keys.iter().map(|k| &k.tenant).collect();
+        checks.traffic("load.traffic", &l.traffic, &l.tracks, &tenants);
+        checks.speakers("load.clients", l.clients, &tenants);
     }
     if let Some(d) = &file.day {
         checks.day(d);
@@ -328,7 +364,7 @@
         }
     }
 
-    fn traffic(&mut self, path: &str, traffic: &[Traffic], tracks: &[Track]) {
+    fn traffic(&mut self, path: &str, traffic: &[Traffic], tracks: &[Track], tenants: &[&String]) {
         for (n, t) in traffic.iter().enumerate() {
             let at = format!("{path}[{n}]");
             if !tracks.iter().any(|track| track.name == t.track) {
@@ -336,6 +372,16 @@
                 let expected = format!("one of {}", known.join(", "));
                 self.fault(&format!("{at}.track"), format!("{:?} is no track", t.track), expected);
             }
+            let whose = t.tenant.as_ref();
+            if whose.is_none() != tenants.is_empty() || whose.is_some_and(|t| !tenants.contains(&t)) {
+                let what = format!("{whose:?} is no tenant").replace("Some(", "").replace(')', "");
+                let known: Vec<_> = tenants.iter().map(|t| t.as_str()).collect();
+                let expected = match known.is_empty() {
+                    true => "none: there are no tenants".to_string(),
+                    false => format!("one of {}", known.join(", ")),
+                };
+                self.fault(&format!("{at}.tenant"), what, expected);
+            }
             for (name, range) in [("adds", t.adds), ("answer", t.answer), ("text_tokens", t.text_tokens)] {
                 if range.least > range.most {
                     let what = format!("{name} goes from {} to {}", range.least, range.most);
@@ -345,9 +391,20 @@
         }
     }
 
+    /// Each tenant needs a client that speaks for it.
+    fn speakers(&mut self, path: &str, clients: usize, tenants: &[&String]) {
+        if clients < tenants.len() {
+            let what = format!("{clients} clients speak for {} tenants", tenants.len());
+            self.fault(path, what, "a client for each tenant at least");
+        }
+    }
+
     fn day(&mut self, d: &Day) {
+        let tenants: Vec<_> = d.tenants.iter().map(|t| &t.name).collect();
+        self.unlike("day.tenants", tenants.iter().copied());
+        self.speakers("day.load.clients", d.load.clients, &tenants);
         self.tracks("day.tracks", &d.tracks);
-        self.traffic("day.load.traffic", &d.load.traffic, &d.tracks);
+        self.traffic("day.load.traffic", &d.load.traffic, &d.tracks, &tenants);
         self.unlike("day.kinds", d.kinds.iter().map(|k| &k.name));
         self.unlike("day.fleet", d.fleet.iter().map(|g| &g.name));
         for (n, g) in d.fleet.iter().enumerate() {
@@ -372,6 +429,14 @@
                     self.fault(&format!("day.troubles[{n}].who[{m}]"), what, expected);
                 }
             }
+            if let Some(tenant) = t.tenant.as_ref().filter(|t| !tenants.contains(t)) {
+                let what = format!("{tenant:?} is no tenant");
+                self.fault(
+                    &format!("day.troubles[{n}].tenant"),
+                    what,
+                    "the name of one of the day's tenants",
+                );
+            }
             if t.at > d.load.lasts {
                 let what = format!("{} comes after the load has ended", t.act);
                 self.fault(&format!("day.troubles[{n}].at"), what, "a time within the load");
--- a/crates/records/src/schema.cue
+++ b/crates/records/src/schema.cue
@@ -22,6 +22,25 @@
 	tracks: [#Track, ...#Track]
 	kinds: [#Kind, ...#Kind]
 	terms: #Terms
+	// Who may use it; with none anybody may, and nobody's share is kept.
+	tenants: [...#Tenant] | *[]
+}
+
+// One customer of the service. Limits hold for all routers together; each keeps its part of them.
+#Tenant: {
+	name: string
+	// The BLAKE3 of its key, as 64 hexadecimal digits; a day makes keys up itself.
+	key: string | *""
+	// Its part of what there is against others that have work; 0 for what they leave.
+	weight: number & >=0 & <=1000000 | *1
+	// Submissions and prompt tokens a second, and how many at once; without, no limit.
+	submissions?:     number & >=0
+	submissions_once: number & >=1 | *10
+	tokens?:          number & >=0
+	tokens_once:      number & >=1 | *10000
+	in_flight?:       int & >=0 & <=1000000
+	// Submissions of it that may wait to be let in.
+	waiting: int & >=0 & <=100000 | *100
 }
 
 #Track: {
@@ -58,6 +77,8 @@
 	most_shots:   int & >=2 & <=64 | *5
 	withdrawals:  bool | *true
 	probes:       bool | *true
+	// Where there are tenants: how long a submission may wait to be let in.
+	longest_wait: duration & >0s | *1s
 	advice:       bool | *true
 	longest_advice: duration & >=0s | *1s
 	// Nothing new goes to a worker that drains or is gone later than this.
@@ -138,18 +159,29 @@
 	leaves:   number & >=0 & <=1 | *0
 	sluggish: int & >=0 & <=1000 | *0
 	bursts: [...#Burst] | *[]
+	// Clients speak for these in turn.
+	keys: [...#Key] | *[]
 	// Must agree with the workers'.
 	state_bytes_a_token: int & >=1 & <=4096 | *16
 }
 
+#Key: {
+	tenant: string
+	key:    string
+}
+
 #Burst: {
 	at:    duration & >=0s
 	for:   duration & >0s
 	times: number & >0
+	// Only of this tenant.
+	tenant?: string
 }
 
 #Traffic: {
 	track: string
+	// Whose it is, where there are tenants.
+	tenant?: string
 	part:  number & >0 | *1
 	// Turns a session has on average, prompt tokens a turn adds, and tokens of an answer at most.
 	turns:       number & >=1 | *2
@@ -178,6 +210,9 @@
 	cells:   int & >=1 & <=1000 | *4
 	zones:   int & >=1 & <=255 | *2
 	kinds: [#Kind, ...#Kind]
+	tenants: [...#Tenant] | *[]
+	// Whether routers know the tenants; without, the day is the baseline.
+	shares: bool | *true
 	fleet: [#Group, ...#Group]
 	tracks: [#Track, ...#Track]
 	terms: #Terms
@@ -244,6 +279,7 @@
 	do:    "burst"
 	for:   duration & >0s
 	times: number & >0
+	tenant?: string
 }
 
 // What a day must show beside the five rules.
--- a/crates/rules/src/links.rs
+++ b/crates/rules/src/links.rs
@@ -112,7 +112,7 @@
                 frames.push(sum(&passed.frame));
                 let hello = passed.place == 0 && (passed.what == What::Sent) == end.dialled;
                 if hello && !end.dialled {
-                    let party = tideroute_wire::first(&passed.frame).map(|(party, _)| party).ok();
+                    let party = tideroute_wire::first(&passed.frame).map(|(party, ..)| party).ok();
                     end.between = party.and_then(|party| between(name(party), &role));
                     if end.between.is_none() {
                         report.note(Rule::Record, passed.at, None, format!("a {role} was told no Hello"));
--- a/crates/rules/src/talk.rs
+++ b/crates/rules/src/talk.rs
@@ -107,6 +107,10 @@
     fn abandoned(&mut self, number: u64) -> Result<(), Malformed> {
         self.answer(number, Answer::Abandoned)
     }
+
+    fn denied(&mut self, _why: &str) -> Result<(), Malformed> {
+        Ok(())
+    }
 }
 
 impl Ear<'_> {
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -273,7 +273,7 @@
     fn route(&mut self, now: Micros, link: Link, frame: &Bytes, out: &mut Outbox) -> Result<(), Malformed> {
         match self.peers.get(&link).copied() {
             Some(Peer::Unknown) => {
-                let (party, _) = tideroute_wire::first(frame)?;
+                let (party, ..) = tideroute_wire::first(frame)?;
                 let peer = match party {
                     Party::Router => Peer::Router,
                     Party::Worker => Peer::Fetcher,
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -31,6 +31,8 @@
     fn honoured(&mut self, number: u64, tokens: u32) -> Result<(), Malformed>;
     fn turned_back(&mut self, number: u64, after: Micros) -> Result<(), Malformed>;
     fn abandoned(&mut self, number: u64) -> Result<(), Malformed>;
+    /// Its Hello was not taken: the connection ends.
+    fn denied(&mut self, why: &str) -> Result<(), Malformed>;
 }
 
 /// Takes one frame from a client and makes the call that it stands for.
@@ -61,6 +63,7 @@
         to_client::Said::Honoured(h) => client.honoured(h.number, h.tokens),
         to_client::Said::TurnedBack(t) => client.turned_back(t.number, t.after_us),
         to_client::Said::Abandoned(a) => client.abandoned(a.number),
+        to_client::Said::Denied(d) => client.denied(&d.why),
     }
 }
 
@@ -115,6 +118,10 @@
     to_client(to_client::Said::Abandoned(made::Abandoned { number }))
 }
 
+pub fn denied(why: &str) -> Bytes {
+    to_client(to_client::Said::Denied(made::Denied { why: why.to_string() }))
+}
+
 fn from_client(said: from_client::Said) -> Bytes {
     FromClient { said: Some(said) }.encode_to_vec().into()
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -87,13 +87,14 @@
     T::try_from(value).map_err(|_| Malformed::Range(field))
 }
 
-fn hello(party: Party, name: &str) -> made::Hello {
+fn hello(party: Party, name: &str, key: &[u8]) -> made::Hello {
     let party = match party {
         Party::Client => made::hello::Party::Client,
         Party::Router => made::hello::Party::Router,
         Party::Worker => made::hello::Party::Worker,
     };
-    made::Hello { party: party.into(), name: name.to_string(), version: VERSION }
+    let key = Bytes::copy_from_slice(key);
+    made::Hello { party: party.into(), name: name.to_string(), version: VERSION, key }
 }
 
 fn party(hello: &made::Hello) -> Result<Party, Malformed> {
@@ -110,9 +111,10 @@
 
 /// The first frame on a connection that was accepted. Hello has the same field in every conversation, so who
 /// speaks is known before the conversation is.
-pub fn first(frame: &[u8]) -> Result<(Party, String), Malformed> {
+pub fn first(frame: &[u8]) -> Result<(Party, String, Bytes), Malformed> {
     match made::FromFetcher::decode(frame)?.said {
-        Some(made::from_fetcher::Said::Hello(h)) if h.name.len() <= 256 => Ok((party(&h)?, h.name)),
+        Some(made::from_fetcher::Said::Hello(h)) if h.key.len() > 256 => Err(Malformed::Range("key")),
+        Some(made::from_fetcher::Said::Hello(h)) if h.name.len() <= 256 => Ok((party(&h)?, h.name, h.key)),
         Some(made::from_fetcher::Said::Hello(_)) => Err(Malformed::Range("name")),
         _ => Err(Malformed::Hello),
     }
@@ -120,5 +122,11 @@
 
 /// The Hello with which the opener of any connection begins.
 pub fn say_hello(who: Party, name: &str) -> Bytes {
-    made::FromFetcher { said: Some(made::from_fetcher::Said::Hello(hello(who, name))) }.encode_to_vec().into()
+    say_hello_with(who, name, &[])
+}
+
+/// A client's Hello with its tenant's key.
+pub fn say_hello_with(who: Party, name: &str, key: &[u8]) -> Bytes {
+    let said = made::from_fetcher::Said::Hello(hello(who, name, key));
+    made::FromFetcher { said: Some(said) }.encode_to_vec().into()
 }
