--- a/crates/host/src/clients.rs
+++ b/crates/host/src/clients.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, HashMap};
 
 use tideroute::interface::SubmissionId;
-use tideroute_shares::Tenant;
 use tideroute_wire::link::Link;
 
 #[derive(Default)]
@@ -14,8 +13,8 @@
     pub last: Option<u64>,
     /// It does not read what is sent: its streams get no more tokens from their workers until it does.
     pub crowded: bool,
-    /// Whose it is, where there are tenants.
-    pub tenant: Option<Tenant>,
+    /// The hash of the key that it showed, where there are tenants.
+    pub key: Option<[u8; 32]>,
 }
 
 #[derive(Default)]
@@ -34,8 +33,8 @@
         self.links.contains_key(&link)
     }
 
-    pub fn greeted(&mut self, link: Link, tenant: Option<Tenant>) {
-        self.links.insert(link, Some(Client { tenant, ..Client::default() }));
+    pub fn greeted(&mut self, link: Link, key: Option<[u8; 32]>) {
+        self.links.insert(link, Some(Client { key, ..Client::default() }));
     }
 
     pub fn is_silent(&self, link: Link) -> bool {
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -15,7 +15,7 @@
 use crate::lateness::Lateness;
 use crate::lines::Lines;
 use crate::submissions::{Submission, Submissions};
-use crate::tenancy::Tenancy;
+use crate::tenancy::{Ear, Tenancy};
 use crate::terms::Terms;
 
 /// Microseconds in one of the module's tenths of a millisecond.
@@ -83,7 +83,7 @@
         Host {
             module: Router::new(terms.module.clone(), terms.seed, tenths(now)),
             submissions: Submissions::new(terms.seed),
-            tenancy: Tenancy::new(&terms.tenants, shares_terms(&terms), now),
+            tenancy: terms.tenants.as_ref().map(|t| Tenancy::new(t, terms.part, shares_terms(&terms), now)),
             terms,
             clients: Clients::default(),
             lines: Lines::default(),
@@ -219,7 +219,7 @@
             return Ok(());
         }
         let (link, number, cut_off) = (s.client, s.number, s.cut_off);
-        let (tenant, tokens) = (client.tenant, s.prompt_tokens);
+        let (key, tokens) = (client.key, s.prompt_tokens);
         let id = self.submissions.insert(s);
         client.open.insert(number, id);
         out.send(link, client::taken(number, id));
@@ -227,12 +227,17 @@
         out.ring(cut_off, Self::key(Timer::CutOff(id)));
         self.stirred = true;
         let earnings = self.terms.module.tracks.get(usize::from(track)).map_or(0.0, |t| t.earnings);
-        match (&mut self.tenancy, tenant) {
-            (Some(tenancy), Some(tenant)) => {
+        let Some(tenancy) = &mut self.tenancy else {
+            self.let_in(now, id);
+            return Ok(());
+        };
+        // A key may have been revoked since its Hello.
+        match key.and_then(|key| tenancy.of(&key)) {
+            Some(tenant) => {
                 let ticket = Ticket(id);
                 tenancy.shares.asked(now, Asked { ticket, tenant, tokens, earnings, cut_off });
             }
-            _ => self.let_in(now, id),
+            None => self.answer(now, id, Answer::TurnedBack(0), out),
         }
         Ok(())
     }
@@ -269,18 +274,16 @@
 
     /// A client has said Hello; where there are tenants it must speak for one.
     fn greeted(&mut self, link: Link, name: &str, key: &[u8], out: &mut Outbox) {
-        let tenant = self.tenancy.as_ref().map(|t| t.of_key(key));
-        if tenant == Some(None) {
+        let hash = self.tenancy.as_ref().map(|_| *blake3::hash(key).as_bytes());
+        if self.tenancy.as_ref().zip(hash).is_some_and(|(t, hash)| t.of(&hash).is_none()) {
             counter!("tideroute_denied_total").increment(1);
             tracing::debug!(link = link.0, name, "a client without a tenant's key");
             self.clients.lose(link);
             out.send(link, client::denied("no tenant has this key"));
             return out.close(link, "no tenant has its key");
         }
-        let tenant = tenant.flatten();
-        let of = self.tenancy.as_ref().zip(tenant).map(|(t, tenant)| t.name(tenant));
-        tracing::debug!(link = link.0, name, tenant = of, "a client is there");
-        self.clients.greeted(link, tenant);
+        tracing::debug!(link = link.0, name, "a client is there");
+        self.clients.greeted(link, hash);
     }
 
     /// The client's time is up: a shot that has not begun to answer has timed out.
@@ -486,6 +489,14 @@
         }
     }
 
+    fn told(&mut self, now: Micros, letter: &Bytes, _out: &mut Outbox) {
+        let Some(tenancy) = &mut self.tenancy else { return };
+        if let Err(problem) = tideroute_wire::tenant::hear(letter, &mut Ear { tenancy, now }) {
+            tracing::error!(%problem, "a letter about tenants cannot be read");
+        }
+        self.stirred = true;
+    }
+
     fn late(&mut self, now: Micros, by: Micros) {
         self.lateness.note(now, by);
         gauge!("tideroute_late_seconds", "core" => self.terms.name.clone())
--- a/crates/host/src/tenancy.rs
+++ b/crates/host/src/tenancy.rs
@@ -1,44 +1,126 @@
-//! Whose submissions come in. Where the operator names tenants, a client's Hello must show the key of one, and the
-//! module hears of a submission only once [`tideroute_shares`] lets it in; the host carries out both verdicts.
+//! Whose submissions come in. Where there are tenants, a client's Hello must show the key of one, and the module
+//! hears of a submission only once [`tideroute_shares`] lets it in; the host carries out both verdicts.
 
 use std::collections::HashMap;
 
-use tideroute_shares::{Limits, Shares, Tenant};
+use tideroute_shares::{Limits, Rate, Shares, Tenant};
+use tideroute_wire::{tenant, Malformed, Micros};
 
 /// One tenant, as the operator names it.
 #[derive(Clone, Debug)]
 pub struct TenantTerms {
     pub name: String,
-    /// The BLAKE3 of its key; the key itself is nowhere.
-    pub key: [u8; 32],
-    /// This instance's part of them.
+    /// The change that made it so; an older one is not heeded. 0 where none is counted.
+    pub version: u64,
+    /// BLAKE3 of its keys; the keys themselves are nowhere.
+    pub keys: Vec<[u8; 32]>,
+    /// For all routers and cores together.
     pub limits: Limits,
 }
 
+struct Known {
+    tenant: Tenant,
+    version: u64,
+    keys: Vec<[u8; 32]>,
+}
+
 pub(crate) struct Tenancy {
     pub shares: Shares,
+    /// This instance's part of all limits: what all instances let in stays within them with no word between.
+    part: f64,
     by_key: HashMap<[u8; 32], Tenant>,
-    names: Vec<String>,
+    by_name: HashMap<String, Known>,
+    numbers: u32,
 }
 
 impl Tenancy {
-    /// None where the operator names no tenants.
-    pub fn new(tenants: &[TenantTerms], terms: tideroute_shares::Terms, now: u64) -> Option<Tenancy> {
-        let (mut shares, mut by_key) = (Shares::new(terms), HashMap::new());
-        for (n, t) in (0..).zip(tenants) {
-            shares.tenant(now, Tenant(n), t.limits);
-            by_key.insert(t.key, Tenant(n));
+    pub fn new(tenants: &[TenantTerms], part: f64, terms: tideroute_shares::Terms, now: Micros) -> Tenancy {
+        let shares = Shares::new(terms);
+        let (by_key, by_name) = (HashMap::new(), HashMap::new());
+        let mut tenancy = Tenancy { shares, part, by_key, by_name, numbers: 0 };
+        tenants.iter().for_each(|t| tenancy.set(now, t.clone()));
+        tenancy
+    }
+
+    /// A tenant is there, or is another than it was.
+    pub fn set(&mut self, now: Micros, terms: TenantTerms) {
+        if self.by_name.get(&terms.name).is_some_and(|known| known.version > terms.version) {
+            return;
+        }
+        let tenant = match self.by_name.get(&terms.name) {
+            Some(known) => known.tenant,
+            None => {
+                self.numbers += 1;
+                Tenant(self.numbers)
+            }
+        };
+        self.revoke(&terms.name);
+        self.by_key.extend(terms.keys.iter().map(|key| (*key, tenant)));
+        let part = |rate: Rate| Rate {
+            a_second: rate.a_second * self.part,
+            burst: (rate.burst * self.part).max(1.0),
+        };
+        let limits = Limits {
+            submissions: terms.limits.submissions.map(part),
+            tokens: terms.limits.tokens.map(part),
+            in_flight: terms.limits.in_flight.map(|most| (f64::from(most) * self.part).ceil() as u32),
+            ..terms.limits
+        };
+        self.shares.tenant(now, tenant, limits);
+        self.by_name.insert(terms.name, Known { tenant, version: terms.version, keys: terms.keys });
+    }
+
+    /// A tenant is removed: its keys are dead, what waits is turned back, what is in flight runs to its end.
+    pub fn gone(&mut self, now: Micros, name: &str, version: u64) {
+        if self.by_name.get(name).is_none_or(|known| known.version > version) {
+            return;
+        }
+        self.revoke(name);
+        if let Some(known) = self.by_name.remove(name) {
+            self.shares.removed(now, known.tenant);
         }
-        let names = tenants.iter().map(|t| t.name.clone()).collect();
-        (!tenants.is_empty()).then_some(Tenancy { shares, by_key, names })
     }
 
-    /// The tenant that a key stands for. Hashes are looked up, so that how long it takes tells nothing of a key.
-    pub fn of_key(&self, key: &[u8]) -> Option<Tenant> {
-        self.by_key.get(blake3::hash(key).as_bytes()).copied()
+    fn revoke(&mut self, name: &str) {
+        let Some(known) = self.by_name.get(name) else { return };
+        for key in &known.keys {
+            self.by_key.remove(key);
+        }
+    }
+
+    /// The tenant of a key's hash. Hashes are looked up, so that how long it takes tells nothing of a key.
+    pub fn of(&self, hash: &[u8; 32]) -> Option<Tenant> {
+        self.by_key.get(hash).copied()
+    }
+}
+
+/// Takes a letter apart for the tenancy.
+pub(crate) struct Ear<'a> {
+    pub tenancy: &'a mut Tenancy,
+    pub now: Micros,
+}
+
+impl tenant::Core for Ear<'_> {
+    fn set(
+        &mut self,
+        name: &str,
+        version: u64,
+        keys: Vec<[u8; 32]>,
+        weight: f64,
+        submissions: Option<tenant::Rate>,
+        tokens: Option<tenant::Rate>,
+        in_flight: Option<u32>,
+        waiting: u32,
+    ) -> Result<(), Malformed> {
+        let rate = |(a_second, burst)| Rate { a_second, burst };
+        let (submissions, tokens) = (submissions.map(rate), tokens.map(rate));
+        let limits = Limits { submissions, tokens, in_flight, weight, waiting };
+        self.tenancy.set(self.now, TenantTerms { name: name.to_string(), version, keys, limits });
+        Ok(())
     }
 
-    pub fn name(&self, tenant: Tenant) -> String {
-        self.names.get(tenant.0 as usize).cloned().unwrap_or_default()
+    fn gone(&mut self, name: &str, version: u64) -> Result<(), Malformed> {
+        self.tenancy.gone(self.now, name, version);
+        Ok(())
     }
 }
--- a/crates/host/src/terms.rs
+++ b/crates/host/src/terms.rs
@@ -25,8 +25,10 @@
     pub most_a_client: usize,
     /// Clients connected at once; one more is sent away.
     pub most_clients: usize,
-    /// Who may use it; with none anybody may.
-    pub tenants: Vec<TenantTerms>,
+    /// Who may use it, at first; None where anybody may.
+    pub tenants: Option<Vec<TenantTerms>>,
+    /// This instance's part of each tenant's limits.
+    pub part: f64,
     /// How long a tenant's submission may wait to be let in.
     pub longest_wait: Micros,
     /// Where the module's chance and the ids start.
--- a/crates/host/tests/noise.rs
+++ b/crates/host/tests/noise.rs
@@ -44,7 +44,8 @@
         most_open: 40,
         most_a_client: 30,
         most_clients: 4,
-        tenants: vec![],
+        tenants: None,
+        part: 1.0,
         longest_wait: 1_000_000,
         seed: 5,
     }
--- a/crates/lab/src/convert.rs
+++ b/crates/lab/src/convert.rs
@@ -84,27 +84,30 @@
         most_open: r.terms.most_open.div_ceil(cores),
         most_a_client: r.terms.most_a_client,
         most_clients: r.terms.most_clients.div_ceil(cores),
-        tenants: r.tenants.iter().map(|t| tenant(t, r)).collect::<Result<_, _>>()?,
+        tenants: tenants(r)?,
+        part: 1.0 / f64::from(r.terms.routers) / f64::from(r.cores),
         longest_wait: r.terms.longest_wait,
         seed,
     })
 }
 
-/// What one core of one router keeps of a tenant's limits: its part of them, so that no word is needed between.
-fn tenant(t: &Tenant, r: &Router) -> Result<tideroute_host::TenantTerms, String> {
-    let part = 1.0 / f64::from(r.terms.routers) / f64::from(r.cores);
-    let rate = |a_second: Option<f64>, once: f64| {
-        a_second.map(|a_second| Rate { a_second: a_second * part, burst: (once * part).max(1.0) })
-    };
+/// The tenants of a record; None where anybody may come. Those of a store are told by who administers it.
+fn tenants(r: &Router) -> Result<Option<Vec<tideroute_host::TenantTerms>>, String> {
+    let named = r.tenants.iter().map(tenant).collect::<Result<Vec<_>, _>>()?;
+    Ok((r.admin.is_some() || !named.is_empty()).then_some(named))
+}
+
+fn tenant(t: &Tenant) -> Result<tideroute_host::TenantTerms, String> {
+    let rate = |a_second: Option<f64>, burst| a_second.map(|a_second| Rate { a_second, burst });
     let key = blake3::Hash::from_hex(&t.key).map_err(|e| format!("the key of {}: {e}", t.name))?;
     let limits = Limits {
         submissions: rate(t.submissions, t.submissions_once),
         tokens: rate(t.tokens, t.tokens_once),
-        in_flight: t.in_flight.map(|most| (f64::from(most) * part).ceil() as u32),
+        in_flight: t.in_flight,
         weight: t.weight,
         waiting: t.waiting,
     };
-    Ok(tideroute_host::TenantTerms { name: t.name.clone(), key: *key.as_bytes(), limits })
+    Ok(tideroute_host::TenantTerms { name: t.name.clone(), version: 0, keys: vec![*key.as_bytes()], limits })
 }
 
 /// What of a script is still to come, from `now` on.
--- a/crates/lab/src/files.rs
+++ b/crates/lab/src/files.rs
@@ -47,6 +47,7 @@
         kinds: day.kinds.clone(),
         terms: terms(day),
         tenants: tenants(day),
+        admin: None,
     };
     File { router: Some(router), ..File::default() }
 }
--- a/crates/reactor/src/conn.rs
+++ b/crates/reactor/src/conn.rs
@@ -38,6 +38,8 @@
     pub stage: Stage,
     pub hushed: bool,
     pub crowded: bool,
+    /// Bytes pass as they come, not in frames.
+    pub raw: bool,
     /// Frames that passed, each way.
     pub sent: u64,
     pub heard: u64,
@@ -57,7 +59,18 @@
 impl Conn {
     pub fn new(link: Link, stream: TcpStream, stage: Stage) -> Conn {
         let (arrived, waiting) = (BytesMut::new(), BytesMut::new());
-        Conn { link, stream, stage, hushed: false, crowded: false, sent: 0, heard: 0, arrived, waiting }
+        Conn {
+            link,
+            stream,
+            stage,
+            hushed: false,
+            crowded: false,
+            raw: false,
+            sent: 0,
+            heard: 0,
+            arrived,
+            waiting,
+        }
     }
 
     /// Begins to connect; whether it led anywhere is known once the socket can be written to.
@@ -82,7 +95,11 @@
     }
 
     pub fn put(&mut self, body: &Bytes) {
-        frame::put(&mut self.waiting, body);
+        if self.raw {
+            self.waiting.extend_from_slice(body);
+        } else {
+            frame::put(&mut self.waiting, body);
+        }
     }
 
     pub fn waiting(&self) -> usize {
@@ -113,6 +130,10 @@
             }
             Err(e) => return Err(e),
         };
+        if self.raw {
+            let frames = if got > 0 { vec![Bytes::copy_from_slice(&piece[..got])] } else { vec![] };
+            return Ok(if got == 0 { Got::End(frames) } else { Got::Frames(frames) });
+        }
         self.arrived.extend_from_slice(&piece[..got]);
         let mut frames = Vec::new();
         loop {
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -10,10 +10,12 @@
 
 pub mod clock;
 pub mod conn;
+mod mailbox;
 mod reactor;
 mod signals;
 mod tap;
 pub mod wheel;
 
+pub use mailbox::Mailbox;
 pub use reactor::{Ended, Reactor, ReactorError};
 pub use tap::Tap;
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -5,6 +5,8 @@
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::AsRawFd;
 use std::path::PathBuf;
+use std::sync::mpsc::{sync_channel, Receiver};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +20,7 @@
 
 use crate::clock::Clock;
 use crate::conn::{Conn, Got, Stage, HIGH, LOW, MOST};
+use crate::mailbox::{Mailbox, LETTERS};
 use crate::signals::Signals;
 use crate::tap::Tap;
 use crate::wheel::Wheel;
@@ -60,7 +63,7 @@
 }
 
 pub struct Reactor {
-    poller: Poller,
+    poller: Arc<Poller>,
     clock: Clock,
     doors: Vec<TcpListener>,
     conns: Slab<Conn>,
@@ -72,6 +75,8 @@
     signals: Option<Signals>,
     tap: Option<Tap>,
     keep: Option<PathBuf>,
+    letters: Option<Receiver<Bytes>>,
+    raw: bool,
     links: u64,
     stopping: bool,
     vanished: bool,
@@ -108,7 +113,7 @@
         addresses: &[SocketAddr],
         bind: impl Fn(SocketAddr) -> io::Result<TcpListener>,
     ) -> Result<Reactor, ReactorError> {
-        let (poller, clock) = (Poller::new()?, Clock::start());
+        let (poller, clock) = (Arc::new(Poller::new()?), Clock::start());
         let mut doors = Vec::new();
         for &address in addresses {
             let listen = |e| ReactorError::Listen(address, e);
@@ -130,12 +135,26 @@
             signals: None,
             tap: None,
             keep: None,
+            letters: None,
+            raw: false,
             links: 0,
             stopping: false,
             vanished: false,
         })
     }
 
+    /// What passes at the doors is bytes as they come, and not frames.
+    pub fn raw(&mut self) {
+        self.raw = true;
+    }
+
+    /// Through which other threads tell this loop's program something.
+    pub fn mailbox(&mut self) -> Mailbox {
+        let (send, letters) = sync_channel(LETTERS);
+        self.letters = Some(letters);
+        Mailbox::new(send, self.poller.clone())
+    }
+
     /// Where the doors are, in order.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.doors.iter().filter_map(|d| d.local_addr().ok()).collect()
@@ -209,6 +228,10 @@
                     key => self.ready(key - CONNS, event, program, &mut out),
                 }
             }
+            while let Some(letter) = self.letters.as_ref().and_then(|letters| letters.try_recv().ok()) {
+                program.told(self.clock.now(), &letter, &mut out);
+                self.carry_out(&mut out);
+            }
             self.wheel.advance(self.now() / TICK, &mut due);
             for ring in due.drain(..) {
                 match ring {
@@ -492,7 +515,9 @@
             if let Some(tap) = self.tap.as_mut() {
                 tap.met(now, link, What::Accepted, ends);
             }
-            self.insert(Conn::new(link, stream, Stage::Open), Event::readable(0));
+            let mut conn = Conn::new(link, stream, Stage::Open);
+            conn.raw = self.raw;
+            self.insert(conn, Event::readable(0));
             program.accepted(now, link, door, out);
             self.carry_out(out);
         }
--- a/crates/records/src/kinds.rs
+++ b/crates/records/src/kinds.rs
@@ -30,6 +30,21 @@
     pub kinds: Vec<Kind>,
     pub terms: Terms,
     pub tenants: Vec<Tenant>,
+    pub admin: Option<Admin>,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Admin {
+    pub listen: String,
+    pub store: String,
+    pub keys: Vec<AdminKey>,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct AdminKey {
+    pub name: String,
+    pub key: String,
+    pub role: String,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -298,9 +313,17 @@
         checks.unlike("router.kinds", r.kinds.iter().map(|k| &k.name));
         checks.unlike("router.tenants", r.tenants.iter().map(|t| &t.name));
         for (n, t) in r.tenants.iter().enumerate() {
-            if t.key.len() != 64 || !t.key.bytes().all(|b| b.is_ascii_hexdigit()) {
-                let what = format!("the key of {:?} is {} characters", t.name, t.key.len());
-                checks.fault(&format!("router.tenants[{n}].key"), what, "64 hexadecimal digits");
+            checks.hash(&format!("router.tenants[{n}].key"), &t.key);
+        }
+        if let Some(admin) = &r.admin {
+            checks.address("router.admin.listen", &admin.listen);
+            checks.unlike("router.admin.keys", admin.keys.iter().map(|k| &k.name));
+            for (n, k) in admin.keys.iter().enumerate() {
+                checks.hash(&format!("router.admin.keys[{n}].key"), &k.key);
+            }
+            if !r.tenants.is_empty() {
+                let what = "tenants are named here and kept in a store";
+                checks.fault("router.tenants", what, "no tenants where there is `admin`");
             }
         }
     }
@@ -391,6 +414,12 @@
         }
     }
 
+    fn hash(&mut self, path: &str, hash: &str) {
+        if hash.len() != 64 || !hash.bytes().all(|b| b.is_ascii_hexdigit()) {
+            self.fault(path, format!("a hash of {} characters", hash.len()), "64 hexadecimal digits");
+        }
+    }
+
     /// Each tenant needs a client that speaks for it.
     fn speakers(&mut self, path: &str, clients: usize, tenants: &[&String]) {
         if clients < tenants.len() {
--- a/crates/records/src/schema.cue
+++ b/crates/records/src/schema.cue
@@ -24,6 +24,23 @@
 	terms: #Terms
 	// Who may use it; with none anybody may, and nobody's share is kept.
 	tenants: [...#Tenant] | *[]
+	// Tenants are kept in a store and administered while it runs.
+	admin?: #Admin
+}
+
+// The administration API: where it listens, the file of its store, and who may use it.
+#Admin: {
+	listen: string
+	store:  string
+	keys: [#AdminKey, ...#AdminKey]
+}
+
+#AdminKey: {
+	name: string
+	// The BLAKE3 of the key, as 64 hexadecimal digits.
+	key:  string
+	// view: read; operate: change tenants too; own: take snapshots too.
+	role: "view" | "operate" | "own"
 }
 
 // One customer of the service. Limits hold for all routers together; each keeps its part of them.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod link;
 pub mod list;
 pub mod tap;
+pub mod tenant;
 pub mod worker;
 
 use bytes::Bytes;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -122,6 +122,8 @@
     fn crowded(&mut self, now: Micros, link: Link, crowded: bool, out: &mut Outbox);
     fn rang(&mut self, now: Micros, key: u64, out: &mut Outbox);
     fn turn(&mut self, now: Micros, out: &mut Outbox);
+    /// Another thread of the process tells something.
+    fn told(&mut self, _now: Micros, _letter: &Bytes, _out: &mut Outbox) {}
     /// The loop came to what was due, or to its peers, so much later than it could have on an idle machine.
     fn late(&mut self, _now: Micros, _by: Micros) {}
     /// Asked to end: take nothing new, finish what is held.
--- /dev/null
+++ b/crates/wire/src/tenant.rs
@@ -0,0 +1,71 @@
+//! What the cores of a router are told of tenants while they run.
+
+use bytes::Bytes;
+use prost::Message;
+
+use crate::made::{self, tenant_letter, TenantLetter};
+use crate::Malformed;
+
+/// So many units a second, and so many at once.
+pub type Rate = (f64, f64);
+
+/// What a core hears of tenants.
+pub trait Core {
+    fn set(
+        &mut self,
+        name: &str,
+        version: u64,
+        keys: Vec<[u8; 32]>,
+        weight: f64,
+        submissions: Option<Rate>,
+        tokens: Option<Rate>,
+        in_flight: Option<u32>,
+        waiting: u32,
+    ) -> Result<(), Malformed>;
+    fn gone(&mut self, name: &str, version: u64) -> Result<(), Malformed>;
+}
+
+pub fn hear(letter: &Bytes, core: &mut impl Core) -> Result<(), Malformed> {
+    match TenantLetter::decode(letter.clone())?.said.ok_or(Malformed::Empty)? {
+        tenant_letter::Said::Set(s) => {
+            let keys = s.keys.iter().map(|key| key.as_ref().try_into());
+            let keys = keys.collect::<Result<_, _>>().map_err(|_| Malformed::Range("keys"))?;
+            let submissions = s.submissions.map(|rate| (rate, s.submissions_once));
+            let tokens = s.tokens.map(|rate| (rate, s.tokens_once));
+            core.set(&s.name, s.version, keys, s.weight, submissions, tokens, s.in_flight, s.waiting)
+        }
+        tenant_letter::Said::Gone(g) => core.gone(&g.name, g.version),
+    }
+}
+
+pub fn set(
+    name: &str,
+    version: u64,
+    keys: &[[u8; 32]],
+    weight: f64,
+    submissions: Option<Rate>,
+    tokens: Option<Rate>,
+    in_flight: Option<u32>,
+    waiting: u32,
+) -> Bytes {
+    letter(tenant_letter::Said::Set(made::TenantSet {
+        name: name.to_string(),
+        version,
+        keys: keys.iter().map(|key| Bytes::copy_from_slice(key)).collect(),
+        weight,
+        submissions: submissions.map(|rate| rate.0),
+        submissions_once: submissions.map_or(0.0, |rate| rate.1),
+        tokens: tokens.map(|rate| rate.0),
+        tokens_once: tokens.map_or(0.0, |rate| rate.1),
+        in_flight,
+        waiting,
+    }))
+}
+
+pub fn gone(name: &str, version: u64) -> Bytes {
+    letter(tenant_letter::Said::Gone(made::TenantGone { name: name.to_string(), version }))
+}
+
+fn letter(said: tenant_letter::Said) -> Bytes {
+    TenantLetter { said: Some(said) }.encode_to_vec().into()
+}
