--- /dev/null
+++ b/crates/admin/tests/api.rs
@@ -0,0 +1,320 @@
+//! The API on raw bytes: what it answers, what it refuses, and that nothing changes by what it refuses.
+
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use tideroute_admin::{Admin, Administrator, Api, Role};
+use tideroute_tenants::Store;
+use tideroute_wire::link::{Act, Link, Outbox, Program};
+
+const NOW: u64 = 1_000_000_000;
+
+struct Server {
+    admin: Admin,
+    store: Arc<Store>,
+    changes: Arc<Mutex<Vec<String>>>,
+    out: Outbox,
+    links: u64,
+}
+
+/// What a connection brought: the statuses and the last reply, and whether it was closed.
+#[derive(Debug, Default)]
+struct Got {
+    statuses: Vec<u16>,
+    last: String,
+    closed: bool,
+}
+
+impl Server {
+    fn new() -> Server {
+        let store = Arc::new(Store::on(redb::backends::InMemoryBackend::new()).expect("it opens"));
+        let roles = [("view", Role::View), ("operate", Role::Operate), ("own", Role::Own)];
+        let administrators = roles.map(|(name, role)| {
+            let key = *blake3::hash(format!("key-{name}").as_bytes()).as_bytes();
+            Administrator { name: name.to_string(), key, role }
+        });
+        let changes = Arc::new(Mutex::new(vec![]));
+        let told = changes.clone();
+        let api = Api::new(store.clone(), administrators.to_vec());
+        let admin = Admin::new(api, move |entry| {
+            told.lock().expect("no panic").push(format!("{} {}", entry.name, entry.tenant.is_some()));
+        });
+        Server { admin, store, changes, out: Outbox::default(), links: 0 }
+    }
+
+    fn connect(&mut self) -> Link {
+        self.links += 1;
+        let link = Link(self.links);
+        self.admin.accepted(NOW, link, 0, &mut self.out);
+        link
+    }
+
+    fn got(&mut self) -> Got {
+        let mut got = Got::default();
+        for act in self.out.take() {
+            match act {
+                Act::Send { frame, .. } => {
+                    let text = String::from_utf8_lossy(&frame).into_owned();
+                    assert!(text.starts_with("HTTP/1.1 "), "{text}");
+                    got.statuses.push(text[9..12].parse().expect("a status"));
+                    got.last = text;
+                }
+                Act::Close { .. } => got.closed = true,
+                _ => {}
+            }
+        }
+        got
+    }
+
+    /// Sends bytes on a connection of their own, in pieces of a size.
+    fn send(&mut self, bytes: &[u8], piece: usize) -> Got {
+        let link = self.connect();
+        for part in bytes.chunks(piece.max(1)) {
+            self.admin.heard(NOW, link, &Bytes::copy_from_slice(part), &mut self.out);
+        }
+        let got = self.got();
+        self.admin.lost(NOW, link, tideroute_wire::link::Loss::Broken, &mut self.out);
+        got
+    }
+
+    fn ask(&mut self, method: &str, path: &str, fields: &str, body: &str) -> Got {
+        let text = request(method, path, fields, body);
+        self.send(text.as_bytes(), usize::MAX)
+    }
+
+    fn state(&self) -> (u64, usize) {
+        (self.store.version().expect("read"), self.changes.lock().expect("no panic").len())
+    }
+}
+
+fn request(method: &str, path: &str, fields: &str, body: &str) -> String {
+    let json = if body.is_empty() { "" } else { "content-type: application/json\r\n" };
+    let length = body.len();
+    format!("{method} {path} HTTP/1.1\r\nhost: here\r\n{fields}{json}content-length: {length}\r\n\r\n{body}")
+}
+
+const OPERATE: &str = "authorization: Bearer key-operate\r\n";
+const NEW: &str = "authorization: Bearer key-operate\r\nif-none-match: *\r\n";
+
+fn matching(version: u64) -> String {
+    format!("{OPERATE}if-match: \"{version}\"\r\n")
+}
+
+#[test]
+fn a_tenant_is_added_changed_read_and_removed() {
+    let mut server = Server::new();
+    let added = server.ask("PUT", "/v1/tenants/harbour", NEW, r#"{"weight": 2}"#);
+    assert_eq!(added.statuses, [201]);
+    assert!(added.last.contains("etag: \"1\""), "{}", added.last);
+    let changed = server.ask("PUT", "/v1/tenants/harbour", &matching(1), r#"{"weight": 3, "in_flight": 7}"#);
+    assert_eq!(changed.statuses, [200]);
+    let read = server.ask("GET", "/v1/tenants/harbour", "authorization: Bearer key-view\r\n", "");
+    assert!(read.statuses == [200] && read.last.contains(r#""in_flight":7"#), "{}", read.last);
+    let stale = server.ask("PUT", "/v1/tenants/harbour", &matching(1), r#"{"weight": 9}"#);
+    assert!(stale.statuses == [412] && stale.last.contains(r#""weight":3.0"#), "{}", stale.last);
+    let twice = server.ask("PUT", "/v1/tenants/harbour", NEW, "{}");
+    assert!(twice.statuses == [412] && twice.last.contains("\"version\":2"), "{}", twice.last);
+    let history = server.ask("GET", "/v1/tenants/harbour/history", OPERATE, "");
+    assert!(history.statuses == [200] && history.last.contains("\"by\":\"operate\""), "{}", history.last);
+    assert_eq!(server.ask("DELETE", "/v1/tenants/harbour", &matching(2), "").statuses, [204]);
+    assert_eq!(server.ask("GET", "/v1/tenants/harbour", OPERATE, "").statuses, [404]);
+    assert_eq!(*server.changes.lock().expect("no panic"), ["harbour true", "harbour true", "harbour false"]);
+    let own = server.ask("GET", "/v1/snapshot", "authorization: Bearer key-own\r\n", "");
+    assert_eq!(own.statuses, [200]);
+}
+
+#[test]
+fn lists_come_in_pages() {
+    let mut server = Server::new();
+    for n in 0..25 {
+        assert_eq!(server.ask("PUT", &format!("/v1/tenants/t{n:02}"), NEW, "{}").statuses, [201]);
+    }
+    let (mut after, mut seen) = (String::new(), vec![]);
+    loop {
+        let page = server.ask("GET", &format!("/v1/tenants?most=10&after={after}"), OPERATE, "");
+        let body = page.last.split_once("\r\n\r\n").expect("a body").1;
+        let body: serde_json::Value = serde_json::from_str(body).expect("JSON");
+        seen.extend(body["entries"].as_array().expect("entries").iter().map(|e| e["name"].to_string()));
+        match body["next"].as_str() {
+            Some(next) => after = next.to_string(),
+            None => break,
+        }
+    }
+    assert_eq!(seen.len(), 25);
+    assert!(seen.windows(2).all(|two| two[0] < two[1]));
+}
+
+#[test]
+fn what_cannot_be_done_is_refused_clearly_and_changes_nothing() {
+    let mut server = Server::new();
+    assert_eq!(server.ask("PUT", "/v1/tenants/there", NEW, "{}").statuses, [201]);
+    let (own, at) = ("authorization: Bearer key-own\r\n", "/v1/tenants/t");
+    let plain = |head: &str| format!("{head}\r\n\r\n");
+    let put = |fields: &str, body: &str| request("PUT", at, fields, body);
+    let hash = "ab".repeat(32);
+    let twice = format!(r#"{{"keys": [{{"name":"a","hash":"{hash}"}},{{"name":"b","hash":"{hash}"}}]}}"#);
+    let many: Vec<_> = (0..17).map(|n| format!(r#"{{"name":"k{n}","hash":"{n:064x}"}}"#)).collect();
+    let many = format!(r#"{{"keys": [{}]}}"#, many.join(","));
+    let fields = "x: y\r\n".repeat(80);
+    let view = "authorization: Bearer key-view\r\nif-none-match: *\r\n";
+    let table: Vec<(u16, String)> = vec![
+        (401, request("GET", "/v1/tenants", "", "")),
+        (401, request("GET", "/v1/tenants", "authorization: Bearer\r\n", "")),
+        (401, request("GET", "/v1/tenants", "authorization: Bearer wrong\r\n", "")),
+        (401, request("GET", "/v1/tenants", "authorization: Basic a2V5\r\n", "")),
+        (401, request("GET", "/v1/tenants", &format!("{OPERATE}{OPERATE}"), "")),
+        (401, request("DELETE", "/v1/tenants/there", "if-match: \"1\"\r\n", "")),
+        (403, put(view, "{}")),
+        (403, request("DELETE", "/v1/tenants/there", "authorization: Bearer key-view\r\nif-match: \"1\"\r\n", "")),
+        (403, request("GET", "/v1/snapshot", OPERATE, "")),
+        (404, request("GET", "/", OPERATE, "")),
+        (404, request("GET", "/v1", OPERATE, "")),
+        (404, request("GET", "/v1/tenants/", OPERATE, "")),
+        (404, request("GET", "/v1/tenants/nobody", OPERATE, "")),
+        (404, request("GET", "/v1/tenants/nobody/history", OPERATE, "")),
+        (404, request("GET", "/v1/tenants/there/secrets", OPERATE, "")),
+        (404, request("GET", "/v2/tenants", OPERATE, "")),
+        (404, request("GET", "/v1/tenants/..%2f..%2fetc", OPERATE, "")),
+        (404, request("PUT", at, &matching(1), "{}")),
+        (405, request("POST", "/v1/tenants", OPERATE, "{}")),
+        (405, request("PATCH", "/v1/tenants/there", OPERATE, "{}")),
+        (405, request("DELETE", "/v1/tenants", OPERATE, "")),
+        (405, request("PUT", "/v1/changes", OPERATE, "{}")),
+        (405, request("POST", "/v1/snapshot", own, "{}")),
+        (412, request("PUT", "/v1/tenants/there", &matching(7), "{}")),
+        (412, request("PUT", "/v1/tenants/there", NEW, "{}")),
+        (412, request("DELETE", "/v1/tenants/there", &matching(0), "")),
+        (400, request("PUT", "/v1/tenants/there", &format!("{OPERATE}if-match: 1\r\n"), "{}")),
+        (400, request("PUT", "/v1/tenants/there", &format!("{OPERATE}if-match: \"-1\"\r\n"), "{}")),
+        (400, request("PUT", "/v1/tenants/there", &format!("{OPERATE}if-match: W/\"1\"\r\n"), "{}")),
+        (400, request("PUT", "/v1/tenants/there", &format!("{NEW}if-match: \"1\"\r\n"), "{}")),
+        (428, put(OPERATE, "{}")),
+        (428, request("DELETE", "/v1/tenants/there", OPERATE, "")),
+        (415, format!("PUT {at} HTTP/1.1\r\nhost: h\r\n{NEW}content-length: 2\r\n\r\n{{}}")),
+        (415, format!("PUT {at} HTTP/1.1\r\nhost: h\r\n{NEW}content-type: text/json\r\ncontent-length: 2\r\n\r\n{{}}")),
+        (400, put(NEW, "{")),
+        (400, put(NEW, "weight: 2")),
+        (400, put(NEW, r#"{"weight": 1} {}"#)),
+        (422, put(NEW, &"[".repeat(500))),
+        (422, put(NEW, "[2, null, null, null, 5, []]")),
+        (422, put(NEW, "[3, 4, 5, 6, 7, 8, 9]")),
+        (422, put(NEW, "null")),
+        (422, put(NEW, r#"{"weight": "heavy"}"#)),
+        (422, put(NEW, r#"{"weight": -1}"#)),
+        (400, put(NEW, r#"{"weight": 1e999}"#)),
+        (422, put(NEW, r#"{"weight": 1e10}"#)),
+        (422, put(NEW, r#"{"wait": 3}"#)),
+        (422, put(NEW, r#"{"weight": 1, "weight": 2}"#)),
+        (422, put(NEW, r#"{"in_flight": -3}"#)),
+        (422, put(NEW, r#"{"in_flight": 1.5}"#)),
+        (422, put(NEW, r#"{"in_flight": 4294967296}"#)),
+        (422, put(NEW, r#"{"submissions": 5}"#)),
+        (422, put(NEW, r#"{"submissions": {"a_second": 5}}"#)),
+        (422, put(NEW, r#"{"submissions": {"a_second": 5, "once": 0}}"#)),
+        (422, put(NEW, r#"{"tokens": {"a_second": -5, "once": 1}}"#)),
+        (422, put(NEW, r#"{"keys": [{"name": "a", "hash": "short"}]}"#)),
+        (422, put(NEW, &format!(r#"{{"keys": [{{"name": "A b", "hash": "{hash}"}}]}}"#))),
+        (422, put(NEW, &twice)),
+        (422, put(NEW, &many)),
+        (422, request("PUT", "/v1/tenants/Upper", NEW, "{}")),
+        (422, request("PUT", "/v1/tenants/a%20b", NEW, "{}")),
+        (422, request("PUT", &format!("/v1/tenants/{}", "x".repeat(64)), NEW, "{}")),
+        (400, request("GET", "/v1/tenants?most=0", OPERATE, "")),
+        (400, request("GET", "/v1/tenants?most=1001", OPERATE, "")),
+        (400, request("GET", "/v1/tenants?most=ten", OPERATE, "")),
+        (400, request("GET", "/v1/changes?after=-1", OPERATE, "")),
+        (400, request("GET", "/v1/tenants/there/history?before=x", OPERATE, "")),
+        (400, request("GET", "/v1/tenants/%ff", OPERATE, "")),
+        (400, request("GET", "v1/tenants", OPERATE, "")),
+        (400, plain("GET /v1/tenants HTTP/1.1")),
+        (400, plain("GET /v1/tenants HTTP/1.1\r\nhost: a\r\nhost: b")),
+        (400, plain("GET /v1/tenants HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ncontent-length: 2")),
+        (400, plain("GET /v1/tenants HTTP/1.1\r\nhost: a\r\ncontent-length: +2")),
+        (400, plain("GET /v1/tenants HTTP/1.1\r\nhost: a\r\nno colon")),
+        (400, plain("GET  /v1/tenants HTTP/1.1\r\nhost: a")),
+        (400, plain("\u{16}\u{3}\u{1} not HTTP at all")),
+        (413, plain("PUT /v1/tenants/t HTTP/1.1\r\nhost: a\r\ncontent-length: 65537")),
+        (413, plain("PUT /v1/tenants/t HTTP/1.1\r\nhost: a\r\ncontent-length: 99999999999999999999999")),
+        (431, plain(&format!("GET /v1/tenants HTTP/1.1\r\nhost: a\r\n{fields}z: z"))),
+        (431, plain(&format!("GET /{} HTTP/1.1\r\nhost: a", "x".repeat(20_000)))),
+        (501, plain("PUT /v1/tenants/t HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked")),
+        (505, plain("GET /v1/tenants HTTP/1.0\r\nhost: a")),
+    ];
+    assert!(table.len() >= 80);
+    let before = server.state();
+    for (status, text) in &table {
+        for piece in [usize::MAX, 1, 7] {
+            let got = server.send(text.as_bytes(), piece);
+            let shown = &text[..text.len().min(200)];
+            assert_eq!(got.statuses, [*status], "{shown:?}: {}", got.last);
+            let body = got.last.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+            let problem: serde_json::Value = serde_json::from_str(body).expect("problem details");
+            assert!(problem["status"] == *status && problem["detail"].as_str().is_some_and(|d| d.len() > 5));
+        }
+    }
+    assert_eq!(server.state(), before, "something changed");
+    assert_eq!(server.store.list("", 10).expect("read").len(), 1);
+}
+
+#[test]
+fn requests_follow_each_other_on_one_connection() {
+    let mut server = Server::new();
+    let one = request("GET", "/v1/tenants", OPERATE, "");
+    let last = request("GET", "/v1/tenants", &format!("{OPERATE}connection: close\r\n"), "");
+    let got = server.send(format!("{one}{one}{last}{one}").as_bytes(), 13);
+    assert_eq!((got.statuses.as_slice(), got.closed), ([200, 200, 200].as_slice(), true));
+}
+
+#[test]
+fn a_slow_sender_is_told_so_and_an_idle_one_is_closed() {
+    let mut server = Server::new();
+    let (slow, idle) = (server.connect(), server.connect());
+    let text = request("GET", "/v1/tenants", OPERATE, "");
+    for (n, byte) in text.bytes().take(20).enumerate() {
+        let now = NOW + n as u64 * 240_000;
+        server.admin.heard(now, slow, &Bytes::copy_from_slice(&[byte]), &mut server.out);
+    }
+    server.got();
+    server.admin.rang(NOW + 5_000_000, slow.0, &mut server.out);
+    let got = server.got();
+    assert_eq!((got.statuses.as_slice(), got.closed), ([408].as_slice(), true));
+    server.admin.rang(NOW + 59_000_000, idle.0, &mut server.out);
+    assert!(!server.got().closed);
+    server.admin.rang(NOW + 60_000_000, idle.0, &mut server.out);
+    assert!(server.got().closed);
+}
+
+#[test]
+fn no_bytes_make_it_panic_or_change_anything() {
+    let mut server = Server::new();
+    let before = server.state();
+    let mut chance = rand_pcg::Pcg64::seed_from_u64(11);
+    let seeds = [
+        request(
+            "PUT",
+            "/v1/tenants/t",
+            "authorization: Bearer key-view\r\nif-none-match: *\r\n",
+            r#"{"weight": 2}"#,
+        ),
+        request("GET", "/v1/tenants?most=3&after=%41", OPERATE, ""),
+    ];
+    for round in 0..20_000 {
+        let mut bytes = seeds[round % 2].clone().into_bytes();
+        for _ in 0..chance.random_range(1..6) {
+            let at = chance.random_range(0..bytes.len());
+            match chance.random_range(0..4) {
+                0 => bytes[at] = chance.random(),
+                1 => bytes.truncate(at.max(1)),
+                2 => bytes.insert(at, chance.random()),
+                _ => {
+                    let from = chance.random_range(0..bytes.len());
+                    let part = bytes[from.min(at)..from.max(at)].to_vec();
+                    bytes.splice(at..at, part);
+                }
+            }
+        }
+        server.send(&bytes, chance.random_range(1..400));
+    }
+    assert_eq!(server.state(), before);
+}
