--- /dev/null
+++ b/crates/command/src/administration.rs
@@ -0,0 +1,122 @@
+//! The administration of a router's tenants: a thread with a loop of its own beside the cores. Each core is handed
+//! every change, and the answer to who made it leaves once all have it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use metrics::counter;
+use tideroute_admin::{Admin, Administrator, Api, Role};
+use tideroute_host::TenantTerms;
+use tideroute_lab::convert;
+use tideroute_reactor::{Mailbox, Reactor};
+use tideroute_records::kinds;
+use tideroute_tenants::{Entry, Rate, Store, Tenant};
+use tideroute_wire::tenant;
+
+/// How long a change waits for a core to have heard of it; one that is stalled for longer hears of it late.
+const HEARD: Duration = Duration::from_secs(2);
+/// Entries read from the store at a time.
+const PAGE: usize = 1_000;
+
+#[derive(Clone)]
+pub struct Administration {
+    store: Arc<Store>,
+    cores: Arc<Mutex<BTreeMap<u32, Mailbox>>>,
+}
+
+impl Administration {
+    /// Opens the store and begins to listen.
+    pub fn begin(record: &kinds::Admin) -> Result<Administration, String> {
+        let path = Path::new(&record.store);
+        let store = Store::open(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let (store, cores) = (Arc::new(store), Arc::<Mutex<BTreeMap<u32, Mailbox>>>::default());
+        let administrators = record.keys.iter().map(administrator).collect::<Result<Vec<_>, _>>()?;
+        let listen: SocketAddr = convert::socket(&record.listen)?.into();
+        let mut reactor = Reactor::new(&[listen]).map_err(|e| e.to_string())?;
+        reactor.raw();
+        reactor.catch_signals().map_err(|e| e.to_string())?;
+        let (api, told) = (Api::new(store.clone(), administrators), cores.clone());
+        let mut admin = Admin::new(api, move |entry| tell(&told, entry));
+        let body = move || {
+            if let Err(problem) = reactor.run(&mut admin) {
+                tracing::error!(%problem, "the administration has ended; the cores go on");
+            }
+        };
+        std::thread::Builder::new().name("admin".into()).spawn(body).map_err(|e| e.to_string())?;
+        tracing::info!(%listen, "the administration is there");
+        Ok(Administration { store, cores })
+    }
+
+    /// A core that starts: it is told all changes from now on, and gets the tenants as they stand.
+    pub fn join(&self, core: u32, mailbox: Mailbox) -> Result<Vec<TenantTerms>, String> {
+        // First the letters, then the store: a change in between comes twice, and the older is not heeded.
+        self.cores.lock().unwrap_or_else(|e| e.into_inner()).insert(core, mailbox);
+        let (mut all, mut after) = (vec![], String::new());
+        loop {
+            let page = self.store.list(&after, PAGE).map_err(|e| e.to_string())?;
+            let Some(last) = page.last() else { return Ok(all) };
+            after.clone_from(&last.name);
+            all.extend(page.iter().filter_map(|e| Some(terms(e, e.tenant.as_ref()?))));
+        }
+    }
+}
+
+fn administrator(key: &kinds::AdminKey) -> Result<Administrator, String> {
+    let hash = convert::hash(&key.key).map_err(|e| format!("the key of {}: {e}", key.name))?;
+    let role = match key.role.as_str() {
+        "own" => Role::Own,
+        "operate" => Role::Operate,
+        _ => Role::View,
+    };
+    Ok(Administrator { name: key.name.clone(), key: hash, role })
+}
+
+fn keys(tenant: &Tenant) -> Vec<[u8; 32]> {
+    tenant.keys.iter().filter_map(|key| convert::hash(&key.hash).ok()).collect()
+}
+
+fn terms(entry: &Entry, tenant: &Tenant) -> TenantTerms {
+    let rate = |rate: Rate| tideroute_shares::Rate { a_second: rate.a_second, burst: rate.once };
+    let limits = tideroute_shares::Limits {
+        submissions: tenant.submissions.map(rate),
+        tokens: tenant.tokens.map(rate),
+        in_flight: tenant.in_flight,
+        weight: tenant.weight,
+        waiting: tenant.waiting,
+    };
+    TenantTerms { name: entry.name.clone(), version: entry.version, keys: keys(tenant), limits }
+}
+
+/// Hands a change to all cores and waits until each was told.
+fn tell(cores: &Mutex<BTreeMap<u32, Mailbox>>, entry: &Entry) {
+    let letter: Bytes = match &entry.tenant {
+        None => tenant::gone(&entry.name, entry.version),
+        Some(t) => {
+            let rate = |rate: Rate| (rate.a_second, rate.once);
+            let (submissions, tokens) = (t.submissions.map(rate), t.tokens.map(rate));
+            let (keys, name) = (keys(t), &entry.name);
+            tenant::set(name, entry.version, &keys, t.weight, submissions, tokens, t.in_flight, t.waiting)
+        }
+    };
+    let boxes = cores.lock().unwrap_or_else(|e| e.into_inner()).clone();
+    let sent: Vec<_> = boxes
+        .iter()
+        .filter_map(|(core, mailbox)| Some((core, mailbox, mailbox.send(letter.clone())?)))
+        .collect();
+    for (core, mailbox, number) in sent {
+        if !mailbox.told(number, HEARD) {
+            tracing::error!(
+                core,
+                name = entry.name,
+                version = entry.version,
+                "a core has not heard of a change"
+            );
+            counter!("tideroute_changes_unheard_total").increment(1);
+        }
+    }
+    counter!("tideroute_changes_total").increment(1);
+}
--- a/crates/command/src/cores.rs
+++ b/crates/command/src/cores.rs
@@ -16,6 +16,7 @@
 use tideroute_reactor::{Ended as Loop, Reactor, ReactorError};
 use tideroute_records::kinds::Router;
 
+use crate::administration::Administration;
 use crate::{figures, serve, Ended, Run};
 
 pub fn router(path: &Path, fail_after: Option<u64>, run: &Run) -> Ended {
@@ -26,18 +27,26 @@
     if run.tethered {
         serve::tether();
     }
+    let admin = record.admin.as_ref().map(Administration::begin).transpose()?;
     if record.cores == 1 {
         let reactor = Reactor::new(&[listen]).map_err(|e| e.to_string())?;
-        return Ok(core(&record, 0, reactor, listen, run, &AtomicBool::new(false))? == Loop::Done);
+        let stopping = AtomicBool::new(false);
+        return Ok(core(&record, 0, reactor, listen, run, &stopping, admin.as_ref())? == Loop::Done);
     }
     // Shared doors would let a second router in beside this one; a plain one shows whether somebody is there.
     let alone = TcpListener::bind(listen).map_err(|e| ReactorError::Listen(listen, e).to_string())?;
     drop(alone);
-    all(record, listen, fail_after, run.clone())
+    all(record, listen, fail_after, run.clone(), admin)
 }
 
 /// Runs all cores until each has ended; one that dies before it was told to end is started anew.
-fn all(record: Router, listen: SocketAddr, fail_after: Option<u64>, run: Run) -> Ended {
+fn all(
+    record: Router,
+    listen: SocketAddr,
+    fail_after: Option<u64>,
+    run: Run,
+    admin: Option<Administration>,
+) -> Ended {
     let stopping = Arc::new(AtomicBool::new(false));
     for signal in [SIGINT, SIGTERM] {
         signal_hook::flag::register(signal, stopping.clone()).map_err(|e| e.to_string())?;
@@ -45,7 +54,7 @@
     let (ends, ended) = channel();
     let start = |core: u32, fail_after: Option<u64>, life: u32| {
         let (run, ends, stopping) = (run.clone(), ends.clone(), stopping.clone());
-        start(record.clone(), core, listen, fail_after, run, life, ends, stopping)
+        start(record.clone(), core, listen, fail_after, run, life, ends, stopping, admin.clone())
     };
     for core in 0..record.cores {
         start(core, fail_after.filter(|_| core == 0), 0)?;
@@ -83,6 +92,7 @@
     life: u32,
     ends: Sender<End>,
     stopping: Arc<AtomicBool>,
+    admin: Option<Administration>,
 ) -> Result<(), String> {
     // A core's second life writes no record: its first one's stays as it was.
     run.tap = run.tap.filter(|_| life == 0).map(|tap| core_path(&tap, n));
@@ -94,7 +104,7 @@
             if let Some(ms) = fail_after {
                 reactor.fail_after(ms * 1000);
             }
-            core(&record, n, reactor, listen, &run, &stopping)
+            core(&record, n, reactor, listen, &run, &stopping, admin.as_ref())
         });
         let _ = ends.send((n, std::panic::catch_unwind(run).ok()));
     };
@@ -117,6 +127,7 @@
     listen: SocketAddr,
     run: &Run,
     stopping: &AtomicBool,
+    admin: Option<&Administration>,
 ) -> Result<Loop, String> {
     let name = if record.cores > 1 { format!("{}/{n}", record.name) } else { record.name.clone() };
     let mut reactor = serve::prepare(reactor, &[listen], run, &name, "router")?;
@@ -133,7 +144,11 @@
         kept = std::fs::read(&own).or_else(|_| std::fs::read(&path)).ok();
         reactor.keep(own);
     }
-    let mut host = Host::new(convert::router(record, n, seed)?, kept.map(bytes::Bytes::from), now);
+    let mut terms = convert::router(record, n, seed)?;
+    if let Some(admin) = admin {
+        terms.tenants = Some(admin.join(n, reactor.mailbox())?);
+    }
+    let mut host = Host::new(terms, kept.map(bytes::Bytes::from), now);
     tracing::info!(name, listen = %listen, "the router is there");
     reactor.run(&mut host).map_err(|e| e.to_string())
 }
--- a/crates/command/src/main.rs
+++ b/crates/command/src/main.rs
@@ -1,6 +1,8 @@
 //! The program `tideroute`. Each command has a module; all of them read typed records and end with 0 when all
 //! went well, 1 when it did not, and 2 when they were called or configured wrongly.
 
+mod admin;
+mod administration;
 mod cores;
 mod day;
 mod figures;
@@ -82,6 +84,11 @@
         #[command(subcommand)]
         what: Measure,
     },
+    /// Administers the tenants of a running router.
+    Admin {
+        #[command(subcommand)]
+        what: admin::Deed,
+    },
     /// Plays a scripted day on processes of its own and judges it.
     Day {
         file: PathBuf,
@@ -159,6 +166,7 @@
             measure::cores(&file, seconds, &rates, plot.as_deref())
         }
         Command::Measure { what: Measure::Through { file, rounds } } => measure::through(&file, rounds),
+        Command::Admin { what } => admin::run(&what),
         Command::Check { files } => check(&files),
         Command::Day { file, out, in_virtual_time: true } => day::virtually(&file, out),
         Command::Day { file, out, .. } => day::play(&file, out),
--- a/crates/lab/src/convert.rs
+++ b/crates/lab/src/convert.rs
@@ -15,6 +15,11 @@
     text.parse().map_err(|_| format!("{text:?} is no address"))
 }
 
+/// A hash as 64 hexadecimal digits.
+pub fn hash(text: &str) -> Result<[u8; 32], String> {
+    blake3::Hash::from_hex(text).map(|hash| *hash.as_bytes()).map_err(|e| e.to_string())
+}
+
 pub fn address(text: &str) -> Result<Address, String> {
     let parsed = socket(text)?;
     let ([a, b, c, d], [high, low]) = (parsed.ip().octets(), parsed.port().to_be_bytes());
@@ -99,7 +104,7 @@
 
 fn tenant(t: &Tenant) -> Result<tideroute_host::TenantTerms, String> {
     let rate = |a_second: Option<f64>, burst| a_second.map(|a_second| Rate { a_second, burst });
-    let key = blake3::Hash::from_hex(&t.key).map_err(|e| format!("the key of {}: {e}", t.name))?;
+    let key = hash(&t.key).map_err(|e| format!("the key of {}: {e}", t.name))?;
     let limits = Limits {
         submissions: rate(t.submissions, t.submissions_once),
         tokens: rate(t.tokens, t.tokens_once),
@@ -107,7 +112,7 @@
         weight: t.weight,
         waiting: t.waiting,
     };
-    Ok(tideroute_host::TenantTerms { name: t.name.clone(), version: 0, keys: vec![*key.as_bytes()], limits })
+    Ok(tideroute_host::TenantTerms { name: t.name.clone(), version: 0, keys: vec![key], limits })
 }
 
 /// What of a script is still to come, from `now` on.
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -5,7 +5,6 @@
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::AsRawFd;
 use std::path::PathBuf;
-use std::sync::mpsc::{sync_channel, Receiver};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,7 +19,7 @@
 
 use crate::clock::Clock;
 use crate::conn::{Conn, Got, Stage, HIGH, LOW, MOST};
-use crate::mailbox::{Mailbox, LETTERS};
+use crate::mailbox::{mailbox, Letters, Mailbox};
 use crate::signals::Signals;
 use crate::tap::Tap;
 use crate::wheel::Wheel;
@@ -75,7 +74,7 @@
     signals: Option<Signals>,
     tap: Option<Tap>,
     keep: Option<PathBuf>,
-    letters: Option<Receiver<Bytes>>,
+    letters: Option<Letters>,
     raw: bool,
     links: u64,
     stopping: bool,
@@ -150,9 +149,9 @@
 
     /// Through which other threads tell this loop's program something.
     pub fn mailbox(&mut self) -> Mailbox {
-        let (send, letters) = sync_channel(LETTERS);
+        let (mailbox, letters) = mailbox(self.poller.clone());
         self.letters = Some(letters);
-        Mailbox::new(send, self.poller.clone())
+        mailbox
     }
 
     /// Where the doors are, in order.
@@ -228,9 +227,10 @@
                     key => self.ready(key - CONNS, event, program, &mut out),
                 }
             }
-            while let Some(letter) = self.letters.as_ref().and_then(|letters| letters.try_recv().ok()) {
+            while let Some(letter) = self.letters.as_ref().and_then(Letters::next) {
                 program.told(self.clock.now(), &letter, &mut out);
                 self.carry_out(&mut out);
+                self.letters.as_ref().into_iter().for_each(Letters::told);
             }
             self.wheel.advance(self.now() / TICK, &mut due);
             for ring in due.drain(..) {
