--- /dev/null
+++ b/crates/host/benches/reload.rs
@@ -0,0 +1,103 @@
+//! How long a router's loop stands still for a whole list of 1,200 workers, one in ten of them changed, with 6,000
+//! submissions open: decoding, books, the module, the page that is kept. `cargo bench -p tideroute-host`.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use tideroute::interface::{Repeat, Role, Terms as Module, Track};
+use tideroute_host::{Host, Terms};
+use tideroute_wire::link::{Act, Link, Outbox, Program};
+use tideroute_wire::list::{Page, Standing};
+use tideroute_wire::{client, say_hello, Party};
+
+const LIST: [u8; 6] = [10, 0, 0, 1, 0, 1];
+const WORKERS: u16 = 1_200;
+const OPEN: u64 = 6_000;
+const ROUNDS: u16 = 40;
+
+fn terms() -> Terms {
+    let track = Track { repeat: Repeat::Replayable, contract: 600_000, per_thousand: 400, earnings: 1.0 };
+    let module = Module {
+        routers: 3,
+        tracks: vec![track],
+        roles: vec![Role::Reader, Role::Writer],
+        places: true,
+        release: 5_000,
+        cold_share: 0.3,
+        warm_after: 100_000,
+        fall_multiple: 2.5,
+        fall_span: 20_000,
+        max_shots: 5,
+        withdrawals: true,
+        probes: true,
+        subscribes: true,
+        advice: true,
+        longest_advice: 10_000,
+        ..Module::default()
+    };
+    Terms {
+        name: "r".into(),
+        module,
+        tracks: vec!["query".into()],
+        list: LIST,
+        unheard: 250_000,
+        travel: 10_000,
+        window: 8,
+        most_open: 10_000,
+        most_a_client: 10_000,
+        most_clients: 4,
+        tenants: None,
+        part: 1.0,
+        longest_wait: 1_000_000,
+        seed: 5,
+    }
+}
+
+fn page(round: u16) -> Bytes {
+    let mut page = Page::new(u64::from(round) + 1, true);
+    for n in 0..WORKERS {
+        let standing = if n % 10 == round % 10 { Standing::Draining } else { Standing::Ready };
+        let worker = [10, 1, (n >> 8) as u8, n as u8, 1, 1];
+        page.add(worker, u16::from(!n.is_multiple_of(3)), 4.0, standing, n / 9, (n / 27 % 3) as u8, 0);
+    }
+    page.frame()
+}
+
+fn main() {
+    let (mut now, mut out, client) = (1_000_000_000, Outbox::default(), Link(0));
+    let mut host = Host::new(terms(), None, now);
+    host.begin(now, &mut out);
+    let list = out.take().into_iter().find_map(|act| match act {
+        Act::Dial { link, to: LIST, .. } => Some(link),
+        _ => None,
+    });
+    let list = list.expect("it dials the list");
+    host.heard(now, list, &page(0), &mut out);
+    host.accepted(now, client, 0, &mut out);
+    host.heard(now, client, &say_hello(Party::Client, "c"), &mut out);
+    for n in 1..=OPEN {
+        let submit =
+            client::submit(n, 0, n, n % 20, 300, 100, 20, 60_000_000, 7, Bytes::from_static(b"text"));
+        host.heard(now, client, &submit, &mut out);
+        host.turn(now, &mut out);
+        out.take();
+    }
+    let (mut longest, mut sum) = (Duration::ZERO, Duration::ZERO);
+    for round in 1..=ROUNDS {
+        now += 50_000;
+        let page = page(round);
+        let began = Instant::now();
+        host.heard(now, list, &page, &mut out);
+        host.turn(now, &mut out);
+        let took = began.elapsed();
+        out.take();
+        (longest, sum) = (longest.max(took), sum + took);
+    }
+    let ms = |time: Duration| time.as_secs_f64() * 1e3;
+    println!(
+        "{WORKERS} workers, {} open: a whole list takes {:.2} ms on average, {:.2} ms at most",
+        host.open(),
+        ms(sum) / f64::from(ROUNDS),
+        ms(longest)
+    );
+}
