--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -21,6 +21,9 @@
 /// Microseconds that a client waits past its time before it calls a submission unanswered: longer than a
 /// sluggish one dozes, whose answer may be there and not read.
 const SLACK: Micros = 1_200_000;
+/// Microseconds that must be left for another try: both ways and a loop that is busy take as long, and nobody asks
+/// for what cannot be answered any more.
+const LEAST: Micros = 50_000;
 /// Microseconds that a sluggish client does not read, and then does.
 const DOZES: Micros = 700_000;
 const WAKES: Micros = 300_000;
@@ -228,7 +231,7 @@
         let Some(course) = self.courses.get_mut(&place) else { return };
         course.out = None;
         let at = now + after.max(self.terms.retry_wait);
-        let may = (harmless || repeats) && course.tries <= self.terms.retries && at < course.until;
+        let may = (harmless || repeats) && course.tries <= self.terms.retries && at + LEAST < course.until;
         if may && !course.over && !self.stopped {
             out.ring(at, key(RETRY, place));
         } else {
