--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -1,10 +1,12 @@
 //! What the API answers.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use serde::Serialize;
 use tideroute_tenants::{Entry, Expected, Store, StoreError, Tenant};
-use tideroute_wire::Micros;
+use tideroute_wire::tenant::{Figures, Watcher};
+use tideroute_wire::{Malformed, Micros};
 
 use crate::http::{Reply, Request};
 use crate::problem;
@@ -32,6 +34,22 @@
 pub struct Api {
     store: Arc<Store>,
     administrators: Vec<Administrator>,
+    /// What cores told last, by tenant and core.
+    figures: BTreeMap<String, BTreeMap<String, Figures>>,
+}
+
+/// A tenant's figures, all cores together.
+#[derive(Default, Serialize)]
+struct Summed<'a> {
+    name: &'a str,
+    asked: u64,
+    let_in: u64,
+    turned_back: u64,
+    in_time: u64,
+    late: u64,
+    waited_us: u64,
+    waiting: u64,
+    in_flight: u64,
 }
 
 #[derive(Serialize)]
@@ -44,7 +62,7 @@
 
 impl Api {
     pub fn new(store: Arc<Store>, administrators: Vec<Administrator>) -> Api {
-        Api { store, administrators }
+        Api { store, administrators, figures: BTreeMap::new() }
     }
 
     /// Answers a request; with what was changed by it, if anything.
@@ -90,6 +108,8 @@
             (["v1", "tenants", _], _) => only("GET, PUT, DELETE"),
             (["v1", "tenants", name, "history"], "GET") => Ok((self.history(name, request)?, None)),
             (["v1", "tenants", _, "history"], _) => only("GET"),
+            (["v1", "figures"], "GET") => Ok((self.sums(request)?, None)),
+            (["v1", "figures"], _) => only("GET"),
             (["v1", "changes"], "GET") => Ok((self.changes(request)?, None)),
             (["v1", "changes"], _) => only("GET"),
             (["v1", "snapshot"], "GET") => {
@@ -160,6 +180,19 @@
         Ok(Reply::json(200, &Page { entries, next }))
     }
 
+    /// A tenant was removed: its figures go with it.
+    pub fn forget(&mut self, name: &str) {
+        self.figures.remove(name);
+    }
+
+    fn sums(&self, request: &Request) -> Result<Reply, Reply> {
+        let (after, most) = (request.asked("after").unwrap_or_default(), most(request)?);
+        let later = self.figures.iter().filter(|(name, _)| name.as_str() > after).take(most);
+        let entries: Vec<_> = later.map(|(name, cores)| summed(name, cores)).collect();
+        let next = entries.last().filter(|_| entries.len() == most).map(|last| last.name);
+        Ok(Reply::json(200, &serde_json::json!({"entries": entries, "next": next})))
+    }
+
     fn history(&self, name: &str, request: &Request) -> Result<Reply, Reply> {
         let (before, most) = (number(request, "before")?.unwrap_or(u64::MAX), most(request)?);
         let entries = self.store.history(name, before, most).map_err(broken)?;
@@ -178,6 +211,31 @@
     }
 }
 
+fn summed<'a>(name: &'a str, cores: &BTreeMap<String, Figures>) -> Summed<'a> {
+    let mut all = Summed { name, ..Summed::default() };
+    for ([asked, let_in, turned_back, in_time, late, waited], [waiting, in_flight]) in cores.values() {
+        all.asked += asked;
+        all.let_in += let_in;
+        all.turned_back += turned_back;
+        all.in_time += in_time;
+        all.late += late;
+        all.waited_us += waited;
+        all.waiting += u64::from(*waiting);
+        all.in_flight += u64::from(*in_flight);
+    }
+    all
+}
+
+impl Watcher for Api {
+    fn figures(&mut self, core: &str, name: &str, figures: Figures) -> Result<(), Malformed> {
+        // One that was removed may be told of once more.
+        if self.store.get(name).is_ok_and(|there| there.is_some()) {
+            self.figures.entry(name.to_string()).or_default().insert(core.to_string(), figures);
+        }
+        Ok(())
+    }
+}
+
 fn number(request: &Request, name: &str) -> Result<Option<u64>, Reply> {
     let parsed = request.asked(name).map(|text| {
         text.parse::<u64>().map_err(|_| {
--- a/crates/admin/src/program.rs
+++ b/crates/admin/src/program.rs
@@ -65,6 +65,9 @@
             );
             if let Some(change) = change {
                 (self.changed)(&change);
+                if change.tenant.is_none() {
+                    self.api.forget(&change.name);
+                }
             }
             out.send(link, reply.bytes(request.last || self.stopping));
             if request.last || self.stopping {
@@ -127,6 +130,12 @@
         out.close(link, "nothing more in time");
     }
 
+    fn told(&mut self, _now: Micros, letter: &Bytes, _out: &mut Outbox) {
+        if let Err(problem) = tideroute_wire::tenant::hear_figures(letter, &mut self.api) {
+            tracing::error!(%problem, "a core's figures cannot be read");
+        }
+    }
+
     fn turn(&mut self, _now: Micros, _out: &mut Outbox) {}
 
     fn stop(&mut self, _now: Micros, out: &mut Outbox) {
--- a/crates/command/src/admin.rs
+++ b/crates/command/src/admin.rs
@@ -1,6 +1,6 @@
 //! The command line of the administration API.
 
-use std::io::{Read, Write};
+use std::io::{IsTerminal, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -15,6 +15,8 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 /// Bytes: a longer reply is none of the API's.
 const LARGEST: u64 = 256 << 20;
+/// Tenants that a person watches at once.
+const ROWS: usize = 40;
 /// Where the key is looked for when no file is named.
 const KEY: &str = "TIDEROUTE_KEY";
 
@@ -71,6 +73,14 @@
     },
     /// All changes, with who and when.
     Changes(There),
+    /// What tenants ask for and get, anew each second until Ctrl-C; those that ask most first.
+    Top {
+        /// Prints once and ends.
+        #[arg(long)]
+        once: bool,
+        #[command(flatten)]
+        there: There,
+    },
     /// Writes everything that is kept into a file.
     Snapshot {
         file: PathBuf,
@@ -114,6 +124,7 @@
             println!("{name} is removed");
             Ok(true)
         }
+        Deed::Top { once, there } => top(there, *once),
         Deed::Snapshot { file, there } => {
             let reply = there.ask("GET", "/v1/snapshot", None, b"")?;
             std::fs::write(file, &reply.body).map_err(|e| format!("{}: {e}", file.display()))?;
@@ -161,6 +172,62 @@
     Ok(true)
 }
 
+/// Sums as they were a second ago, by tenant.
+type Before = std::collections::HashMap<String, [f64; 5]>;
+
+fn top(there: &There, once: bool) -> Ended {
+    let (mut before, mut asked_at) = (Before::new(), std::time::Instant::now());
+    loop {
+        let mut rows = figures(there)?;
+        let seconds = asked_at.elapsed().as_secs_f64().max(1e-3);
+        asked_at = std::time::Instant::now();
+        let names = ["asked", "let_in", "turned_back", "in_time", "late"];
+        let sums = |row: &Value| names.map(|name| row[name].as_f64().unwrap_or(0.0));
+        let name = |row: &Value| row["name"].as_str().unwrap_or("?").to_string();
+        // The first time there is nothing to compare with: sums since the start.
+        let since = |row: &Value| {
+            let was = before.get(&name(row)).copied().unwrap_or_default();
+            let per = if before.is_empty() { 1.0 } else { seconds };
+            let now = sums(row);
+            std::array::from_fn::<f64, 5, _>(|n| (now[n] - was[n]).max(0.0) / per)
+        };
+        rows.sort_by(|a, b| since(b)[0].total_cmp(&since(a)[0]).then_with(|| name(a).cmp(&name(b))));
+        let unit = if before.is_empty() { "since the start" } else { "a second" };
+        let mut text = format!(
+            "{:<20}{:>9}{:>9}{:>12}{:>9}{:>8}{:>9}{:>11}   {unit}\n",
+            "tenant", "asked", "let in", "turned back", "in time", "late", "waiting", "in flight"
+        );
+        for row in rows.iter().take(ROWS) {
+            let [asked, let_in, back, in_time, late] = since(row);
+            let (waiting, flying) = (&row["waiting"], &row["in_flight"]);
+            text += &format!(
+                "{:<20}{asked:>9.0}{let_in:>9.0}{back:>12.0}{in_time:>9.0}{late:>8.0}{waiting:>9}{flying:>11}\n",
+                name(row)
+            );
+        }
+        let clear = if !once && std::io::stdout().is_terminal() { "\x1b[H\x1b[2J" } else { "" };
+        print!("{clear}{text}");
+        std::io::stdout().flush().map_err(|e| e.to_string())?;
+        if once {
+            return Ok(true);
+        }
+        before = rows.iter().map(|row| (name(row), sums(row))).collect();
+        std::thread::sleep(Duration::from_secs(1));
+    }
+}
+
+fn figures(there: &There) -> Result<Vec<Value>, String> {
+    let (mut all, mut after) = (vec![], String::new());
+    loop {
+        let page = there.ask("GET", &format!("/v1/figures?most=1000&after={after}"), None, b"")?.json()?;
+        all.extend(page["entries"].as_array().cloned().unwrap_or_default());
+        match page["next"].as_str() {
+            Some(next) => after = next.to_string(),
+            None => return Ok(all),
+        }
+    }
+}
+
 struct Reply {
     body: Vec<u8>,
 }
--- a/crates/command/src/administration.rs
+++ b/crates/command/src/administration.rs
@@ -26,6 +26,8 @@
 pub struct Administration {
     store: Arc<Store>,
     cores: Arc<Mutex<BTreeMap<u32, Mailbox>>>,
+    /// Where cores tell tenants' figures.
+    figures: Mailbox,
 }
 
 impl Administration {
@@ -38,6 +40,7 @@
         let listen: SocketAddr = convert::socket(&record.listen)?.into();
         let mut reactor = Reactor::new(&[listen]).map_err(|e| e.to_string())?;
         reactor.raw();
+        let figures = reactor.mailbox();
         reactor.catch_signals().map_err(|e| e.to_string())?;
         let (api, told) = (Api::new(store.clone(), administrators), cores.clone());
         let mut admin = Admin::new(api, move |entry| tell(&told, entry));
@@ -48,7 +51,11 @@
         };
         std::thread::Builder::new().name("admin".into()).spawn(body).map_err(|e| e.to_string())?;
         tracing::info!(%listen, "the administration is there");
-        Ok(Administration { store, cores })
+        Ok(Administration { store, cores, figures })
+    }
+
+    pub fn figures(&self) -> Mailbox {
+        self.figures.clone()
     }
 
     /// A core that starts: it is told all changes from now on, and gets the tenants as they stand.
--- a/crates/command/tests/admin.rs
+++ b/crates/command/tests/admin.rs
@@ -202,6 +202,16 @@
     let mut clients: Vec<_> = (0..8).map(|_| Client::new(&running, "one")).collect();
     clients.iter_mut().for_each(|client| _ = client.submit(200_000));
     assert!(clients.iter().all(|client| client.heard.taken == 1 && client.heard.denied.is_none()));
+    let began = Instant::now();
+    let shown = loop {
+        let shown = running.well(&["top", "--once"]);
+        if shown.lines().any(|line| line.starts_with("harbour") && line.contains(" 8 ")) {
+            break shown;
+        }
+        assert!(began.elapsed() < PATIENCE, "the figures never came: {shown}");
+        std::thread::sleep(Duration::from_millis(50));
+    };
+    assert!(shown.starts_with("tenant"), "{shown}");
     // A new key in place of the old: the old is dead on all connections, those that are open too.
     assert!(running.put("harbour", "two", Some("1")).status.success());
     for client in &mut clients {
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -20,6 +20,8 @@
 
 /// Microseconds in one of the module's tenths of a millisecond.
 pub(crate) const TENTH: Micros = 100;
+/// Microseconds between two tellings of tenants' figures: what a person who watches takes for now.
+const TELLS: Micros = 1_000_000;
 /// The kind of a timer stands in the top byte of its key, what it is for beneath.
 const KIND: u32 = 56;
 
@@ -36,6 +38,8 @@
     Hello(Link),
     /// A verdict on what waits to be let in may be due.
     Shares,
+    /// Tenants' figures are told.
+    Figures,
 }
 
 pub(crate) fn tenths(at: Micros) -> Tenths {
@@ -115,6 +119,7 @@
             Timer::Probe(nonce) => (2, nonce),
             Timer::Hello(link) => (3, link.0),
             Timer::Shares => (4, 0),
+            Timer::Figures => (5, 0),
         };
         kind << KIND | what
     }
@@ -257,6 +262,13 @@
         self.stirred = true;
     }
 
+    /// Tells tenants' figures, and again a while later.
+    fn tell_figures(&mut self, now: Micros, out: &mut Outbox) {
+        let Some(tenancy) = &mut self.tenancy else { return };
+        tenancy.news(&self.terms.name).into_iter().for_each(|letter| out.publish(letter));
+        out.ring(now + TELLS, Self::key(Timer::Figures));
+    }
+
     /// Carries out what the shares decide.
     fn admit(&mut self, now: Micros, out: &mut Outbox) {
         while let Some(verdict) = self.tenancy.as_mut().and_then(|t| t.shares.decide(now)) {
@@ -381,6 +393,7 @@
             // The list server may have started anew too: it is asked for all.
             (self.version, self.list_changed) = (0, false);
         }
+        self.tell_figures(now, out);
         self.turn(now, out);
     }
 
@@ -459,6 +472,7 @@
             1 => self.cut_off(now, self.submissions.long(what), out),
             2 => self.probed(now, what, false),
             4 => self.stirred = true,
+            5 => self.tell_figures(now, out),
             _ => {
                 let link = Link(what);
                 if self.clients.is_silent(link) {
--- a/crates/host/src/tenancy.rs
+++ b/crates/host/src/tenancy.rs
@@ -3,9 +3,13 @@
 
 use std::collections::HashMap;
 
-use tideroute_shares::{Limits, Rate, Shares, Tenant};
+use bytes::Bytes;
+use tideroute_shares::{Figures, Limits, Rate, Shares, Tenant};
 use tideroute_wire::{tenant, Malformed, Micros};
 
+/// Tenants whose figures one letter tells.
+const IN_A_LETTER: usize = 500;
+
 /// One tenant, as the operator names it.
 #[derive(Clone, Debug)]
 pub struct TenantTerms {
@@ -20,6 +24,8 @@
 
 struct Known {
     tenant: Tenant,
+    /// As they were told last.
+    told: Figures,
     version: u64,
     keys: Vec<[u8; 32]>,
 }
@@ -47,11 +53,11 @@
         if self.by_name.get(&terms.name).is_some_and(|known| known.version > terms.version) {
             return;
         }
-        let tenant = match self.by_name.get(&terms.name) {
-            Some(known) => known.tenant,
+        let (tenant, told) = match self.by_name.get(&terms.name) {
+            Some(known) => (known.tenant, known.told),
             None => {
                 self.numbers += 1;
-                Tenant(self.numbers)
+                (Tenant(self.numbers), Figures::default())
             }
         };
         self.revoke(&terms.name);
@@ -67,7 +73,7 @@
             ..terms.limits
         };
         self.shares.tenant(now, tenant, limits);
-        self.by_name.insert(terms.name, Known { tenant, version: terms.version, keys: terms.keys });
+        self.by_name.insert(terms.name, Known { tenant, told, version: terms.version, keys: terms.keys });
     }
 
     /// A tenant is removed: its keys are dead, what waits is turned back, what is in flight runs to its end.
@@ -81,6 +87,21 @@
         }
     }
 
+    /// Figures of tenants that changed since they were told last, in letters of so many.
+    pub fn news(&mut self, core: &str) -> Vec<Bytes> {
+        let mut changed = vec![];
+        for (name, known) in &mut self.by_name {
+            let now = self.shares.figures(known.tenant).unwrap_or_default();
+            if now != std::mem::replace(&mut known.told, now) {
+                let sums = [now.asked, now.let_in, now.turned_back, now.in_time, now.late, now.waited];
+                changed.push((name.as_str(), (sums, [now.waiting, now.in_flight])));
+            }
+        }
+        // By name, so that the same run tells the same.
+        changed.sort_unstable_by_key(|(name, _)| *name);
+        changed.chunks(IN_A_LETTER).map(|part| tenant::figures(core, part.iter().copied())).collect()
+    }
+
     fn revoke(&mut self, name: &str) {
         let Some(known) = self.by_name.get(name) else { return };
         for key in &known.keys {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -388,6 +388,7 @@
                 }
             }
             Act::Keep { bytes } => self.nodes[id.0].kept = Some(bytes),
+            Act::Publish { .. } => {}
             Act::Vanish => self.kill(id),
         }
     }
--- a/crates/reactor/src/mailbox.rs
+++ b/crates/reactor/src/mailbox.rs
@@ -44,6 +44,14 @@
         Some(*sent)
     }
 
+    /// Never waits; false if the box is full or the loop has ended. For letters of which a later one tells the same.
+    pub fn offer(&self, letter: Bytes) -> bool {
+        let Ok(mut sent) = self.sent.try_lock() else { return false };
+        let taken = self.letters.try_send(letter).is_ok();
+        *sent += u64::from(taken);
+        taken && self.poller.notify().is_ok()
+    }
+
     /// Waits until the loop's program was told a letter; false if it was not in that time.
     pub fn told(&self, number: u64, within: Duration) -> bool {
         let (told, changed) = &*self.told;
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -75,6 +75,7 @@
     tap: Option<Tap>,
     keep: Option<PathBuf>,
     letters: Option<Letters>,
+    published: Option<Mailbox>,
     raw: bool,
     links: u64,
     stopping: bool,
@@ -135,6 +136,7 @@
             tap: None,
             keep: None,
             letters: None,
+            published: None,
             raw: false,
             links: 0,
             stopping: false,
@@ -147,6 +149,11 @@
         self.raw = true;
     }
 
+    /// Where what the program publishes goes.
+    pub fn publish_to(&mut self, mailbox: Mailbox) {
+        self.published = Some(mailbox);
+    }
+
     /// Through which other threads tell this loop's program something.
     pub fn mailbox(&mut self) -> Mailbox {
         let (mailbox, letters) = mailbox(self.poller.clone());
@@ -351,6 +358,10 @@
                     self.watch(place);
                 }
                 Act::Keep { bytes } => self.keep_file(&bytes),
+                Act::Publish { bytes } => {
+                    let taken = self.published.as_ref().is_some_and(|to| to.offer(bytes));
+                    counter!("tideroute_published_total", "taken" => taken.to_string()).increment(1);
+                }
                 Act::Vanish => self.vanished = true,
             }
         }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -59,6 +59,10 @@
     Keep {
         bytes: Bytes,
     },
+    /// Hands bytes to whom the loop was given for it; lost if there is nobody, or too much waits there.
+    Publish {
+        bytes: Bytes,
+    },
     /// Ends the program at once, without a word to anybody, as a crash would.
     Vanish,
 }
@@ -97,6 +101,10 @@
         self.acts.push(Act::Keep { bytes: bytes.into() });
     }
 
+    pub fn publish(&mut self, bytes: Bytes) {
+        self.acts.push(Act::Publish { bytes });
+    }
+
     pub fn vanish(&mut self) {
         self.acts.push(Act::Vanish);
     }
--- a/crates/wire/src/tenant.rs
+++ b/crates/wire/src/tenant.rs
@@ -69,3 +69,37 @@
 fn letter(said: tenant_letter::Said) -> Bytes {
     TenantLetter { said: Some(said) }.encode_to_vec().into()
 }
+
+/// What came of a tenant's submissions at one core: asked, let in, turned back, in time, late, microseconds waited
+/// by those let in; and how many wait and are in flight.
+pub type Figures = ([u64; 6], [u32; 2]);
+
+/// What the administration hears from cores.
+pub trait Watcher {
+    fn figures(&mut self, core: &str, name: &str, figures: Figures) -> Result<(), Malformed>;
+}
+
+pub fn hear_figures(letter: &Bytes, watcher: &mut impl Watcher) -> Result<(), Malformed> {
+    let told = made::TenantFigures::decode(letter.clone())?;
+    for f in &told.of {
+        let sums = [f.asked, f.let_in, f.turned_back, f.in_time, f.late, f.waited_us];
+        watcher.figures(&told.core, &f.name, (sums, [f.waiting, f.in_flight]))?;
+    }
+    Ok(())
+}
+
+/// Figures of some tenants at one core.
+pub fn figures<'a>(core: &str, of: impl Iterator<Item = (&'a str, Figures)>) -> Bytes {
+    let figure = |(name, (sums, now)): (&str, Figures)| made::TenantFigure {
+        name: name.to_string(),
+        asked: sums[0],
+        let_in: sums[1],
+        turned_back: sums[2],
+        in_time: sums[3],
+        late: sums[4],
+        waited_us: sums[5],
+        waiting: now[0],
+        in_flight: now[1],
+    };
+    made::TenantFigures { core: core.to_string(), of: of.map(figure).collect() }.encode_to_vec().into()
+}
