--- a/crates/command/src/main.rs
+++ b/crates/command/src/main.rs
@@ -8,6 +8,7 @@
 mod figures;
 mod logs;
 mod measure;
+mod measure_tenants;
 mod plot;
 mod serve;
 
@@ -113,6 +114,11 @@
         #[arg(long, default_value_t = 2)]
         rounds: usize,
     },
+    /// What tenants cost: a submission by their number, memory, and how long a change takes to reach all cores.
+    Tenants {
+        #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u32).range(1..=64))]
+        cores: u32,
+    },
     /// Throughput, latency, CPU and memory of one router at 1, 2, 4 and 8 cores.
     Cores {
         /// A day's file; its troubles are left out.
@@ -165,6 +171,7 @@
         Command::Measure { what: Measure::Cores { file, seconds, rates, plot } } => {
             measure::cores(&file, seconds, &rates, plot.as_deref())
         }
+        Command::Measure { what: Measure::Tenants { cores } } => measure_tenants::run(cores),
         Command::Measure { what: Measure::Through { file, rounds } } => measure::through(&file, rounds),
         Command::Admin { what } => admin::run(&what),
         Command::Check { files } => check(&files),
