--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -50,6 +50,8 @@
     Check(#[from] CheckError),
     #[error("the load ended without its figures")]
     NoFigures,
+    #[error("a day in which tenants are removed is played with --in-virtual-time only")]
+    VirtualOnly,
     #[error("interrupted")]
     Interrupted,
 }
@@ -76,6 +78,9 @@
 
 /// Plays the day in a folder of its own. `program` is the program itself; `interrupted` ends the day early.
 pub fn play(day: &Day, program: &Path, folder: &Path, interrupted: &AtomicBool) -> Result<Played, DayError> {
+    if day.troubles.iter().any(|t| t.act == "remove") {
+        return Err(DayError::VirtualOnly);
+    }
     let (player, ports) = pass(day, program, folder, interrupted, false)?;
     let (table, exits, fallen) = (player.table.clone(), player.exits.clone(), player.fallen.clone());
     let (memory, all) = (player.processes.memory.clone(), &player.processes.parts);
@@ -192,6 +197,7 @@
     Start(&'a str),
     Halt(&'a str),
     GoOn(&'a str),
+    Remove(&'a str),
 }
 
 fn write(folder: &Path, name: &str, file: &tideroute_records::File) -> Result<String, DayError> {
@@ -297,6 +303,7 @@
                     Deed::Start(_) => {}
                     Deed::Halt(who) => self.processes.signal(who, Signal::STOP),
                     Deed::GoOn(who) => self.processes.signal(who, Signal::CONT),
+                    Deed::Remove(_) => return Err(DayError::VirtualOnly),
                 }
             }
             if now > looked + MEMORY {
@@ -367,6 +374,7 @@
                     deeds.push((t.at, Deed::Halt(who)));
                     deeds.push((t.at + t.lasts.unwrap_or(0), Deed::GoOn(who)));
                 }
+                "remove" => deeds.push((t.at, Deed::Remove(who))),
                 // What was silent or has drained is started anew.
                 "silent" | "drain" => {
                     let Some(lasts) = t.lasts else { continue };
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -39,6 +39,8 @@
 
 /// What a day in virtual time came to.
 pub struct Virtual {
+    /// When its load began.
+    pub began: Micros,
     pub report: Report,
     pub tally: Tally,
     /// The record of what passed.
@@ -110,6 +112,12 @@
                 Deed::Start(_) => {}
                 Deed::Halt(who) => self.world.halt(self.places[who]),
                 Deed::GoOn(who) => self.world.go_on(self.places[who]),
+                Deed::Remove(tenant) => {
+                    let letter = tideroute_wire::tenant::gone(tenant, 1);
+                    for router in self.day.router_names() {
+                        self.world.tell(self.places[&router], &letter);
+                    }
+                }
             }
         }
         self.world.run_until(self.begins + self.day.load.lasts);
@@ -132,7 +140,7 @@
         let (events, lasted) = (self.world.events(), self.world.now() - DAWN);
         let mut load = self.load.0.lock().unwrap_or_else(|e| e.into_inner());
         let tally = std::mem::replace(&mut load.tally, Tally::new(&self.day.tracks, []));
-        Ok(Virtual { report, tally, record, events, lasted, fallen })
+        Ok(Virtual { began: self.begins, report, tally, record, events, lasted, fallen })
     }
 
     fn start(&mut self, name: &str, cold: bool) -> Result<(), FleetError> {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -201,6 +201,11 @@
         self.nodes[id.0].dark = dark;
     }
 
+    /// Another thread of the program's process tells it something.
+    pub fn tell(&mut self, id: NodeId, letter: &Bytes) {
+        self.call(id, |program, now, out| program.told(now, letter, out));
+    }
+
     /// Tells a program to end in order.
     pub fn stop(&mut self, id: NodeId) {
         self.call(id, |program, now, out| program.stop(now, out));
--- a/crates/lab/tests/tenants.rs
+++ b/crates/lab/tests/tenants.rs
@@ -1,15 +1,15 @@
 //! Tenants beside one that floods, in virtual time: the real host, shares and module.
 
+use std::collections::BTreeSet;
+
 use tideroute_lab::fleet::{play, Virtual};
 use tideroute_records::kinds::Day;
+use tideroute_wire::tap::{Reader, What};
 
-fn flood_day() -> Day {
-    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../days/neighbour-flood.cue");
+fn day(name: &str) -> Day {
+    let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days").join(name);
     let text = std::fs::read_to_string(path).expect("the day is there");
-    tideroute_records::read("neighbour-flood.cue", &text)
-        .unwrap_or_else(|p| panic!("{p}"))
-        .day
-        .expect("a day")
+    tideroute_records::read(name, &text).unwrap_or_else(|p| panic!("{p}")).day.expect("a day")
 }
 
 fn kept(played: &Virtual) {
@@ -25,7 +25,7 @@
 
 #[test]
 fn calm_tenants_are_served_beside_a_flood_as_without_it() {
-    let (day, mut calm, mut bare) = (flood_day(), flood_day(), flood_day());
+    let [day, mut calm, mut bare] = [(); 3].map(|()| day("neighbour-flood.cue"));
     calm.troubles.retain(|t| t.act != "burst");
     bare.shares = false;
     let [calm, flood, bare] = [&calm, &day, &bare].map(|day| play(day).expect("it plays"));
@@ -38,3 +38,74 @@
     let hurt = (0..3).any(|n| unshared[n] < 0.8 * without[n]);
     assert!(hurt, "it was no flood: {unshared:.3?} beside {without:.3?}");
 }
+
+#[test]
+fn a_removed_tenant_gets_nothing_more_and_nothing_of_it_is_lost() {
+    let removed = day("tenant-removed.cue");
+    let played = play(&removed).expect("it plays");
+    kept(&played);
+    let mut quiet = day("tenant-removed.cue");
+    quiet.troubles.retain(|t| t.act != "remove");
+    let without = play(&quiet).expect("it plays");
+    kept(&without);
+    let (services, others) = (services(&played), services(&without));
+    assert!(services[0] >= 0.97 * others[0], "who stays lost by it: {services:?} beside {others:?}");
+    assert!(services[1] < 0.8 * others[1], "nothing was removed: {services:?} beside {others:?}");
+    let counts = &played.report.counts;
+    assert!(counts.turned_back > 100 && counts.honoured > 100 && counts.void == 0, "{counts:?}");
+    // What its clients ask after the removal never comes to a worker.
+    let gone = played.began + removed.troubles.iter().find(|t| t.act == "remove").expect("a removal").at;
+    let mut reader = Reader::new(played.record.as_slice());
+    let (processes, _) = reader.head().expect("a head");
+    let routers: BTreeSet<u32> = processes.iter().filter(|p| p.role == "router").map(|p| p.number).collect();
+    let (mut of_it, mut too_late, mut before) = (BTreeSet::new(), BTreeSet::new(), 0);
+    while let Some(p) = reader.next_passed().expect("a whole record") {
+        if !routers.contains(&p.process) || p.place > 0 && p.frame.is_empty() {
+            continue;
+        }
+        let (field, numbers) = frame(&p.frame);
+        match (p.what, field) {
+            (What::Heard, HELLO) if p.frame.windows(6).any(|w| w == b"leaves") => {
+                of_it.insert((p.process, p.link));
+            }
+            (What::Sent, TAKEN) if of_it.contains(&(p.process, p.link)) => {
+                before += u32::from(p.at <= gone);
+                too_late.extend((p.at > gone).then(|| numbers[1]));
+            }
+            // A client's Token has the field of a worker's Read; ids of submissions are far above its numbers.
+            (What::Sent, READ | WRITE) => {
+                assert!(!too_late.contains(&numbers[0]), "let in after the removal: {:x}", numbers[0]);
+            }
+            _ => {}
+        }
+    }
+    assert!(too_late.len() > 50 && before > 50, "{} asked after, {before} before", too_late.len());
+}
+
+/// Fields of frames: a Hello, a router's Taken, and what hands a submission to a worker.
+const HELLO: u8 = 1;
+const TAKEN: u8 = 1;
+const READ: u8 = 2;
+const WRITE: u8 = 4;
+
+/// Which message a frame holds, and its first two fields if they are numbers (Protocol Buffers' encoding).
+fn frame(bytes: &[u8]) -> (u8, [u64; 2]) {
+    let mut rest = bytes;
+    let mut varint = || {
+        let mut value = 0;
+        for shift in (0..64).step_by(7) {
+            let Some((first, after)) = rest.split_first() else { return value };
+            (value, rest) = (value | u64::from(first & 0x7f) << shift, after);
+            if first & 0x80 == 0 {
+                break;
+            }
+        }
+        value
+    };
+    let (tag, _length) = (varint(), varint());
+    let mut numbers = [0; 2];
+    while let key @ (8 | 16) = varint() {
+        numbers[key as usize / 8 - 1] = varint();
+    }
+    ((tag >> 3) as u8, numbers)
+}
--- a/crates/records/src/kinds.rs
+++ b/crates/records/src/kinds.rs
@@ -450,11 +450,18 @@
         for (n, t) in d.troubles.iter().enumerate() {
             let killed = t.act == "kill" || t.act == "halt";
             for (m, who) in t.who.iter().enumerate() {
-                let known = workers.contains(who) || killed && (routers.contains(who) || who == "list");
+                let removed = t.act == "remove";
+                let known = match removed {
+                    true => tenants.contains(&who),
+                    false => workers.contains(who) || killed && (routers.contains(who) || who == "list"),
+                };
                 if !known {
                     let what = format!("{who:?} is nobody to whom this can happen");
-                    let expected =
-                        if killed { "a worker's or a router's name, or list" } else { "a worker's name" };
+                    let expected = match (removed, killed) {
+                        (true, _) => "a tenant's name",
+                        (_, true) => "a worker's or a router's name, or list",
+                        _ => "a worker's name",
+                    };
                     self.fault(&format!("day.troubles[{n}].who[{m}]"), what, expected);
                 }
             }
--- a/crates/records/src/schema.cue
+++ b/crates/records/src/schema.cue
@@ -258,7 +258,7 @@
 	does:  #Able
 }
 
-#Trouble: #Kill | #Scripted | #Halt | #ListLate | #DayBurst
+#Trouble: #Kill | #Scripted | #Halt | #ListLate | #DayBurst | #Remove
 
 // Killed outright; with `back`, it starts again so long after, cold and under its old name.
 #Kill: {
@@ -291,6 +291,13 @@
 	lag: duration & >=0s
 }
 
+// Tenants removed while their submissions are under way; played in virtual time only.
+#Remove: {
+	at:  duration & >=0s
+	do:  "remove"
+	who: [string, ...string]
+}
+
 #DayBurst: {
 	at:    duration & >=0s
 	do:    "burst"
