The contract time of a prompt is reckoned in one place; lateness is told when it changes

The host reckoned anew what the module does with a track's contract time: Track::contract_of serves both. The gauge of lateness was written, with its label made anew, at each turn of the loop.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -145,8 +145,7 @@
             client.open.remove(&s.number);
         }
         if let (Some(tenancy), Some(track)) = (&mut self.tenancy, self.terms.module.tracks.get(track_of)) {
-            let stretch = track.per_thousand as f64 * f64::from(prompt) / 1000.0;
-            let contract = came + (track.contract as f64 + stretch) as Micros * TENTH;
+            let contract = came + track.contract_of(f64::from(prompt)) as Micros * TENTH;
             let known = first.map(|at| if at <= contract { Known::InTime } else { Known::Late });
             tenancy.shares.answered(now, Ticket(id), known.unwrap_or(Known::Nothing));
             self.stirred = true;
@@ -512,9 +511,13 @@
     }
 
     fn late(&mut self, now: Micros, by: Micros) {
+        let before = self.lateness.worst();
         self.lateness.note(now, by);
-        gauge!("tideroute_late_seconds", "core" => self.terms.name.clone())
-            .set(self.lateness.worst() as f64 / 1e6);
+        // Each turn of the loop comes here: the figure is only written when it is another.
+        if self.lateness.worst() != before {
+            gauge!("tideroute_late_seconds", "core" => self.terms.name.clone())
+                .set(self.lateness.worst() as f64 / 1e6);
+        }
     }
 
     fn stop(&mut self, _now: Micros, _out: &mut Outbox) {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -190,7 +190,6 @@
     /// False if the submission names a track that the terms do not have.
     pub fn arrived(&mut self, now: Tenths, arrival: Arrival) -> bool {
         let Some(track) = self.terms.tracks.get(usize::from(arrival.track)) else { return false };
-        let stretch = track.per_thousand as f64 * arrival.prompt.max(0.0) / 1000.0;
         self.all_seen.add(now, KNOWN, 1.0);
         if arrival.prefix != 0 {
             let seen = self.seen.entry(arrival.prefix).or_default();
@@ -203,7 +202,7 @@
                 self.sweep = 2 * self.seen.len();
             }
         }
-        let contract = now + track.contract + stretch as Tenths;
+        let contract = now + track.contract_of(arrival.prompt);
         let (came, cut_off) = (now, now + arrival.left);
         let submission = Submission { arrival, came, contract, cut_off, since: now, ..Submission::default() };
         if let Some(mut old) = self.open.insert(arrival.id, submission) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -66,6 +66,14 @@
     pub earnings: f64,
 }
 
+impl Track {
+    /// How long after it came the first token of a submission is wanted.
+    pub fn contract_of(&self, prompt: f64) -> Tenths {
+        let stretch = self.per_thousand as f64 * prompt.max(0.0) / 1000.0;
+        self.contract + stretch as Tenths
+    }
+}
+
 /// What a router is told when it starts and works under from then on.
 #[derive(Clone, Debug, Default)]
 pub struct Terms {
