--- a/crates/admin/src/problem.rs
+++ b/crates/admin/src/problem.rs
@@ -1,8 +1,9 @@
 //! Problem details (RFC 9457).
 
 use serde::Serialize;
+use tideroute_http::write::reason;
 
-use crate::http::{reason, Reply};
+use crate::http::Reply;
 
 #[derive(Serialize)]
 struct Problem<'a> {
--- a/crates/command/src/administration.rs
+++ b/crates/command/src/administration.rs
@@ -19,6 +19,8 @@
 
 /// How long a change waits for a core to have heard of it; one that is stalled for longer hears of it late.
 const HEARD: Duration = Duration::from_secs(2);
+/// Connections that may linger after their last answer until the peer has ended them too.
+const LINGERS: usize = 64;
 /// Entries read from the store at a time.
 const PAGE: usize = 1_000;
 
@@ -39,7 +41,7 @@
         let administrators = record.keys.iter().map(administrator).collect::<Result<Vec<_>, _>>()?;
         let listen: SocketAddr = convert::socket(&record.listen)?.into();
         let mut reactor = Reactor::new(&[listen]).map_err(|e| e.to_string())?;
-        reactor.raw();
+        reactor.raw(LINGERS);
         let figures = reactor.mailbox();
         reactor.catch_signals().map_err(|e| e.to_string())?;
         let (api, told) = (Api::new(store.clone(), administrators), cores.clone());
--- a/crates/command/src/cores.rs
+++ b/crates/command/src/cores.rs
@@ -146,7 +146,7 @@
     }
     let mut terms = convert::router(record, n, seed)?;
     if let Some(admin) = admin {
-        terms.tenants = Some(admin.join(n, reactor.mailbox())?);
+        terms.books.tenants = Some(admin.join(n, reactor.mailbox())?);
         reactor.publish_to(admin.figures());
     }
     let mut host = Host::new(terms, kept.map(bytes::Bytes::from), now);
--- a/crates/command/src/main.rs
+++ b/crates/command/src/main.rs
@@ -9,6 +9,7 @@
 mod logs;
 mod measure;
 mod measure_tenants;
+mod platform;
 mod plot;
 mod serve;
 
@@ -42,6 +43,11 @@
         #[command(flatten)]
         run: Run,
     },
+    /// Runs a router on the platform's protocol (HTTP/1.1) until SIGTERM; SIGHUP has its file read again.
+    Platform {
+        /// The configuration file; without it, the one that EDGE_CONFIG names.
+        file: Option<PathBuf>,
+    },
     /// Runs a stand-in of a reader, writer or mixed worker.
     Worker {
         file: PathBuf,
@@ -160,6 +166,7 @@
     }
     let ended = match call.command {
         Command::Router { file, fail_core_after, run } => cores::router(&file, fail_core_after, &run),
+        Command::Platform { file } => platform::run(file.as_deref()),
         Command::Worker { file, cold, run } => serve::worker(&file, cold, &run),
         Command::List { file, run } => serve::list(&file, &run),
         Command::Load { file, straight_to: Some(workers), begin_at, table, json, run } => {
--- a/crates/host/benches/reload.rs
+++ b/crates/host/benches/reload.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use tideroute::interface::{Repeat, Role, Terms as Module, Track};
-use tideroute_host::{Host, Terms};
+use tideroute_host::{BookTerms, Host, Terms};
 use tideroute_wire::link::{Act, Link, Outbox, Program};
 use tideroute_wire::list::{Page, Standing};
 use tideroute_wire::{client, say_hello, Party};
@@ -35,22 +35,18 @@
         longest_advice: 10_000,
         ..Module::default()
     };
-    Terms {
+    let books = BookTerms {
         name: "r".into(),
         module,
         tracks: vec!["query".into()],
-        list: LIST,
         unheard: 250_000,
-        travel: 10_000,
-        window: 8,
         most_open: 10_000,
-        most_a_client: 10_000,
-        most_clients: 4,
         tenants: None,
         part: 1.0,
         longest_wait: 1_000_000,
         seed: 5,
-    }
+    };
+    Terms { books, list: LIST, travel: 10_000, window: 8, most_a_client: 10_000, most_clients: 4 }
 }
 
 fn page(round: u16) -> Bytes {
--- /dev/null
+++ b/crates/host/src/books.rs
@@ -0,0 +1,427 @@
+//! The books of one router: submissions, shots and workers as plain data, and the pulling of the module's
+//! decisions. Both protocols keep theirs here and carry words through [`Ways`].
+
+use std::collections::BTreeMap;
+
+use metrics::{counter, gauge, histogram};
+use tideroute::choice::Router;
+use tideroute::interface::{Arrival, Ending, Listing, Role, Standing, SubmissionId, Tenths, WorkerId};
+use tideroute_shares::{Asked, Known, Tenant, Ticket, Verdict};
+use tideroute_wire::Micros;
+
+use crate::lateness::Lateness;
+use crate::submissions::{Submission, Submissions};
+use crate::tenancy::Tenancy;
+use crate::terms::BookTerms;
+use crate::ways::{Answer, Timer, Ways};
+
+/// Microseconds in one of the module's tenths of a millisecond.
+pub(crate) const TENTH: Micros = 100;
+
+pub(crate) fn tenths(at: Micros) -> Tenths {
+    (at / TENTH) as Tenths
+}
+
+pub struct Books<A> {
+    pub(crate) terms: BookTerms,
+    pub(crate) module: Router,
+    pub submissions: Submissions<A>,
+    /// What the list says of each worker, the role by its kind beside it.
+    pub(crate) listed: BTreeMap<WorkerId, (Listing, Role)>,
+    version: u64,
+    /// What came of decisions while they were pulled; the module hears it after the last of them.
+    pub(crate) settled: Vec<(SubmissionId, u16, Ending)>,
+    /// Submissions that may be over and free of everything.
+    pub(crate) closing: Vec<SubmissionId>,
+    pub(crate) probes: BTreeMap<u64, WorkerId>,
+    pub(crate) nonce: u64,
+    /// The module has heard something since it was last asked.
+    pub(crate) stirred: bool,
+    pub(crate) lateness: Lateness,
+    pub(crate) tenancy: Option<Tenancy>,
+    stopping: bool,
+    /// How many open submissions the figures show.
+    shown: Option<usize>,
+}
+
+impl<A> Books<A> {
+    pub fn new(terms: BookTerms, now: Micros) -> Books<A> {
+        Books {
+            module: Router::new(terms.module.clone(), terms.seed, tenths(now)),
+            submissions: Submissions::new(terms.seed),
+            tenancy: terms.tenants.as_ref().map(|t| Tenancy::new(t, terms.part, shares_terms(&terms), now)),
+            terms,
+            listed: BTreeMap::new(),
+            version: 0,
+            settled: vec![],
+            closing: vec![],
+            probes: BTreeMap::new(),
+            nonce: 0,
+            stirred: true,
+            lateness: Lateness::default(),
+            stopping: false,
+            shown: None,
+        }
+    }
+
+    pub fn terms(&self) -> &BookTerms {
+        &self.terms
+    }
+
+    /// The version of the list in force.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The list will be asked for all that it holds.
+    pub fn forget_version(&mut self) {
+        self.version = 0;
+    }
+
+    pub fn listing(&self, worker: WorkerId) -> Option<&Listing> {
+        self.listed.get(&worker).map(|(listing, _)| listing)
+    }
+
+    pub fn listed(&self) -> impl Iterator<Item = &Listing> {
+        self.listed.values().map(|(listing, _)| listing)
+    }
+
+    /// Whether the shot is the one that is out, at this worker. What comes for another was called back.
+    pub fn is_out(&self, id: SubmissionId, number: u16, worker: WorkerId) -> bool {
+        let shot = self.submissions.get(id).and_then(|s| s.shot.as_ref());
+        shot.is_some_and(|s| s.number == number && s.worker == worker)
+    }
+
+    /// Gives a submission its final answer, once.
+    pub(crate) fn answer(
+        &mut self,
+        now: Micros,
+        id: SubmissionId,
+        answer: Answer,
+        ways: &mut impl Ways<Asked = A>,
+    ) {
+        let Some(s) = self.submissions.get_mut(id).filter(|s| !s.over) else { return };
+        s.over = true;
+        self.closing.push(id);
+        let first = s.first.or_else(|| matches!(answer, Answer::TurnedBack(_)).then_some(Micros::MAX));
+        let (came, prompt, track_of) = (s.came, s.prompt_tokens, usize::from(s.track));
+        ways.answer(id, s, answer);
+        let outcome = match answer {
+            Answer::Honoured(_) => "honoured",
+            Answer::TurnedBack(_) => "turned back",
+            Answer::Abandoned => "abandoned",
+        };
+        let track = self.terms.tracks.get(track_of).cloned().unwrap_or_default();
+        counter!("tideroute_answers_total", "outcome" => outcome, "track" => track).increment(1);
+        histogram!("tideroute_answer_seconds").record(now.saturating_sub(came) as f64 / 1e6);
+        tracing::debug!(id, outcome, shots = s.shots, "answered");
+        if let (Some(tenancy), Some(track)) = (&mut self.tenancy, self.terms.module.tracks.get(track_of)) {
+            let contract = came + track.contract_of(f64::from(prompt)) as Micros * TENTH;
+            let known = first.map(|at| if at <= contract { Known::InTime } else { Known::Late });
+            tenancy.shares.answered(now, Ticket(id), known.unwrap_or(Known::Nothing));
+            self.stirred = true;
+        }
+    }
+
+    /// A shot has ended: the module hears of it, and the client if that was the end of its stream.
+    pub fn settle(
+        &mut self,
+        now: Micros,
+        id: SubmissionId,
+        number: u16,
+        ending: Ending,
+        ways: &mut impl Ways<Asked = A>,
+    ) {
+        let Some(s) = self.submissions.get_mut(id) else { return };
+        let Some(shot) = s.shot.take_if(|s| s.number == number) else { return };
+        ways.settled(id, s, &shot, ending);
+        let terminal = s.over || shot.started || ending == Ending::Honoured;
+        if ending == Ending::Read {
+            s.state = Some(shot.worker);
+        }
+        tracing::debug!(id, shot = number, worker = ?shot.worker, ?ending, "a shot ended");
+        counter!("tideroute_shots_ended_total", "ending" => name_of(ending)).increment(1);
+        self.module.settled(tenths(now), id, number, ending, terminal);
+        self.stirred = true;
+        self.closing.push(id);
+        if ending == Ending::Honoured {
+            self.answer(now, id, Answer::Honoured(shot.tokens), ways);
+        } else if shot.started {
+            self.answer(now, id, Answer::Abandoned, ways);
+        }
+    }
+
+    /// The first of the shot's answer is there: it belongs to the client now, and all else held goes by itself.
+    pub fn started(&mut self, now: Micros, id: SubmissionId, ways: &mut impl Ways<Asked = A>) {
+        let Some(s) = self.submissions.get_mut(id) else { return };
+        let Some(shot) = s.shot.as_mut().filter(|s| !s.started) else { return };
+        shot.started = true;
+        let (worker, number, came) = (shot.worker, shot.number, s.came);
+        (s.state, s.first) = (None, Some(now));
+        for place in std::mem::take(&mut s.places) {
+            ways.unplace(id, place, place != worker);
+        }
+        self.module.started(tenths(now), id, number);
+        self.stirred = true;
+        histogram!("tideroute_first_token_seconds").record(now.saturating_sub(came) as f64 / 1e6);
+    }
+
+    /// A writer's answer on a place. The module hears it while the read is out; after that it has gone by what
+    /// it knew then.
+    pub fn held(
+        &mut self,
+        now: Micros,
+        id: SubmissionId,
+        at: WorkerId,
+        held: bool,
+        ways: &mut impl Ways<Asked = A>,
+    ) {
+        let Some(s) = self.submissions.get_mut(id).filter(|s| s.places.last() == Some(&at)) else { return };
+        if !held {
+            s.places.clear();
+            ways.unplace(id, at, false);
+        }
+        if s.shot.as_ref().is_some_and(|s| s.reading) {
+            self.module.answered_ahead(tenths(now), id, held);
+            self.stirred = true;
+        }
+    }
+
+    /// The client no longer waits. A stream that nobody reads ends; the rest is the module's to call back.
+    pub fn dropped(&mut self, now: Micros, id: SubmissionId, ways: &mut impl Ways<Asked = A>) {
+        let Some(s) = self.submissions.get_mut(id) else { return };
+        s.over = true;
+        self.closing.push(id);
+        counter!("tideroute_left_total").increment(1);
+        self.module.dropped(tenths(now), id);
+        self.tenancy.iter_mut().for_each(|t| t.shares.left(now, Ticket(id)));
+        self.stirred = true;
+        if let Some(shot) = s.shot.as_ref().filter(|shot| shot.started) {
+            let number = shot.number;
+            ways.withdraw(id, shot);
+            self.settle(now, id, number, Ending::Withdrawn, ways);
+        }
+    }
+
+    /// Why one more submission can't be taken: all that may be open is.
+    pub fn untaken(&self, full_client: bool) -> Option<(&'static str, Micros)> {
+        let full = full_client || self.submissions.len() >= self.terms.most_open;
+        if !full && !self.stopping {
+            return None;
+        }
+        let why = if full { "full" } else { "stopping" };
+        counter!("tideroute_untaken_total", "why" => why).increment(1);
+        let advice = full && self.terms.module.advice;
+        Some((why, if advice { self.terms.module.longest_advice.max(0) as Micros * TENTH } else { 0 }))
+    }
+
+    /// Takes a new submission; with a tenant it may have to wait until its share lets it in.
+    pub fn submitted(
+        &mut self,
+        now: Micros,
+        s: Submission<A>,
+        tenant: Option<Tenant>,
+        ways: &mut impl Ways<Asked = A>,
+    ) -> SubmissionId {
+        let (track, cut_off, tokens) = (s.track, s.cut_off, s.prompt_tokens);
+        let id = self.submissions.insert(s);
+        counter!("tideroute_taken_total").increment(1);
+        ways.ring(cut_off, Timer::CutOff(id));
+        self.stirred = true;
+        let earnings = self.terms.module.tracks.get(usize::from(track)).map_or(0.0, |t| t.earnings);
+        let Some(tenancy) = &mut self.tenancy else {
+            self.let_in(now, id);
+            return id;
+        };
+        match tenant {
+            Some(tenant) => {
+                let ticket = Ticket(id);
+                tenancy.shares.asked(now, Asked { ticket, tenant, tokens, earnings, cut_off });
+            }
+            None => self.answer(now, id, Answer::TurnedBack(0), ways),
+        }
+        id
+    }
+
+    /// The module hears of a submission.
+    fn let_in(&mut self, now: Micros, id: SubmissionId) {
+        let Some(s) = self.submissions.get(id).filter(|s| !s.over) else { return };
+        let arrival = Arrival {
+            id,
+            track: s.track,
+            session: s.session,
+            prefix: s.prefix,
+            prompt: f64::from(s.prompt_tokens),
+            left: tenths(s.cut_off.saturating_sub(now)),
+        };
+        self.module.arrived(tenths(now), arrival);
+        self.stirred = true;
+    }
+
+    /// Carries out what the shares decide.
+    fn admit(&mut self, now: Micros, ways: &mut impl Ways<Asked = A>) {
+        while let Some(verdict) = self.tenancy.as_mut().and_then(|t| t.shares.decide(now)) {
+            match verdict {
+                Verdict::Let(Ticket(id)) => self.let_in(now, id),
+                Verdict::TurnBack { ticket: Ticket(id), after } => {
+                    counter!("tideroute_untaken_total", "why" => "share").increment(1);
+                    let after = if self.terms.module.advice { after } else { 0 };
+                    self.answer(now, id, Answer::TurnedBack(after), ways);
+                }
+                Verdict::Wake { at } => ways.ring(at, Timer::Shares),
+            }
+        }
+    }
+
+    /// The client's time is up: a shot that has not begun to answer has timed out.
+    fn cut_off(&mut self, now: Micros, id: SubmissionId, ways: &mut impl Ways<Asked = A>) {
+        let Some(s) = self.submissions.get(id).filter(|s| !s.over && !s.streams()) else { return };
+        let Some(shot) = &s.shot else {
+            self.stirred = true;
+            return;
+        };
+        let number = shot.number;
+        let ending = if ways.withdraw(id, shot) { Ending::NeverSent } else { Ending::TimedOut };
+        self.settle(now, id, number, ending, ways);
+    }
+
+    pub fn probed(&mut self, now: Micros, nonce: u64, well: bool, ways: &mut impl Ways<Asked = A>) {
+        let Some(worker) = self.probes.remove(&nonce) else { return };
+        ways.probed(worker);
+        self.module.probed(tenths(now), worker, well);
+        self.stirred = true;
+    }
+
+    /// Begins a page of the list; entries follow.
+    pub fn page(&mut self, now: Micros, version: u64, whole: bool) {
+        if whole {
+            self.listed.values_mut().for_each(|(l, _)| l.standing = Standing::Gone);
+            self.module.list_anew(tenths(now));
+        }
+        (self.version, self.stirred) = (version, true);
+    }
+
+    /// A worker that is gone may be told by its name alone.
+    pub fn gone(&mut self, now: Micros, worker: WorkerId) {
+        if let Some((known, _)) = self.listed.get(&worker) {
+            self.entry(now, Listing { standing: Standing::Gone, ..*known });
+        }
+    }
+
+    pub fn entry(&mut self, now: Micros, listing: Listing) {
+        let Some(&role) = self.terms.module.roles.get(usize::from(listing.kind)) else {
+            tracing::warn!(worker = %shown(listing.worker), kind = listing.kind, "a kind that no term names");
+            return;
+        };
+        tracing::debug!(worker = %shown(listing.worker), standing = ?listing.standing, "listed");
+        self.listed.insert(listing.worker, (listing, role));
+        self.module.listed(tenths(now), listing);
+    }
+
+    /// The page is complete. Workers that are gone need no books.
+    pub fn page_over(&mut self) {
+        self.listed.retain(|_, (l, _)| l.standing != Standing::Gone);
+    }
+
+    /// The list can't be heard; the old one stays in force.
+    pub fn list_failed(&mut self, now: Micros) {
+        self.module.list_failed(tenths(now));
+        self.stirred = true;
+    }
+
+    pub fn rang(&mut self, now: Micros, timer: Timer, ways: &mut impl Ways<Asked = A>) {
+        match timer {
+            Timer::Wake => {
+                self.module.woken(tenths(now));
+                self.stirred = true;
+            }
+            Timer::CutOff(id) => self.cut_off(now, id, ways),
+            Timer::Probe(nonce) => self.probed(now, nonce, false, ways),
+            Timer::Shares => self.stirred = true,
+        }
+    }
+
+    /// Pulls decisions until none is left.
+    pub fn turn(&mut self, now: Micros, ways: &mut impl Ways<Asked = A>) {
+        while std::mem::take(&mut self.stirred) {
+            self.admit(now, ways);
+            while let Some(decision) = self.module.decide(tenths(now)) {
+                self.carry_out(now, decision, ways);
+            }
+            for (id, shot, ending) in std::mem::take(&mut self.settled) {
+                self.settle(now, id, shot, ending, ways);
+            }
+        }
+        self.close_up(ways);
+        if self.shown != Some(self.submissions.len()) {
+            self.shown = Some(self.submissions.len());
+            gauge!("tideroute_open", "core" => self.terms.name.clone()).set(self.submissions.len() as f64);
+        }
+    }
+
+    /// Lets go of what is left of submissions that are over and forgets them.
+    fn close_up(&mut self, ways: &mut impl Ways<Asked = A>) {
+        for id in std::mem::take(&mut self.closing) {
+            let Some(s) = self.submissions.get(id).filter(|s| s.over && s.shot.is_none()) else { continue };
+            if !s.holds_nothing() {
+                self.let_go(id, ways);
+            }
+            self.submissions.remove(id);
+        }
+    }
+
+    pub fn late(&mut self, now: Micros, by: Micros) {
+        let before = self.lateness.worst();
+        self.lateness.note(now, by);
+        // Each turn of the loop comes here: the figure is only written when it is another.
+        if self.lateness.worst() != before {
+            gauge!("tideroute_late_seconds", "core" => self.terms.name.clone())
+                .set(self.lateness.worst() as f64 / 1e6);
+        }
+    }
+
+    /// What is left of a client's time, given how late the loop has been of late.
+    pub fn left(&self, left: Micros) -> Micros {
+        self.lateness.left(left)
+    }
+
+    /// Takes nothing new from now on.
+    pub fn stop(&mut self) {
+        tracing::info!(open = self.submissions.len(), "stops: takes nothing new");
+        self.stopping = true;
+    }
+
+    pub fn done(&self) -> bool {
+        self.stopping && self.submissions.none_waits()
+    }
+}
+
+/// A quarter of what may be open may wait to be let in.
+fn shares_terms(terms: &BookTerms) -> tideroute_shares::Terms {
+    tideroute_shares::Terms {
+        longest_wait: terms.longest_wait,
+        most_waiting: (terms.most_open / 4).max(1),
+        longest_advice: terms.module.longest_advice.max(0) as Micros * TENTH,
+    }
+}
+
+fn name_of(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Honoured => "honoured",
+        Ending::Fault => "fault",
+        Ending::Full => "full",
+        Ending::Stateless => "stateless",
+        Ending::TimedOut => "timed out",
+        Ending::Unreachable => "unreachable",
+        Ending::Broken => "broken",
+        Ending::Withdrawn => "withdrawn",
+        Ending::NeverSent => "never sent",
+        Ending::Read => "read",
+    }
+}
+
+/// A worker's address as people write it.
+pub fn shown(worker: WorkerId) -> String {
+    let [a, b, c, d, high, low] = worker;
+    format!("{a}.{b}.{c}.{d}:{}", u16::from_be_bytes([high, low]))
+}
--- a/crates/host/src/carry.rs
+++ b/crates/host/src/carry.rs
@@ -2,146 +2,82 @@
 
 use metrics::counter;
 use tideroute::interface::{Decision, Ending, Role, SubmissionId, WorkerId};
-use tideroute_wire::link::Outbox;
-use tideroute_wire::{list, say_hello, worker, Micros, Party};
+use tideroute_wire::Micros;
 
-use crate::host::{shown, Answer, Host, Timer, TENTH};
+use crate::books::{shown, Books, TENTH};
 use crate::submissions::Shot;
+use crate::ways::{Answer, Timer, Ways};
 
-impl Host {
-    pub(crate) fn carry_out(&mut self, now: Micros, decision: Decision, out: &mut Outbox) {
+impl<A> Books<A> {
+    pub(crate) fn carry_out(&mut self, now: Micros, decision: Decision, ways: &mut impl Ways<Asked = A>) {
         tracing::trace!(?decision, "decided");
         match decision {
-            Decision::Send { id, worker, .. } => self.send(now, id, worker, out),
-            Decision::Hold { id, worker } => self.hold(id, worker, out),
-            Decision::LetGo { id } => self.let_go(id, out),
+            Decision::Send { id, worker, .. } => self.send(now, id, worker, ways),
+            Decision::Hold { id, worker } => self.hold(id, worker, ways),
+            Decision::LetGo { id } => self.let_go(id, ways),
             Decision::Withdraw { id, shot } => {
                 let Some(s) = self.submissions.get(id).filter(|s| s.shot_is(shot) && !s.streams()) else {
                     return;
                 };
-                let at = s.shot.as_ref().map(|s| s.worker);
-                if let Some(at) = at {
-                    self.lines.send_if_there(at, worker::withdraw(id, shot), out);
-                }
+                let Some(out) = &s.shot else { return };
+                let ending = if ways.withdraw(id, out) { Ending::NeverSent } else { Ending::Withdrawn };
                 counter!("tideroute_withdrawn_total").increment(1);
-                self.settled.push((id, shot, Ending::Withdrawn));
+                self.settled.push((id, shot, ending));
                 self.stirred = true;
             }
             Decision::TurnBack { id, after } => {
-                self.answer(now, id, Answer::TurnedBack(after.max(0) as Micros * TENTH), out);
+                self.answer(now, id, Answer::TurnedBack(after.max(0) as Micros * TENTH), ways);
             }
-            Decision::Abandon { id } => self.answer(now, id, Answer::Abandoned, out),
-            Decision::Probe { worker } => self.probe(now, worker, out),
-            Decision::Subscribe => self.subscribe(out),
+            Decision::Abandon { id } => self.answer(now, id, Answer::Abandoned, ways),
+            Decision::Probe { worker } => {
+                self.nonce += 1;
+                self.probes.insert(self.nonce, worker);
+                counter!("tideroute_probes_total").increment(1);
+                ways.probe(self.nonce, worker);
+                ways.ring(now + self.terms.unheard, Timer::Probe(self.nonce));
+            }
+            Decision::Subscribe => ways.subscribe(self.version()),
             Decision::Wake { after } => {
                 // The module counts in tenths: a fraction of one more, or it would be woken before its time.
                 let at = (now / TENTH + after.max(0) as Micros) * TENTH;
-                out.ring(at, Self::key(Timer::Wake));
+                ways.ring(at, Timer::Wake);
             }
         }
     }
 
-    fn send(&mut self, now: Micros, id: SubmissionId, to: WorkerId, out: &mut Outbox) {
+    fn send(&mut self, now: Micros, id: SubmissionId, to: WorkerId, ways: &mut impl Ways<Asked = A>) {
         let Some(&(_, role)) = self.listed.get(&to) else { return };
         let Some(s) = self.submissions.get_mut(id) else { return };
         let (number, reading, left) = (s.shots, role == Role::Reader, s.cut_off.saturating_sub(now));
         s.shots += 1;
-        s.shot = Some(Shot { number, worker: to, reading, started: false, tokens: 0, owed: 0 });
-        let frame = if reading {
-            worker::read(
-                id,
-                number,
-                s.track,
-                s.session,
-                s.prefix,
-                s.prompt_tokens,
-                s.prefix_tokens,
-                left,
-                s.prompt.clone(),
-            )
-        } else {
+        if !reading {
             // The state goes to one writer: other places end with this send.
             for place in std::mem::take(&mut s.places) {
-                self.lines.at(place).places.remove(&id);
-                if place != to {
-                    self.lines.send_if_there(place, worker::let_go(id), out);
-                }
+                ways.unplace(id, place, place != to);
             }
-            worker::write(
-                id,
-                number,
-                s.track,
-                s.prompt_tokens,
-                s.most_tokens,
-                left,
-                s.mark,
-                s.state,
-                self.terms.window,
-                s.session,
-                s.prefix,
-                s.prefix_tokens,
-                s.prompt.clone(),
-            )
-        };
+        }
         tracing::debug!(id, shot = number, worker = %shown(to), reading, "sends");
         counter!("tideroute_shots_total", "stage" => if reading { "read" } else { "write" }).increment(1);
-        self.lines.at(to).shots.insert(id);
-        self.lines.send(to, &self.terms.name, self.terms.unheard, frame, out);
+        let shot = Shot { number, worker: to, reading, started: false, tokens: 0, owed: 0 };
+        ways.shoot(id, s, &shot, left);
+        s.shot = Some(shot);
     }
 
-    fn hold(&mut self, id: SubmissionId, at: WorkerId, out: &mut Outbox) {
+    fn hold(&mut self, id: SubmissionId, at: WorkerId, ways: &mut impl Ways<Asked = A>) {
         let Some(s) = self.submissions.get_mut(id) else { return };
         let Some(reader) = s.shot.as_ref().filter(|s| s.reading).map(|s| s.worker) else { return };
         // A new place takes the place of one before.
         for place in std::mem::replace(&mut s.places, vec![at]) {
-            self.lines.at(place).places.remove(&id);
-            self.lines.send_if_there(place, worker::let_go(id), out);
+            ways.unplace(id, place, true);
         }
-        let frame = worker::hold(id, s.prompt_tokens, s.most_tokens, reader);
-        self.lines.at(at).places.insert(id);
         counter!("tideroute_places_total").increment(1);
-        self.lines.send(at, &self.terms.name, self.terms.unheard, frame, out);
+        ways.hold(id, s, at, reader);
     }
 
-    pub(crate) fn let_go(&mut self, id: SubmissionId, out: &mut Outbox) {
+    pub(crate) fn let_go(&mut self, id: SubmissionId, ways: &mut impl Ways<Asked = A>) {
         let Some(s) = self.submissions.get_mut(id) else { return };
         self.closing.push(id);
-        for place in std::mem::take(&mut s.places) {
-            self.lines.at(place).places.remove(&id);
-            self.lines.send_if_there(place, worker::let_go(id), out);
-        }
-        if let Some(reader) = s.state.take() {
-            self.lines.send_if_there(reader, worker::let_go(id), out);
-        }
-    }
-
-    fn probe(&mut self, now: Micros, to: WorkerId, out: &mut Outbox) {
-        self.nonce += 1;
-        let nonce = self.nonce;
-        self.probes.insert(nonce, to);
-        self.lines.at(to).probe = Some(nonce);
-        counter!("tideroute_probes_total").increment(1);
-        self.lines.send(to, &self.terms.name, self.terms.unheard, worker::probe(nonce), out);
-        out.ring(now + self.terms.unheard, Self::key(Timer::Probe(nonce)));
-    }
-
-    fn subscribe(&mut self, out: &mut Outbox) {
-        let link = *self.list_link.get_or_insert_with(|| {
-            let link = out.dial(self.terms.list, self.terms.unheard);
-            out.send(link, say_hello(Party::Router, &self.terms.name));
-            link
-        });
-        out.send(link, list::watch(self.version));
-    }
-
-    /// Tells the worker of a stream that its client has taken tokens, once `least` of them are owed.
-    pub(crate) fn pay(&mut self, id: SubmissionId, least: u32, out: &mut Outbox) {
-        let Some(s) = self.submissions.get_mut(id) else { return };
-        let crowded = self.clients.get_mut(s.client).is_none_or(|c| c.crowded);
-        let Some(shot) = s.shot.as_mut().filter(|s| s.started && s.owed >= least.max(1)) else { return };
-        if !crowded {
-            let tokens = std::mem::take(&mut shot.owed);
-            self.lines.send_if_there(shot.worker, worker::more(id, shot.number, tokens), out);
-        }
+        let (places, state) = (std::mem::take(&mut s.places), s.state.take());
+        ways.let_go(id, s, &places, state);
     }
 }
--- a/crates/host/src/hear.rs
+++ b/crates/host/src/hear.rs
@@ -1,13 +1,13 @@
 //! What is heard on each kind of link, as calls on the host.
 
 use bytes::Bytes;
-use metrics::histogram;
 use tideroute::interface::{Ending, Listing, Standing, Tenths};
 use tideroute_wire::link::{Link, Outbox};
 use tideroute_wire::{client, list, worker, Address, Malformed, Micros};
 
-use crate::host::{tenths, Host};
+use crate::host::Host;
 use crate::submissions::Submission;
+use crate::wires::Said;
 
 pub(crate) struct ClientLink<'a> {
     pub host: &'a mut Host,
@@ -37,27 +37,9 @@
             return Err(Malformed::Range("most_tokens"));
         }
         // A day is longer than any client waits, and keeps sums of times far from their ends.
-        let left = self.host.lateness.left(left.min(DAY)).saturating_sub(self.host.terms.travel);
-        let submission = Submission {
-            client: self.link,
-            number,
-            track,
-            session,
-            prefix,
-            prompt_tokens,
-            prefix_tokens,
-            most_tokens,
-            mark,
-            prompt,
-            came: self.now,
-            cut_off: self.now + left,
-            shots: 0,
-            shot: None,
-            state: None,
-            places: vec![],
-            first: None,
-            over: false,
-        };
+        let left = self.host.books.left(left.min(DAY)).saturating_sub(self.host.terms.travel);
+        let said = Said { client: self.link, number, prefix_tokens, most_tokens, mark, prompt };
+        let submission = Submission::new(said, track, (session, prefix), prompt_tokens).waits(self.now, left);
         self.host.submitted(self.now, submission, self.out)
     }
 
@@ -86,30 +68,16 @@
         self.host.lines.worker_of(self.link).ok_or(Malformed::Hello)
     }
 
-    /// Whether the shot is the one that is out, at this worker. What comes for another was called back.
     fn is_out(&self, id: u64, shot: u16) -> Result<bool, Malformed> {
-        let worker = self.worker()?;
-        let s = self.host.submissions.get(id).and_then(|s| s.shot.as_ref());
-        Ok(s.is_some_and(|s| s.number == shot && s.worker == worker))
+        Ok(self.host.books.is_out(id, shot, self.worker()?))
     }
 }
 
 impl worker::Router for WorkerLink<'_> {
     fn hold_answer(&mut self, id: u64, held: bool) -> Result<(), Malformed> {
         let worker = self.worker()?;
-        let Some(s) = self.host.submissions.get_mut(id) else { return Ok(()) };
-        if s.places.last() != Some(&worker) {
-            return Ok(());
-        }
-        if !held {
-            s.places.clear();
-            self.host.lines.at(worker).places.remove(&id);
-        }
-        // The module hears it while the read is out; after that it has gone by what it knew then.
-        if s.shot.as_ref().is_some_and(|s| s.reading) {
-            self.host.module.answered_ahead(tenths(self.now), id, held);
-            self.host.stirred = true;
-        }
+        let (books, mut wires) = self.host.parts(self.out);
+        books.held(self.now, id, worker, held, &mut wires);
         Ok(())
     }
 
@@ -122,7 +90,7 @@
     ) -> Result<(), Malformed> {
         if self.is_out(id, shot)? {
             let reading =
-                self.host.submissions.get(id).and_then(|s| s.shot.as_ref()).is_some_and(|s| s.reading);
+                self.host.books.submissions.get(id).and_then(|s| s.shot.as_ref()).is_some_and(|s| s.reading);
             if !reading {
                 return Err(Malformed::Order("a state from a shot that writes"));
             }
@@ -135,27 +103,15 @@
         if !self.is_out(id, shot)? {
             return Ok(());
         }
-        let worker = self.worker()?;
-        let Some(s) = self.host.submissions.get_mut(id) else { return Ok(()) };
-        let (client, number, came) = (s.client, s.number, s.came);
+        let Some(s) = self.host.books.submissions.get_mut(id) else { return Ok(()) };
+        let (client, number) = (s.asked.client, s.asked.number);
         let Some(out) = s.shot.as_mut() else { return Ok(()) };
         if out.reading || index != out.tokens {
             return Err(Malformed::Order("a token"));
         }
         (out.tokens, out.owed) = (out.tokens + 1, out.owed + 1);
-        let first = !std::mem::replace(&mut out.started, true);
-        if first {
-            (s.state, s.first) = (None, Some(self.now));
-            for place in std::mem::take(&mut s.places) {
-                self.host.lines.at(place).places.remove(&id);
-                if place != worker {
-                    self.host.lines.send_if_there(place, worker::let_go(id), self.out);
-                }
-            }
-            self.host.module.started(tenths(self.now), id, shot);
-            self.host.stirred = true;
-            histogram!("tideroute_first_token_seconds").record((self.now - came) as f64 / 1e6);
-        }
+        let (books, mut wires) = self.host.parts(self.out);
+        books.started(self.now, id, &mut wires);
         self.out.send(client, client::token(number, index, text));
         let half = self.host.terms.window / 2;
         self.host.pay(id, half, self.out);
@@ -164,7 +120,7 @@
 
     fn finished(&mut self, id: u64, shot: u16, tokens: u32) -> Result<(), Malformed> {
         if self.is_out(id, shot)? {
-            let s = self.host.submissions.get(id).and_then(|s| s.shot.as_ref());
+            let s = self.host.books.submissions.get(id).and_then(|s| s.shot.as_ref());
             if s.is_none_or(|s| s.tokens != tokens || tokens == 0) {
                 return Err(Malformed::Order("the end of a stream"));
             }
@@ -188,7 +144,8 @@
     fn probed(&mut self, nonce: u64, _reads: u32, _streams: u32, _waiting: u32) -> Result<(), Malformed> {
         let worker = self.worker()?;
         if self.host.lines.at(worker).probe == Some(nonce) {
-            self.host.probed(self.now, nonce, true);
+            let (books, mut wires) = self.host.parts(self.out);
+            books.probed(self.now, nonce, true, &mut wires);
         }
         Ok(())
     }
@@ -201,10 +158,11 @@
 
 impl list::Router for ListLink<'_> {
     fn page(&mut self, version: u64, whole: bool) -> Result<(), Malformed> {
-        if !whole && version <= self.host.version {
+        if !whole && version <= self.host.books.version() {
             return Err(Malformed::Order("a page"));
         }
-        self.host.page(self.now, version, whole);
+        self.host.books.page(self.now, version, whole);
+        self.host.list_changed = true;
         Ok(())
     }
 
@@ -225,7 +183,7 @@
         };
         // No worker starts in the future; one whose clock says so started now.
         let started = (started.min(self.now) / 100) as Tenths;
-        self.host.entry(self.now, Listing { worker, kind, size, standing, cell, zone, started });
+        self.host.books.entry(self.now, Listing { worker, kind, size, standing, cell, zone, started });
         Ok(())
     }
 }
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -1,25 +1,21 @@
-//! The program: what happens on links goes to the books and to the module, then the module's decisions are
-//! carried out until there is none.
-
-use std::collections::BTreeMap;
+//! The program on protobuf links: what happens on them goes to the books, then the module's decisions are carried
+//! out until there is none.
 
 use bytes::Bytes;
-use metrics::{counter, gauge, histogram};
-use tideroute::choice::Router;
-use tideroute::interface::{Ending, Listing, Role, Standing, SubmissionId, Tenths, WorkerId};
-use tideroute_shares::{Asked, Known, Ticket, Verdict};
+use metrics::counter;
+use tideroute::interface::{Ending, Standing, SubmissionId};
 use tideroute_wire::link::{Link, Loss, Outbox, Program};
 use tideroute_wire::{client, list, worker, Malformed, Micros, Party};
 
+use crate::books::{shown, Books, TENTH};
 use crate::clients::Clients;
-use crate::lateness::Lateness;
 use crate::lines::Lines;
-use crate::submissions::{Submission, Submissions};
-use crate::tenancy::{Ear, Tenancy};
+use crate::submissions::{short, Submission};
+use crate::tenancy::Ear;
 use crate::terms::Terms;
+use crate::ways::Timer;
+use crate::wires::{Said, Wires};
 
-/// Microseconds in one of the module's tenths of a millisecond.
-pub(crate) const TENTH: Micros = 100;
 /// Microseconds between two tellings of tenants' figures: what a person who watches takes for now.
 const TELLS: Micros = 1_000_000;
 /// The kind of a timer stands in the top byte of its key, what it is for beneath.
@@ -27,132 +23,61 @@
 
 /// What a timer is for.
 #[derive(Clone, Copy)]
-pub(crate) enum Timer {
-    /// The module asked to be woken.
-    Wake,
-    /// A client's time is up.
-    CutOff(SubmissionId),
-    /// A probe, by its nonce, has not been answered.
-    Probe(u64),
+pub(crate) enum Ring {
+    Books(Timer),
     /// A connection, by its number, has not said Hello.
     Hello(Link),
-    /// A verdict on what waits to be let in may be due.
-    Shares,
     /// Tenants' figures are told.
     Figures,
 }
 
-pub(crate) fn tenths(at: Micros) -> Tenths {
-    (at / TENTH) as Tenths
-}
-
-/// A final answer to a client.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub(crate) enum Answer {
-    Honoured(u32),
-    TurnedBack(Micros),
-    Abandoned,
+pub(crate) fn key(ring: Ring) -> u64 {
+    let (kind, what) = match ring {
+        Ring::Books(Timer::Wake) => (0, 0),
+        Ring::Books(Timer::CutOff(id)) => (1, short(id)),
+        Ring::Books(Timer::Probe(nonce)) => (2, nonce),
+        Ring::Hello(link) => (3, link.0),
+        Ring::Books(Timer::Shares) => (4, 0),
+        Ring::Figures => (5, 0),
+    };
+    kind << KIND | what
 }
 
 pub struct Host {
     pub(crate) terms: Terms,
-    pub(crate) module: Router,
-    pub(crate) submissions: Submissions,
+    pub(crate) books: Books<Said>,
     pub(crate) clients: Clients,
     pub(crate) lines: Lines,
-    /// What the list says of each worker, the role by its kind beside it.
-    pub(crate) listed: BTreeMap<WorkerId, (Listing, Role)>,
-    pub(crate) version: u64,
     pub(crate) list_link: Option<Link>,
     pub(crate) list_changed: bool,
-    /// What came of decisions while they were pulled; the module hears it after the last of them.
-    pub(crate) settled: Vec<(SubmissionId, u16, Ending)>,
-    /// Submissions that may be over and free of everything.
-    pub(crate) closing: Vec<SubmissionId>,
-    pub(crate) probes: BTreeMap<u64, WorkerId>,
-    pub(crate) nonce: u64,
-    /// The module has heard something since it was last asked.
-    pub(crate) stirred: bool,
-    pub(crate) lateness: Lateness,
-    tenancy: Option<Tenancy>,
-    stopping: bool,
     kept: Option<Bytes>,
-    /// How many open submissions the figures show.
-    shown: Option<usize>,
 }
 
 impl Host {
     /// A router that starts now; `kept` is the list as the last run of it kept it.
     pub fn new(terms: Terms, kept: Option<Bytes>, now: Micros) -> Host {
         Host {
-            module: Router::new(terms.module.clone(), terms.seed, tenths(now)),
-            submissions: Submissions::new(terms.seed),
-            tenancy: terms.tenants.as_ref().map(|t| Tenancy::new(t, terms.part, shares_terms(&terms), now)),
+            books: Books::new(terms.books.clone(), now),
             terms,
             clients: Clients::default(),
             lines: Lines::default(),
-            listed: BTreeMap::new(),
-            version: 0,
             list_link: None,
             list_changed: false,
-            settled: vec![],
-            closing: vec![],
-            probes: BTreeMap::new(),
-            nonce: 0,
-            stirred: true,
-            lateness: Lateness::default(),
-            stopping: false,
             kept,
-            shown: None,
         }
     }
 
     /// Submissions that are open.
     pub fn open(&self) -> usize {
-        self.submissions.len()
+        self.books.submissions.len()
     }
 
-    pub(crate) fn key(timer: Timer) -> u64 {
-        let (kind, what) = match timer {
-            Timer::Wake => (0, 0),
-            Timer::CutOff(id) => (1, Submissions::short(id)),
-            Timer::Probe(nonce) => (2, nonce),
-            Timer::Hello(link) => (3, link.0),
-            Timer::Shares => (4, 0),
-            Timer::Figures => (5, 0),
-        };
-        kind << KIND | what
-    }
-
-    /// Gives a submission its final answer, once.
-    pub(crate) fn answer(&mut self, now: Micros, id: SubmissionId, answer: Answer, out: &mut Outbox) {
-        let Some(s) = self.submissions.get_mut(id).filter(|s| !s.over) else { return };
-        s.over = true;
-        self.closing.push(id);
-        let first = s.first.or_else(|| matches!(answer, Answer::TurnedBack(_)).then_some(Micros::MAX));
-        let (came, prompt, track_of) = (s.came, s.prompt_tokens, usize::from(s.track));
-        let (frame, outcome) = match answer {
-            Answer::Honoured(tokens) => (client::honoured(s.number, tokens), "honoured"),
-            Answer::TurnedBack(after) => (client::turned_back(s.number, after), "turned back"),
-            Answer::Abandoned => (client::abandoned(s.number), "abandoned"),
-        };
-        out.send(s.client, frame);
-        let track = self.terms.tracks.get(usize::from(s.track)).cloned().unwrap_or_default();
-        counter!("tideroute_answers_total", "outcome" => outcome, "track" => track).increment(1);
-        histogram!("tideroute_answer_seconds").record((now - s.came) as f64 / 1e6);
-        tracing::debug!(id, outcome, shots = s.shots, "answered");
-        if let Some(client) = self.clients.get_mut(s.client) {
-            client.open.remove(&s.number);
-        }
-        if let (Some(tenancy), Some(track)) = (&mut self.tenancy, self.terms.module.tracks.get(track_of)) {
-            let contract = came + track.contract_of(f64::from(prompt)) as Micros * TENTH;
-            let known = first.map(|at| if at <= contract { Known::InTime } else { Known::Late });
-            tenancy.shares.answered(now, Ticket(id), known.unwrap_or(Known::Nothing));
-            self.stirred = true;
-        }
+    /// The books, and the ways by which they speak.
+    pub(crate) fn parts<'a>(&'a mut self, out: &'a mut Outbox) -> (&'a mut Books<Said>, Wires<'a>) {
+        let (terms, clients, lines) = (&self.terms, &mut self.clients, &mut self.lines);
+        (&mut self.books, Wires { terms, clients, lines, list_link: &mut self.list_link, out })
     }
 
-    /// A shot has ended: the module hears of it, and the client if that was the end of its stream.
     pub(crate) fn settle(
         &mut self,
         now: Micros,
@@ -161,132 +86,61 @@
         ending: Ending,
         out: &mut Outbox,
     ) {
-        let Some(s) = self.submissions.get_mut(id) else { return };
-        let Some(shot) = s.shot.take_if(|s| s.number == number) else { return };
-        self.lines.at(shot.worker).shots.remove(&id);
-        let terminal = s.over || shot.started || ending == Ending::Honoured;
-        if ending == Ending::Read {
-            s.state = Some(shot.worker);
-        }
-        tracing::debug!(id, shot = number, worker = ?shot.worker, ?ending, "a shot ended");
-        counter!("tideroute_shots_ended_total", "ending" => name_of(ending)).increment(1);
-        self.module.settled(tenths(now), id, number, ending, terminal);
-        self.stirred = true;
-        self.closing.push(id);
-        if ending == Ending::Honoured {
-            self.answer(now, id, Answer::Honoured(shot.tokens), out);
-        } else if shot.started {
-            self.answer(now, id, Answer::Abandoned, out);
-        }
+        let (books, mut wires) = self.parts(out);
+        books.settle(now, id, number, ending, &mut wires);
     }
 
-    /// The client no longer waits. A stream that nobody reads ends; the rest is the module's to call back.
     pub(crate) fn dropped(&mut self, now: Micros, id: SubmissionId, out: &mut Outbox) {
-        let Some(s) = self.submissions.get_mut(id) else { return };
-        s.over = true;
-        self.closing.push(id);
-        counter!("tideroute_left_total").increment(1);
-        self.module.dropped(tenths(now), id);
-        self.tenancy.iter_mut().for_each(|t| t.shares.left(now, Ticket(id)));
-        self.stirred = true;
-        if let Some(shot) = s.shot.as_ref().filter(|shot| shot.started) {
-            let (worker, number) = (shot.worker, shot.number);
-            self.lines.send_if_there(worker, worker::withdraw(id, number), out);
-            self.settle(now, id, number, Ending::Withdrawn, out);
-        }
+        let (books, mut wires) = self.parts(out);
+        books.dropped(now, id, &mut wires);
     }
 
     /// Takes a new submission, or turns it back at once where the operator's bounds are reached.
     pub(crate) fn submitted(
         &mut self,
         now: Micros,
-        s: Submission,
+        s: Submission<Said>,
         out: &mut Outbox,
     ) -> Result<(), Malformed> {
-        let track = s.track;
-        if self.terms.module.tracks.get(usize::from(track)).is_none() {
+        if self.terms.books.module.tracks.get(usize::from(s.track)).is_none() {
             return Err(Malformed::Range("track"));
         }
-        let Some(client) = self.clients.get_mut(s.client) else { return Err(Malformed::Hello) };
-        if client.last.is_some_and(|last| s.number <= last) {
+        let (link, number) = (s.asked.client, s.asked.number);
+        let Some(client) = self.clients.get_mut(link) else { return Err(Malformed::Hello) };
+        if client.last.is_some_and(|last| number <= last) {
             return Err(Malformed::Order("a number that is not above the last"));
         }
-        client.last = Some(s.number);
-        let full =
-            self.submissions.len() >= self.terms.most_open || client.open.len() >= self.terms.most_a_client;
-        if self.stopping || full {
-            let why = if full { "full" } else { "stopping" };
-            counter!("tideroute_untaken_total", "why" => why).increment(1);
-            let advice = full && self.terms.module.advice;
-            let after = if advice { self.terms.module.longest_advice.max(0) as Micros * TENTH } else { 0 };
-            out.send(s.client, client::turned_back(s.number, after));
+        client.last = Some(number);
+        let (key, full) = (client.key, client.open.len() >= self.terms.most_a_client);
+        if let Some((_, after)) = self.books.untaken(full) {
+            out.send(link, client::turned_back(number, after));
             return Ok(());
         }
-        let (link, number, cut_off) = (s.client, s.number, s.cut_off);
-        let (key, tokens) = (client.key, s.prompt_tokens);
-        let id = self.submissions.insert(s);
-        client.open.insert(number, id);
-        out.send(link, client::taken(number, id));
-        counter!("tideroute_taken_total").increment(1);
-        out.ring(cut_off, Self::key(Timer::CutOff(id)));
-        self.stirred = true;
-        let earnings = self.terms.module.tracks.get(usize::from(track)).map_or(0.0, |t| t.earnings);
-        let Some(tenancy) = &mut self.tenancy else {
-            self.let_in(now, id);
-            return Ok(());
-        };
         // A key may have been revoked since its Hello.
-        match key.and_then(|key| tenancy.of(&key)) {
-            Some(tenant) => {
-                let ticket = Ticket(id);
-                tenancy.shares.asked(now, Asked { ticket, tenant, tokens, earnings, cut_off });
-            }
-            None => self.answer(now, id, Answer::TurnedBack(0), out),
+        let tenant = self.books.tenancy.as_ref().zip(key).and_then(|(t, key)| t.of(&key));
+        // The books number submissions in turn, so that the client hears the id before anything else of it.
+        let id = self.books.submissions.coming();
+        if let Some(client) = self.clients.get_mut(link) {
+            client.open.insert(number, id);
         }
+        out.send(link, client::taken(number, id));
+        let (books, mut wires) = self.parts(out);
+        books.submitted(now, s, tenant, &mut wires);
         Ok(())
     }
 
-    /// The module hears of a submission.
-    fn let_in(&mut self, now: Micros, id: SubmissionId) {
-        let Some(s) = self.submissions.get(id).filter(|s| !s.over) else { return };
-        let arrival = tideroute::interface::Arrival {
-            id,
-            track: s.track,
-            session: s.session,
-            prefix: s.prefix,
-            prompt: f64::from(s.prompt_tokens),
-            left: tenths(s.cut_off.saturating_sub(now)),
-        };
-        self.module.arrived(tenths(now), arrival);
-        self.stirred = true;
-    }
-
     /// Tells tenants' figures, and again a while later.
     fn tell_figures(&mut self, now: Micros, out: &mut Outbox) {
-        let Some(tenancy) = &mut self.tenancy else { return };
-        tenancy.news(&self.terms.name).into_iter().for_each(|letter| out.publish(letter));
-        out.ring(now + TELLS, Self::key(Timer::Figures));
-    }
-
-    /// Carries out what the shares decide.
-    fn admit(&mut self, now: Micros, out: &mut Outbox) {
-        while let Some(verdict) = self.tenancy.as_mut().and_then(|t| t.shares.decide(now)) {
-            match verdict {
-                Verdict::Let(Ticket(id)) => self.let_in(now, id),
-                Verdict::TurnBack { ticket: Ticket(id), after } => {
-                    counter!("tideroute_untaken_total", "why" => "share").increment(1);
-                    let after = if self.terms.module.advice { after } else { 0 };
-                    self.answer(now, id, Answer::TurnedBack(after), out);
-                }
-                Verdict::Wake { at } => out.ring(at, Self::key(Timer::Shares)),
-            }
-        }
+        let Some(tenancy) = &mut self.books.tenancy else { return };
+        tenancy.news(&self.terms.books.name).into_iter().for_each(|letter| out.publish(letter));
+        out.ring(now + TELLS, key(Ring::Figures));
     }
 
     /// A client has said Hello; where there are tenants it must speak for one.
     fn greeted(&mut self, link: Link, name: &str, key: &[u8], out: &mut Outbox) {
-        let hash = self.tenancy.as_ref().map(|_| *blake3::hash(key).as_bytes());
-        if self.tenancy.as_ref().zip(hash).is_some_and(|(t, hash)| t.of(&hash).is_none()) {
+        let tenancy = self.books.tenancy.as_ref();
+        let hash = tenancy.map(|_| *blake3::hash(key).as_bytes());
+        if tenancy.zip(hash).is_some_and(|(t, hash)| t.of(&hash).is_none()) {
             counter!("tideroute_denied_total").increment(1);
             tracing::debug!(link = link.0, name, "a client without a tenant's key");
             self.clients.lose(link);
@@ -297,69 +151,43 @@
         self.clients.greeted(link, hash);
     }
 
-    /// The client's time is up: a shot that has not begun to answer has timed out.
-    fn cut_off(&mut self, now: Micros, id: SubmissionId, out: &mut Outbox) {
-        let Some(s) = self.submissions.get(id).filter(|s| !s.over && !s.streams()) else { return };
-        let Some(shot) = &s.shot else {
-            self.stirred = true;
-            return;
-        };
-        let (worker, number) = (shot.worker, shot.number);
-        self.lines.send_if_there(worker, worker::withdraw(id, number), out);
-        self.settle(now, id, number, Ending::TimedOut, out);
-    }
-
     /// A connection to a worker has ended, or never came about.
     fn line_lost(&mut self, now: Micros, link: Link, loss: Loss, out: &mut Outbox) {
         let Some((worker, line)) = self.lines.lose(link) else { return };
         tracing::info!(worker = %shown(worker), ?loss, shots = line.shots.len(), "lost a worker's line");
         for id in line.places {
-            if let Some(s) = self.submissions.get_mut(id) {
+            if let Some(s) = self.books.submissions.get_mut(id) {
                 s.places.retain(|&p| p != worker);
             }
         }
         let ending = if loss == Loss::Unreached { Ending::Unreachable } else { Ending::Broken };
         for id in line.shots {
-            let number = self.submissions.get(id).and_then(|s| s.shot.as_ref()).map(|s| s.number);
+            let number = self.books.submissions.get(id).and_then(|s| s.shot.as_ref()).map(|s| s.number);
             if let Some(number) = number {
                 self.settle(now, id, number, ending, out);
             }
         }
         if let Some(nonce) = line.probe {
-            self.probed(now, nonce, false);
+            let (books, mut wires) = self.parts(out);
+            books.probed(now, nonce, false, &mut wires);
         }
     }
 
-    pub(crate) fn probed(&mut self, now: Micros, nonce: u64, well: bool) {
-        let Some(worker) = self.probes.remove(&nonce) else { return };
-        self.lines.at(worker).probe = None;
-        self.module.probed(tenths(now), worker, well);
-        self.stirred = true;
-    }
-
-    /// Begins a page of the list; entries follow.
-    pub(crate) fn page(&mut self, now: Micros, version: u64, whole: bool) {
-        if whole {
-            self.listed.values_mut().for_each(|(l, _)| l.standing = Standing::Gone);
-            self.module.list_anew(tenths(now));
+    /// Tells the worker of a stream that its client has taken tokens, once `least` of them are owed.
+    pub(crate) fn pay(&mut self, id: SubmissionId, least: u32, out: &mut Outbox) {
+        let Some(s) = self.books.submissions.get_mut(id) else { return };
+        let crowded = self.clients.get_mut(s.asked.client).is_none_or(|c| c.crowded);
+        let Some(shot) = s.shot.as_mut().filter(|s| s.started && s.owed >= least.max(1)) else { return };
+        if !crowded {
+            let tokens = std::mem::take(&mut shot.owed);
+            self.lines.send_if_there(shot.worker, worker::more(id, shot.number, tokens), out);
         }
-        (self.version, self.list_changed, self.stirred) = (version, true, true);
-    }
-
-    pub(crate) fn entry(&mut self, now: Micros, listing: Listing) {
-        let Some(&role) = self.terms.module.roles.get(usize::from(listing.kind)) else {
-            tracing::warn!(worker = %shown(listing.worker), kind = listing.kind, "a kind that no term names");
-            return;
-        };
-        tracing::debug!(worker = %shown(listing.worker), standing = ?listing.standing, "listed");
-        self.listed.insert(listing.worker, (listing, role));
-        self.module.listed(tenths(now), listing);
     }
 
     /// The list as it stands, as a page that `new` takes again.
     fn list_to_keep(&self) -> Bytes {
-        let mut page = list::Page::new(self.version, true);
-        for (l, _) in self.listed.values().filter(|(l, _)| l.standing != Standing::Gone) {
+        let mut page = list::Page::new(self.books.version(), true);
+        for l in self.books.listed().filter(|l| l.standing != Standing::Gone) {
             let standing = match l.standing {
                 Standing::Ready => list::Standing::Ready,
                 _ => list::Standing::Draining,
@@ -369,17 +197,6 @@
         }
         page.frame()
     }
-
-    /// Lets go of what is left of submissions that are over and forgets them.
-    fn close_up(&mut self, out: &mut Outbox) {
-        for id in std::mem::take(&mut self.closing) {
-            let Some(s) = self.submissions.get(id).filter(|s| s.over && s.shot.is_none()) else { continue };
-            if !s.holds_nothing() {
-                self.let_go(id, out);
-            }
-            self.submissions.remove(id);
-        }
-    }
 }
 
 impl Program for Host {
@@ -390,7 +207,8 @@
                 tracing::warn!(%problem, "the list that was kept cannot be read; starts without");
             }
             // The list server may have started anew too: it is asked for all.
-            (self.version, self.list_changed) = (0, false);
+            self.books.forget_version();
+            self.list_changed = false;
         }
         self.tell_figures(now, out);
         self.turn(now, out);
@@ -402,7 +220,7 @@
             return out.close(link, "too many clients");
         }
         self.clients.accepted(link);
-        out.ring(now + self.terms.unheard, Self::key(Timer::Hello(link)));
+        out.ring(now + self.terms.books.unheard, key(Ring::Hello(link)));
     }
 
     fn opened(&mut self, _now: Micros, _link: Link, _out: &mut Outbox) {}
@@ -438,8 +256,7 @@
         if self.list_link == Some(link) {
             tracing::warn!(?loss, "lost the list; the old one stays in force");
             self.list_link = None;
-            self.module.list_failed(tenths(now));
-            self.stirred = true;
+            self.books.list_failed(now);
         } else if let Some(client) = self.clients.lose(link) {
             for id in client.open.into_values() {
                 self.dropped(now, id, out);
@@ -463,99 +280,50 @@
 
     fn rang(&mut self, now: Micros, key: u64, out: &mut Outbox) {
         let what = key & ((1 << KIND) - 1);
-        match key >> KIND {
-            0 => {
-                self.module.woken(tenths(now));
-                self.stirred = true;
-            }
-            1 => self.cut_off(now, self.submissions.long(what), out),
-            2 => self.probed(now, what, false),
-            4 => self.stirred = true,
-            5 => self.tell_figures(now, out),
+        let timer = match key >> KIND {
+            0 => Timer::Wake,
+            1 => Timer::CutOff(self.books.submissions.long(what)),
+            2 => Timer::Probe(what),
+            4 => Timer::Shares,
+            5 => return self.tell_figures(now, out),
             _ => {
                 let link = Link(what);
                 if self.clients.is_silent(link) {
                     self.clients.lose(link);
                     out.close(link, "no Hello in time");
                 }
+                return;
             }
-        }
+        };
+        let (books, mut wires) = self.parts(out);
+        books.rang(now, timer, &mut wires);
     }
 
     fn turn(&mut self, now: Micros, out: &mut Outbox) {
-        while std::mem::take(&mut self.stirred) {
-            self.admit(now, out);
-            while let Some(decision) = self.module.decide(tenths(now)) {
-                self.carry_out(now, decision, out);
-            }
-            for (id, shot, ending) in std::mem::take(&mut self.settled) {
-                self.settle(now, id, shot, ending, out);
-            }
-        }
-        self.close_up(out);
+        let (books, mut wires) = self.parts(out);
+        books.turn(now, &mut wires);
         if std::mem::take(&mut self.list_changed) {
             out.keep(self.list_to_keep());
         }
-        if self.shown != Some(self.submissions.len()) {
-            self.shown = Some(self.submissions.len());
-            gauge!("tideroute_open", "core" => self.terms.name.clone()).set(self.submissions.len() as f64);
-        }
     }
 
     fn told(&mut self, now: Micros, letter: &Bytes, _out: &mut Outbox) {
-        let Some(tenancy) = &mut self.tenancy else { return };
+        let Some(tenancy) = &mut self.books.tenancy else { return };
         if let Err(problem) = tideroute_wire::tenant::hear(letter, &mut Ear { tenancy, now }) {
             tracing::error!(%problem, "a letter about tenants cannot be read");
         }
-        self.stirred = true;
+        self.books.stirred = true;
     }
 
     fn late(&mut self, now: Micros, by: Micros) {
-        let before = self.lateness.worst();
-        self.lateness.note(now, by);
-        // Each turn of the loop comes here: the figure is only written when it is another.
-        if self.lateness.worst() != before {
-            gauge!("tideroute_late_seconds", "core" => self.terms.name.clone())
-                .set(self.lateness.worst() as f64 / 1e6);
-        }
+        self.books.late(now, by);
     }
 
     fn stop(&mut self, _now: Micros, _out: &mut Outbox) {
-        tracing::info!(open = self.submissions.len(), "stops: takes nothing new");
-        self.stopping = true;
+        self.books.stop();
     }
 
     fn done(&self) -> bool {
-        self.stopping && self.submissions.none_waits()
+        self.books.done()
     }
 }
-
-/// A quarter of what may be open may wait to be let in.
-fn shares_terms(terms: &Terms) -> tideroute_shares::Terms {
-    tideroute_shares::Terms {
-        longest_wait: terms.longest_wait,
-        most_waiting: (terms.most_open / 4).max(1),
-        longest_advice: terms.module.longest_advice.max(0) as Micros * TENTH,
-    }
-}
-
-fn name_of(ending: Ending) -> &'static str {
-    match ending {
-        Ending::Honoured => "honoured",
-        Ending::Fault => "fault",
-        Ending::Full => "full",
-        Ending::Stateless => "stateless",
-        Ending::TimedOut => "timed out",
-        Ending::Unreachable => "unreachable",
-        Ending::Broken => "broken",
-        Ending::Withdrawn => "withdrawn",
-        Ending::NeverSent => "never sent",
-        Ending::Read => "read",
-    }
-}
-
-/// A worker's address as people write it.
-pub(crate) fn shown(worker: WorkerId) -> String {
-    let [a, b, c, d, high, low] = worker;
-    format!("{a}.{b}.{c}.{d}:{}", u16::from_be_bytes([high, low]))
-}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -3,9 +3,13 @@
 //! workers as plain data, hands the module what happened, and carries out what the module decides. It has no
 //! socket and no clock, so several can run in one process, in virtual time.
 //!
+//! The books ([`Books`]) know no protocol: they speak through [`Ways`], which the host here has for the protobuf
+//! links and `crates/platform` for HTTP.
+//!
 //! It decides nothing. What it must know beyond the module's terms (how long a dial may take, how many
 //! submissions may be open) stands in its own [`Terms`], which the operator gives.
 
+mod books;
 mod carry;
 mod clients;
 mod hear;
@@ -15,7 +19,12 @@
 mod submissions;
 mod tenancy;
 mod terms;
+mod ways;
+mod wires;
 
+pub use books::{shown, Books};
 pub use host::Host;
+pub use submissions::{short, Shot, Submission, Submissions};
 pub use tenancy::TenantTerms;
-pub use terms::Terms;
+pub use terms::{BookTerms, Terms};
+pub use ways::{Answer, Timer, Ways};
--- a/crates/host/src/submissions.rs
+++ b/crates/host/src/submissions.rs
@@ -2,27 +2,20 @@
 
 use std::collections::BTreeMap;
 
-use bytes::Bytes;
 use tideroute::interface::{SubmissionId, WorkerId};
-use tideroute_wire::link::Link;
 use tideroute_wire::Micros;
 
 /// Bits of an id that count submissions; those above tell routers and their starts apart.
 const COUNTED: u32 = 40;
 
 /// A submission as the client handed it over, and what is out for it.
-pub struct Submission {
-    pub client: Link,
-    /// The client's own number for it.
-    pub number: u64,
+pub struct Submission<A> {
+    /// What the protocol keeps of it.
+    pub asked: A,
     pub track: u8,
     pub session: u64,
     pub prefix: u64,
     pub prompt_tokens: u32,
-    pub prefix_tokens: u32,
-    pub most_tokens: u32,
-    pub mark: u64,
-    pub prompt: Bytes,
     pub came: Micros,
     pub cut_off: Micros,
     pub shots: u16,
@@ -37,18 +30,31 @@
     pub over: bool,
 }
 
-/// The shot that is out.
-pub struct Shot {
-    pub number: u16,
-    pub worker: WorkerId,
-    pub reading: bool,
-    pub started: bool,
-    /// Tokens relayed, and those of them that the worker has not been told of.
-    pub tokens: u32,
-    pub owed: u32,
-}
+impl<A> Submission<A> {
+    /// One that has just come.
+    pub fn new(asked: A, track: u8, (session, prefix): (u64, u64), prompt_tokens: u32) -> Submission<A> {
+        Submission {
+            asked,
+            track,
+            session,
+            prefix,
+            prompt_tokens,
+            came: 0,
+            cut_off: 0,
+            shots: 0,
+            shot: None,
+            state: None,
+            places: vec![],
+            first: None,
+            over: false,
+        }
+    }
+
+    /// It came then and its client waits so long.
+    pub fn waits(self, came: Micros, left: Micros) -> Submission<A> {
+        Submission { came, cut_off: came + left, ..self }
+    }
 
-impl Submission {
     pub fn shot_is(&self, number: u16) -> bool {
         self.shot.as_ref().is_some_and(|s| s.number == number)
     }
@@ -62,39 +68,56 @@
     }
 }
 
+/// The shot that is out.
+pub struct Shot {
+    pub number: u16,
+    pub worker: WorkerId,
+    pub reading: bool,
+    pub started: bool,
+    /// Tokens relayed, and those of them that the worker has not been told of.
+    pub tokens: u32,
+    pub owed: u32,
+}
+
+/// What a timer's key keeps of an id.
+pub fn short(id: SubmissionId) -> u64 {
+    id & ((1 << COUNTED) - 1)
+}
+
 /// All open submissions by id. Ids count up from a base that no other router or start of one is likely to have.
-pub struct Submissions {
+pub struct Submissions<A> {
     base: u64,
     count: u64,
-    open: BTreeMap<SubmissionId, Submission>,
+    open: BTreeMap<SubmissionId, Submission<A>>,
 }
 
-impl Submissions {
+impl<A> Submissions<A> {
     pub fn new(seed: u64) -> Self {
         Submissions { base: seed << COUNTED, count: 0, open: BTreeMap::new() }
     }
 
-    pub fn insert(&mut self, submission: Submission) -> SubmissionId {
+    /// The id that the next submission will have.
+    pub fn coming(&self) -> SubmissionId {
+        self.base | (self.count + 1)
+    }
+
+    pub fn insert(&mut self, submission: Submission<A>) -> SubmissionId {
+        let id = self.coming();
         self.count += 1;
-        let id = self.base | self.count;
         self.open.insert(id, submission);
         id
     }
 
-    /// What a timer's key keeps of an id, and the id again.
-    pub fn short(id: SubmissionId) -> u64 {
-        id & ((1 << COUNTED) - 1)
-    }
-
+    /// The id again, of which a timer's key kept what [`short`] gives.
     pub fn long(&self, short: u64) -> SubmissionId {
         self.base | short
     }
 
-    pub fn get(&self, id: SubmissionId) -> Option<&Submission> {
+    pub fn get(&self, id: SubmissionId) -> Option<&Submission<A>> {
         self.open.get(&id)
     }
 
-    pub fn get_mut(&mut self, id: SubmissionId) -> Option<&mut Submission> {
+    pub fn get_mut(&mut self, id: SubmissionId) -> Option<&mut Submission<A>> {
         self.open.get_mut(&id)
     }
 
@@ -102,6 +125,10 @@
         self.open.remove(&id);
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
     pub fn len(&self) -> usize {
         self.open.len()
     }
--- a/crates/host/src/terms.rs
+++ b/crates/host/src/terms.rs
@@ -4,27 +4,19 @@
 
 use crate::tenancy::TenantTerms;
 
+/// What the books work under, whichever protocol they serve.
 #[derive(Clone, Debug)]
-pub struct Terms {
+pub struct BookTerms {
     /// How it names itself to workers and the list.
     pub name: String,
     /// What the decision module works under.
     pub module: tideroute::interface::Terms,
     /// Names of the tracks, for figures and logs.
     pub tracks: Vec<String>,
-    pub list: Address,
     /// A connection or a probe that takes longer has failed.
     pub unheard: Micros,
-    /// What an answer needs on its way to the client: cut-offs are kept so much earlier.
-    pub travel: Micros,
-    /// Tokens of one stream that may be under way before its client has taken them.
-    pub window: u32,
     /// Submissions open at once; what comes beyond is turned back before the module hears of it.
     pub most_open: usize,
-    /// And from one client.
-    pub most_a_client: usize,
-    /// Clients connected at once; one more is sent away.
-    pub most_clients: usize,
     /// Who may use it, at first; None where anybody may.
     pub tenants: Option<Vec<TenantTerms>>,
     /// This instance's part of each tenant's limits.
@@ -34,3 +26,17 @@
     /// Where the module's chance and the ids start.
     pub seed: u64,
 }
+
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub books: BookTerms,
+    pub list: Address,
+    /// What an answer needs on its way to the client: cut-offs are kept so much earlier.
+    pub travel: Micros,
+    /// Tokens of one stream that may be under way before its client has taken them.
+    pub window: u32,
+    /// Submissions open at once from one client.
+    pub most_a_client: usize,
+    /// Clients connected at once; one more is sent away.
+    pub most_clients: usize,
+}
--- /dev/null
+++ b/crates/host/src/ways.rs
@@ -0,0 +1,61 @@
+//! What the books need of a protocol, and no more: words to workers, clients and the list, and timers.
+
+use tideroute::interface::{Ending, SubmissionId, WorkerId};
+use tideroute_wire::Micros;
+
+use crate::submissions::{Shot, Submission};
+
+/// A final answer to a client.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Answer {
+    /// With the tokens that were relayed.
+    Honoured(u32),
+    /// With how long the client should stay away; 0 for no advice.
+    TurnedBack(Micros),
+    Abandoned,
+}
+
+/// What a timer of the books is for. It goes back to [`Books::rang`](crate::Books::rang).
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Timer {
+    /// The module asked to be woken.
+    Wake,
+    /// A client's time is up.
+    CutOff(SubmissionId),
+    /// A probe, by its nonce, has not been answered.
+    Probe(u64),
+    /// A verdict on what waits to be let in may be due.
+    Shares,
+}
+
+/// One protocol's way of carrying out what the books say. None of the calls may come back into the books.
+pub trait Ways {
+    /// What the protocol keeps of a submission beside the books.
+    type Asked;
+
+    /// The shot that the submission has out goes to its worker, which may take so long.
+    fn shoot(&mut self, id: SubmissionId, s: &Submission<Self::Asked>, shot: &Shot, left: Micros);
+    /// A place is asked for while the reader reads.
+    fn hold(&mut self, id: SubmissionId, s: &Submission<Self::Asked>, at: WorkerId, reader: WorkerId);
+    /// A place is no longer wanted because another or a shot took its turn; with `tell` nobody else says so.
+    fn unplace(&mut self, id: SubmissionId, at: WorkerId, tell: bool);
+    /// All that is held for the submission is let go.
+    fn let_go(
+        &mut self,
+        id: SubmissionId,
+        s: &Submission<Self::Asked>,
+        places: &[WorkerId],
+        state: Option<WorkerId>,
+    );
+    /// Nobody waits for the shot any more. Whether it never left comes back: then it has not run.
+    fn withdraw(&mut self, id: SubmissionId, shot: &Shot) -> bool;
+    /// The shot has ended, whoever ended it.
+    fn settled(&mut self, id: SubmissionId, s: &Submission<Self::Asked>, shot: &Shot, ending: Ending);
+    fn answer(&mut self, id: SubmissionId, s: &Submission<Self::Asked>, answer: Answer);
+    fn probe(&mut self, nonce: u64, at: WorkerId);
+    /// The probe of a worker was answered or given up.
+    fn probed(&mut self, at: WorkerId);
+    /// The list is asked for all changes after that version.
+    fn subscribe(&mut self, version: u64);
+    fn ring(&mut self, at: Micros, timer: Timer);
+}
--- /dev/null
+++ b/crates/host/src/wires.rs
@@ -0,0 +1,148 @@
+//! The books' words on protobuf links.
+
+use tideroute::interface::{Ending, SubmissionId, WorkerId};
+use tideroute_wire::link::{Link, Outbox};
+use tideroute_wire::{client, list, say_hello, worker, Micros, Party};
+
+use crate::clients::Clients;
+use crate::host::key;
+use crate::lines::Lines;
+use crate::submissions::{Shot, Submission};
+use crate::terms::Terms;
+use crate::ways::{Answer, Timer, Ways};
+
+/// What the protocol keeps of a submission, as the client handed it over.
+pub struct Said {
+    pub client: Link,
+    /// The client's own number for it.
+    pub number: u64,
+    pub prefix_tokens: u32,
+    pub most_tokens: u32,
+    pub mark: u64,
+    pub prompt: bytes::Bytes,
+}
+
+pub(crate) struct Wires<'a> {
+    pub terms: &'a Terms,
+    pub clients: &'a mut Clients,
+    pub lines: &'a mut Lines,
+    pub list_link: &'a mut Option<Link>,
+    pub out: &'a mut Outbox,
+}
+
+impl Wires<'_> {
+    fn send(&mut self, to: WorkerId, frame: bytes::Bytes) {
+        let books = &self.terms.books;
+        self.lines.send(to, &books.name, books.unheard, frame, self.out);
+    }
+}
+
+impl Ways for Wires<'_> {
+    type Asked = Said;
+
+    fn shoot(&mut self, id: SubmissionId, s: &Submission<Said>, shot: &Shot, left: Micros) {
+        let (said, number) = (&s.asked, shot.number);
+        let frame = if shot.reading {
+            worker::read(
+                id,
+                number,
+                s.track,
+                s.session,
+                s.prefix,
+                s.prompt_tokens,
+                said.prefix_tokens,
+                left,
+                said.prompt.clone(),
+            )
+        } else {
+            worker::write(
+                id,
+                number,
+                s.track,
+                s.prompt_tokens,
+                said.most_tokens,
+                left,
+                said.mark,
+                s.state,
+                self.terms.window,
+                s.session,
+                s.prefix,
+                said.prefix_tokens,
+                said.prompt.clone(),
+            )
+        };
+        self.lines.at(shot.worker).shots.insert(id);
+        self.send(shot.worker, frame);
+    }
+
+    fn hold(&mut self, id: SubmissionId, s: &Submission<Said>, at: WorkerId, reader: WorkerId) {
+        let frame = worker::hold(id, s.prompt_tokens, s.asked.most_tokens, reader);
+        self.lines.at(at).places.insert(id);
+        self.send(at, frame);
+    }
+
+    fn unplace(&mut self, id: SubmissionId, at: WorkerId, tell: bool) {
+        self.lines.at(at).places.remove(&id);
+        if tell {
+            self.lines.send_if_there(at, worker::let_go(id), self.out);
+        }
+    }
+
+    fn let_go(
+        &mut self,
+        id: SubmissionId,
+        _s: &Submission<Said>,
+        places: &[WorkerId],
+        state: Option<WorkerId>,
+    ) {
+        places.iter().for_each(|&place| self.unplace(id, place, true));
+        if let Some(reader) = state {
+            self.lines.send_if_there(reader, worker::let_go(id), self.out);
+        }
+    }
+
+    /// A frame that was handed to a link may have left at once.
+    fn withdraw(&mut self, id: SubmissionId, shot: &Shot) -> bool {
+        self.lines.send_if_there(shot.worker, worker::withdraw(id, shot.number), self.out);
+        false
+    }
+
+    fn settled(&mut self, id: SubmissionId, _s: &Submission<Said>, shot: &Shot, _ending: Ending) {
+        self.lines.at(shot.worker).shots.remove(&id);
+    }
+
+    fn answer(&mut self, _id: SubmissionId, s: &Submission<Said>, answer: Answer) {
+        let number = s.asked.number;
+        let frame = match answer {
+            Answer::Honoured(tokens) => client::honoured(number, tokens),
+            Answer::TurnedBack(after) => client::turned_back(number, after),
+            Answer::Abandoned => client::abandoned(number),
+        };
+        self.out.send(s.asked.client, frame);
+        if let Some(client) = self.clients.get_mut(s.asked.client) {
+            client.open.remove(&number);
+        }
+    }
+
+    fn probe(&mut self, nonce: u64, at: WorkerId) {
+        self.lines.at(at).probe = Some(nonce);
+        self.send(at, worker::probe(nonce));
+    }
+
+    fn probed(&mut self, at: WorkerId) {
+        self.lines.at(at).probe = None;
+    }
+
+    fn subscribe(&mut self, version: u64) {
+        let link = *self.list_link.get_or_insert_with(|| {
+            let link = self.out.dial(self.terms.list, self.terms.books.unheard);
+            self.out.send(link, say_hello(Party::Router, &self.terms.books.name));
+            link
+        });
+        self.out.send(link, list::watch(version));
+    }
+
+    fn ring(&mut self, at: Micros, timer: Timer) {
+        self.out.ring(at, key(crate::host::Ring::Books(timer)));
+    }
+}
--- a/crates/host/tests/noise.rs
+++ b/crates/host/tests/noise.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use quickcheck::{Gen, QuickCheck};
 use tideroute::interface::{Repeat, Role, Terms as Module, Track};
-use tideroute_host::{Host, Terms};
+use tideroute_host::{BookTerms, Host, Terms};
 use tideroute_wire::link::{Act, Link, Loss, Outbox, Program};
 use tideroute_wire::list::{Page, Standing};
 use tideroute_wire::{client, say_hello, worker, Address, Malformed, Micros, Party};
@@ -33,22 +33,18 @@
         longest_advice: 10_000,
         ..Module::default()
     };
-    Terms {
+    let books = BookTerms {
         name: "r".into(),
         module,
         tracks: vec!["a".into(), "b".into()],
-        list: LIST,
         unheard: 250_000,
-        travel: 10_000,
-        window: 8,
         most_open: 40,
-        most_a_client: 30,
-        most_clients: 4,
         tenants: None,
         part: 1.0,
         longest_wait: 1_000_000,
         seed: 5,
-    }
+    };
+    Terms { books, list: LIST, travel: 10_000, window: 8, most_a_client: 30, most_clients: 4 }
 }
 
 /// What a client hears, by its own numbers.
--- /dev/null
+++ b/crates/http/src/write.rs
@@ -0,0 +1,111 @@
+//! Heads and chunks as bytes.
+
+use std::fmt::Write;
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+/// The last chunk, with no fields behind it.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// A request with a body of that length; `length` is None for a method that has none.
+pub fn request<'a>(
+    method: &str,
+    target: &str,
+    fields: impl IntoIterator<Item = (&'a str, &'a str)>,
+    body: Option<&[u8]>,
+) -> Bytes {
+    let mut head = format!("{method} {target} HTTP/1.1\r\n");
+    put_fields(&mut head, fields);
+    put_body(head, body)
+}
+
+/// An answer with a whole body. With `last`, the connection closes after it.
+pub fn answer<'a>(
+    status: u16,
+    fields: impl IntoIterator<Item = (&'a str, &'a str)>,
+    body: &[u8],
+    last: bool,
+) -> Bytes {
+    let mut head = head(status, fields, last);
+    // RFC 9110, 8.6: no length with 1xx and 204.
+    if status == 204 || status < 200 {
+        head.push_str("\r\n");
+        return head.into();
+    }
+    put_body(head, Some(body))
+}
+
+/// The head of an answer whose body follows in chunks.
+pub fn chunked_head<'a>(
+    status: u16,
+    fields: impl IntoIterator<Item = (&'a str, &'a str)>,
+    last: bool,
+) -> Bytes {
+    let mut head = head(status, fields, last);
+    head.push_str("transfer-encoding: chunked\r\n\r\n");
+    head.into()
+}
+
+pub fn chunk(data: &[u8]) -> Bytes {
+    let mut chunk = BytesMut::with_capacity(data.len() + 12);
+    chunk.put_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    chunk.put_slice(data);
+    chunk.put_slice(b"\r\n");
+    chunk.freeze()
+}
+
+fn head<'a>(status: u16, fields: impl IntoIterator<Item = (&'a str, &'a str)>, last: bool) -> String {
+    let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(status));
+    put_fields(&mut head, fields);
+    if last {
+        head.push_str("connection: close\r\n");
+    }
+    head
+}
+
+fn put_fields<'a>(head: &mut String, fields: impl IntoIterator<Item = (&'a str, &'a str)>) {
+    for (name, value) in fields {
+        // A String takes all that is written to it.
+        let _ = write!(head, "{name}: {value}\r\n");
+    }
+}
+
+fn put_body(mut head: String, body: Option<&[u8]>) -> Bytes {
+    let Some(body) = body else {
+        head.push_str("\r\n");
+        return head.into();
+    };
+    let _ = write!(head, "content-length: {}\r\n\r\n", body.len());
+    [head.as_bytes(), body].concat().into()
+}
+
+/// The reason phrase of a status (RFC 9110, 15).
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        100 => "Continue",
+        200 => "OK",
+        201 => "Created",
+        204 => "No Content",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        412 => "Precondition Failed",
+        413 => "Content Too Large",
+        415 => "Unsupported Media Type",
+        417 => "Expectation Failed",
+        422 => "Unprocessable Content",
+        428 => "Precondition Required",
+        431 => "Request Header Fields Too Large",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        505 => "HTTP Version Not Supported",
+        507 => "Insufficient Storage",
+        _ => "Error",
+    }
+}
--- a/crates/lab/src/convert.rs
+++ b/crates/lab/src/convert.rs
@@ -78,21 +78,24 @@
     let cores = r.cores as usize;
     let mut module = module(&r.terms, r);
     module.routers = module.routers.saturating_mul(r.cores);
-    Ok(tideroute_host::Terms {
+    let books = tideroute_host::BookTerms {
         name: if r.cores > 1 { format!("{}/{core}", r.name) } else { r.name.clone() },
         module,
         tracks: r.tracks.iter().map(|t| t.name.clone()).collect(),
-        list: address(&r.list)?,
         unheard: r.terms.unheard,
-        travel: r.terms.travel,
-        window: r.terms.window,
         most_open: r.terms.most_open.div_ceil(cores),
-        most_a_client: r.terms.most_a_client,
-        most_clients: r.terms.most_clients.div_ceil(cores),
         tenants: tenants(r)?,
         part: 1.0 / f64::from(r.terms.routers) / f64::from(r.cores),
         longest_wait: r.terms.longest_wait,
         seed,
+    };
+    Ok(tideroute_host::Terms {
+        books,
+        list: address(&r.list)?,
+        travel: r.terms.travel,
+        window: r.terms.window,
+        most_a_client: r.terms.most_a_client,
+        most_clients: r.terms.most_clients.div_ceil(cores),
     })
 }
 
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -378,7 +378,8 @@
                     }
                 }
             }
-            Act::Close { link, .. } => {
+            // Here all that was sent is under way at once, so both ends are the same.
+            Act::Close { link, .. } | Act::Cut { link } => {
                 if self.ends.get(&(id, link)).is_some_and(|e| e.open) {
                     self.note_end(id, link);
                     self.sever(id, link);
--- /dev/null
+++ b/crates/platform/src/clients.rs
@@ -0,0 +1,162 @@
+//! The clients' connections.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use tideroute::interface::SubmissionId;
+use tideroute_http::Body;
+use tideroute_wire::link::Link;
+use tideroute_wire::Micros;
+
+use crate::ask::Ask;
+use crate::patience::Patience;
+
+/// What a client's connection is at.
+pub enum At {
+    /// The next head; what has arrived of it waits in `arrived`.
+    Head,
+    /// The rest of a body.
+    Body(Box<(Ask, Body, BytesMut)>),
+    /// The answer. Its events have begun if that is said.
+    Answer(SubmissionId, Arc<str>, bool),
+}
+
+pub struct Client {
+    pub at: At,
+    pub arrived: BytesMut,
+    pub patience: Patience,
+    /// Nothing more is taken from it after the answer.
+    pub last: bool,
+    pub hushed: bool,
+    /// A request came on it before.
+    pub asked: bool,
+    /// Its place among those that wait for a client, by when that began.
+    since: Option<Micros>,
+    /// Bytes of its own that the budget counts.
+    counted: usize,
+}
+
+#[derive(Default)]
+pub struct Clients {
+    links: HashMap<Link, Client>,
+    /// Those with no request open, the longest wait first: they are the first to go when room is needed.
+    waiting: BTreeSet<(Micros, Link)>,
+    /// Trace ids that are open.
+    traces: HashMap<Arc<str>, SubmissionId>,
+    /// Bytes that have arrived and are not gone again.
+    pub held: usize,
+}
+
+impl Clients {
+    pub fn accepted(&mut self, link: Link, now: Micros) -> &mut Client {
+        self.waiting.insert((now, link));
+        let client = Client {
+            at: At::Head,
+            arrived: BytesMut::new(),
+            patience: Patience::ENDLESS,
+            last: false,
+            hushed: false,
+            asked: false,
+            since: Some(now),
+            counted: 0,
+        };
+        self.links.entry(link).or_insert(client)
+    }
+
+    pub fn len(&self) -> usize {
+        self.links.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.links.is_empty()
+    }
+
+    pub fn get_mut(&mut self, link: Link) -> Option<&mut Client> {
+        self.links.get_mut(&link)
+    }
+
+    pub fn get(&self, link: Link) -> Option<&Client> {
+        self.links.get(&link)
+    }
+
+    /// Of those with no request open, the one that has waited longest.
+    pub fn longest_idle(&self) -> Option<Link> {
+        self.waiting.first().map(|(_, link)| *link)
+    }
+
+    /// Those with nothing of a request there.
+    pub fn idle(&self) -> Vec<Link> {
+        let idle =
+            |l: &&Link| self.links.get(l).is_some_and(|c| c.arrived.is_empty() && matches!(c.at, At::Head));
+        let waiting: Vec<Link> = self.waiting.iter().map(|(_, link)| *link).collect();
+        waiting.iter().filter(idle).copied().collect()
+    }
+
+    pub fn is_open(&self, trace: &str) -> bool {
+        self.traces.contains_key(trace)
+    }
+
+    /// The client's submission is taken.
+    pub fn asked(&mut self, link: Link, trace: Arc<str>, id: SubmissionId) {
+        if let Some(client) = self.links.get_mut(&link) {
+            client.since.take().map(|since| self.waiting.remove(&(since, link)));
+            self.traces.insert(trace.clone(), id);
+            client.at = At::Answer(id, trace, false);
+        }
+    }
+
+    /// Its answer is complete, or its request was none: the next one may begin.
+    pub fn answered(&mut self, now: Micros, link: Link) {
+        let Some(client) = self.links.get_mut(&link) else { return };
+        if let At::Answer(_, trace, _) = std::mem::replace(&mut client.at, At::Head) {
+            self.traces.remove(&trace);
+        }
+        if let Some(before) = client.since.replace(now) {
+            self.waiting.remove(&(before, link));
+        }
+        self.waiting.insert((now, link));
+    }
+
+    /// Counts what the connection holds now.
+    pub fn count(&mut self, link: Link) {
+        let Some(client) = self.links.get_mut(&link) else { return };
+        let body = if let At::Body(at) = &client.at { at.2.len() } else { 0 };
+        let holds = client.arrived.len() + body;
+        self.held = self.held + holds - std::mem::replace(&mut client.counted, holds);
+        if client.arrived.is_empty() {
+            // What once held much would keep it for as long as the connection is there.
+            client.arrived = BytesMut::new();
+        }
+    }
+
+    /// The connection is gone; the submission that was open on it comes back.
+    pub fn lose(&mut self, link: Link) -> Option<SubmissionId> {
+        let client = self.links.remove(&link)?;
+        client.since.map(|since| self.waiting.remove(&(since, link)));
+        self.held -= client.counted;
+        let At::Answer(id, trace, _) = client.at else { return None };
+        self.traces.remove(&trace);
+        Some(id)
+    }
+
+    /// Whether the events of this submission have begun to go to the client.
+    pub fn streams(&self, link: Link, id: SubmissionId) -> Option<bool> {
+        match self.links.get(&link)?.at {
+            At::Answer(open, _, streams) if open == id => Some(streams),
+            _ => None,
+        }
+    }
+
+    /// They begin.
+    pub fn begin(&mut self, link: Link) {
+        if let Some(Client { at: At::Answer(.., streams), .. }) = self.links.get_mut(&link) {
+            *streams = true;
+        }
+    }
+}
+
+/// A plain text as a body.
+pub fn text(what: &str) -> Bytes {
+    Bytes::from(format!("{what}\n"))
+}
--- /dev/null
+++ b/crates/platform/src/pools.rs
@@ -0,0 +1,281 @@
+//! Connections to workers. Each carries one call at a time; one whose call ended well rests until the next, and is
+//! put away long before its worker would.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use bytes::{Bytes, BytesMut};
+use tideroute::interface::{SubmissionId, WorkerId};
+use tideroute_http::{Body, Bounds, Problem};
+use tideroute_wire::link::{Link, Outbox};
+use tideroute_wire::{Address, Micros};
+
+use crate::patience::Patience;
+use crate::program::{key, Ring};
+use crate::words;
+
+/// What an answer of a worker may have.
+const BOUNDS: Bounds = Bounds { head: 16 << 10, fields: 64, body: u64::MAX >> 1 };
+/// Bytes of an answer that is no stream.
+const SHORT: u64 = 256 << 10;
+/// Heads of status 1xx ahead of an answer.
+const AHEAD: u8 = 16;
+
+/// What a connection is there for now.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Job {
+    Shot { id: SubmissionId, number: u16, reading: bool },
+    Place { id: SubmissionId },
+    Errand { number: u64 },
+    Probe { nonce: u64 },
+}
+
+/// An answer of which the head is there.
+struct Coming {
+    status: u16,
+    never_ran: bool,
+    last: bool,
+    body: Body,
+}
+
+pub struct Conn {
+    pub worker: WorkerId,
+    pub job: Option<Job>,
+    /// The request's last byte has been written.
+    pub written: bool,
+    /// It has carried a call before this one.
+    pub used: bool,
+    /// The writer that is asked for a place once the request is written.
+    pub place: Option<WorkerId>,
+    /// The events pass on to the client.
+    pub streams: bool,
+    /// The start of a stream, until an event of it is whole.
+    pub first: BytesMut,
+    pub patience: Patience,
+    opened: Micros,
+    rests_since: Micros,
+    arrived: BytesMut,
+    heads: u8,
+    coming: Option<Coming>,
+}
+
+/// What a connection brought.
+pub enum Heard {
+    Nothing,
+    /// A piece of the body of an answer with that status.
+    Piece(u16, Bytes),
+    /// The answer is whole; whether it proves that the request never ran.
+    End(u16, bool),
+}
+
+#[derive(Default)]
+pub struct Pools {
+    conns: BTreeMap<Link, Conn>,
+    resting: BTreeMap<WorkerId, Vec<Link>>,
+    /// Resting connections of all workers, the longest rest first.
+    rests: BTreeSet<(Micros, Link)>,
+    shots: HashMap<SubmissionId, Link>,
+    places: BTreeMap<WorkerId, Address>,
+    probes: HashMap<WorkerId, Link>,
+    most: usize,
+    dial: Micros,
+    idle: Micros,
+}
+
+impl Pools {
+    /// At most so many connections; how long a dial may take, and how long a connection rests.
+    pub fn new(most: usize, dial: Micros, idle: Micros) -> Pools {
+        Pools { most, dial, idle, ..Pools::default() }
+    }
+
+    pub fn get_mut(&mut self, link: Link) -> Option<&mut Conn> {
+        self.conns.get_mut(&link)
+    }
+
+    /// The connection that a submission's shot is out on.
+    pub fn shot(&self, id: SubmissionId) -> Option<Link> {
+        self.shots.get(&id).copied()
+    }
+
+    pub fn over(&mut self, id: SubmissionId) {
+        self.shots.remove(&id);
+    }
+
+    /// Whether a call to the worker needs no new connection.
+    pub fn rests_at(&self, worker: WorkerId) -> bool {
+        self.resting.get(&worker).is_some_and(|links| !links.is_empty())
+    }
+
+    /// Where a worker is reached. Connections opened before its process started are dead: they come back.
+    pub fn listed(&mut self, worker: WorkerId, at: Address, started: Micros) -> Vec<Link> {
+        self.places.insert(worker, at);
+        let dead = |c: &Conn| c.worker == worker && c.opened < started;
+        self.conns.iter().filter(|(_, c)| dead(c)).map(|(link, _)| *link).collect()
+    }
+
+    /// A worker is gone: nothing new reaches it, and what rests there is put away.
+    pub fn gone(&mut self, worker: WorkerId, out: &mut Outbox) {
+        self.places.remove(&worker);
+        for link in self.resting.remove(&worker).unwrap_or_default() {
+            self.end(link, out);
+        }
+    }
+
+    /// A whole list that may not name the worker any more begins.
+    pub fn unlist(&mut self, worker: WorkerId) {
+        self.places.remove(&worker);
+    }
+
+    pub fn address(&self, worker: WorkerId) -> Option<Address> {
+        self.places.get(&worker).copied()
+    }
+
+    /// Workers that are not gone, in an order that is the same each time.
+    pub fn workers(&self) -> impl Iterator<Item = WorkerId> + '_ {
+        self.places.keys().copied()
+    }
+
+    /// Nobody waits for the probe of a worker any more.
+    pub fn end_probe(&mut self, worker: WorkerId, out: &mut Outbox) {
+        let Some(link) = self.probes.remove(&worker) else { return };
+        if self.conns.get(&link).is_some_and(|c| matches!(c.job, Some(Job::Probe { .. }))) {
+            self.end(link, out);
+        }
+    }
+
+    /// Begins a call. None if there is no way to the worker, or no descriptor left for one.
+    pub fn call(
+        &mut self,
+        now: Micros,
+        worker: WorkerId,
+        job: Job,
+        bytes: Bytes,
+        out: &mut Outbox,
+    ) -> Option<Link> {
+        let rested = self.resting.get_mut(&worker).and_then(Vec::pop);
+        let link = match rested {
+            Some(link) => link,
+            None => {
+                let at = self.address(worker)?;
+                if self.conns.len() >= self.most {
+                    let (_, oldest) = *self.rests.first()?;
+                    self.end(oldest, out);
+                }
+                let link = out.dial(at, self.dial);
+                self.conns.insert(link, Conn::new(worker, now));
+                link
+            }
+        };
+        let conn = self.conns.get_mut(&link)?;
+        self.rests.remove(&(conn.rests_since, link));
+        (conn.job, conn.written, conn.used) = (Some(job), false, rested.is_some());
+        (conn.place, conn.streams, conn.heads) = (None, false, 0);
+        conn.patience.set(Micros::MAX, 0, out);
+        if let Job::Shot { id, .. } = job {
+            self.shots.insert(id, link);
+        }
+        if let Job::Probe { .. } = job {
+            self.probes.insert(worker, link);
+        }
+        out.send(link, bytes);
+        Some(link)
+    }
+
+    /// The call is over. The connection rests, unless it must not be used again.
+    pub fn ended(&mut self, now: Micros, link: Link, out: &mut Outbox) -> Option<Job> {
+        let conn = self.conns.get_mut(&link)?;
+        let job = conn.job.take();
+        let coming = conn.coming.take();
+        conn.first = BytesMut::new();
+        let gone = !self.places.contains_key(&conn.worker);
+        // Bytes behind the answer were not asked for.
+        if gone || coming.is_none_or(|c| c.last) || !conn.arrived.is_empty() {
+            self.end(link, out);
+        } else {
+            conn.arrived = BytesMut::new();
+            conn.rests_since = now;
+            conn.patience.set(now + self.idle, key(Ring::Worker(link)), out);
+            self.rests.insert((now, link));
+            self.resting.entry(conn.worker).or_default().push(link);
+        }
+        job
+    }
+
+    /// Ends a connection at once, whatever it is at.
+    pub fn end(&mut self, link: Link, out: &mut Outbox) {
+        if self.lose(link).is_some() {
+            out.cut(link);
+        }
+    }
+
+    /// The connection is gone.
+    pub fn lose(&mut self, link: Link) -> Option<Conn> {
+        let conn = self.conns.remove(&link)?;
+        if self.rests.remove(&(conn.rests_since, link)) {
+            if let Some(links) = self.resting.get_mut(&conn.worker) {
+                links.retain(|l| *l != link);
+                if links.is_empty() {
+                    self.resting.remove(&conn.worker);
+                }
+            }
+        }
+        Some(conn)
+    }
+}
+
+impl Conn {
+    fn new(worker: WorkerId, now: Micros) -> Conn {
+        Conn {
+            worker,
+            job: None,
+            written: false,
+            used: false,
+            place: None,
+            streams: false,
+            first: BytesMut::new(),
+            patience: Patience::ENDLESS,
+            opened: now,
+            rests_since: 0,
+            arrived: BytesMut::new(),
+            heads: 0,
+            coming: None,
+        }
+    }
+
+    pub fn heard(&mut self, bytes: &Bytes) {
+        self.arrived.extend_from_slice(bytes);
+    }
+
+    /// Takes the next of what has arrived.
+    pub fn next(&mut self) -> Result<Heard, Problem> {
+        while self.coming.is_none() {
+            let Some((head, length)) = tideroute_http::answer(&self.arrived, &BOUNDS)? else {
+                return Ok(Heard::Nothing);
+            };
+            let _ = self.arrived.split_to(length);
+            if (100..200).contains(&head.status) {
+                self.heads += 1;
+                if self.heads > AHEAD {
+                    return Err(Problem::HeadTooLarge(BOUNDS.head));
+                }
+                continue;
+            }
+            let stream = matches!(self.job, Some(Job::Shot { reading: false, .. })) && head.status == 200;
+            let most = if stream { BOUNDS.body } else { SHORT };
+            let never_ran = head.fields.one(words::NEVER_RAN) == Some("1");
+            let body = Body::new(head.framing, most);
+            self.coming = Some(Coming { status: head.status, never_ran, last: head.last, body });
+        }
+        let Some(coming) = &mut self.coming else { return Ok(Heard::Nothing) };
+        if let Some(piece) = coming.body.next(&mut self.arrived)? {
+            return Ok(Heard::Piece(coming.status, piece));
+        }
+        let (status, never_ran) = (coming.status, coming.never_ran);
+        Ok(if coming.body.done() { Heard::End(status, never_ran) } else { Heard::Nothing })
+    }
+
+    /// The answer that the connection's end completes, if it does.
+    pub fn ends_with(&self) -> Option<(u16, bool)> {
+        let coming = self.coming.as_ref().filter(|c| c.body.may_end())?;
+        Some((coming.status, coming.never_ran))
+    }
+}
--- /dev/null
+++ b/crates/platform/src/program.rs
@@ -0,0 +1,518 @@
+//! The program: what happens on links goes to the books, then their words go out.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tideroute::interface::{Ending, Listing, Standing, SubmissionId};
+use tideroute_host::{short, Books, Timer};
+use tideroute_http::write;
+use tideroute_wire::link::{Link, Loss, Outbox, Program};
+use tideroute_wire::{Address, Micros};
+
+use crate::ask::Asked;
+use crate::clients::{At, Clients};
+use crate::errands::Errands;
+use crate::exit::{Exit, Later};
+use crate::file::{self, Terms};
+use crate::list;
+use crate::pools::{Heard, Job, Pools};
+use crate::watch::Watch;
+
+/// Microseconds for which a router that starts waits for discovery before it serves by the list it was handed.
+const READY: Micros = 1_000_000;
+/// Microseconds after a signal to end in which new submissions are still taken: others hear of the end late.
+const GRACE: Micros = 600_000;
+/// Microseconds without a byte after which a stream is taken for dead.
+const SILENCE: Micros = 10_000_000;
+/// A resting connection is put away after this part of the time for which its worker would keep it.
+const REST: Micros = 2;
+/// Bytes in which a stream's first event must end.
+const EVENT: usize = 64 << 10;
+/// Microseconds for which a whole list that is older than the one in force is not believed.
+const STALE: Micros = 10_000_000;
+/// The kind of a timer stands in the top byte of its key, what it is for beneath.
+const KIND: u32 = 56;
+
+/// What a timer is for.
+#[derive(Clone, Copy)]
+pub(crate) enum Ring {
+    Books(Timer),
+    Client(Link),
+    Worker(Link),
+    Errand(u64),
+    Watch,
+    /// The time for new submissions after a signal to end.
+    Grace,
+}
+
+pub(crate) fn key(ring: Ring) -> u64 {
+    let (kind, what) = match ring {
+        Ring::Books(Timer::Wake) => (0, 0),
+        Ring::Books(Timer::CutOff(id)) => (1, short(id)),
+        Ring::Books(Timer::Probe(nonce)) => (2, nonce),
+        Ring::Books(Timer::Shares) => (3, 0),
+        Ring::Client(link) => (4, link.number()),
+        Ring::Worker(link) => (5, link.number()),
+        Ring::Errand(number) => (6, number),
+        Ring::Watch => (7, 0),
+        Ring::Grace => (8, 0),
+    };
+    kind << KIND | what
+}
+
+pub struct Platform {
+    pub(crate) terms: Terms,
+    pub(crate) books: Books<Asked>,
+    pub(crate) clients: Clients,
+    pools: Pools,
+    errands: Errands,
+    watch: Watch,
+    left_behind: BTreeMap<SubmissionId, Arc<str>>,
+    later: Later,
+    /// Since when a whole list is heard that is older than the one in force.
+    stale: Option<Micros>,
+    /// Discovery has been heard.
+    told: bool,
+    began: Micros,
+    now: Micros,
+    stopping: bool,
+    grace_over: bool,
+}
+
+impl Platform {
+    pub fn new(terms: Terms, now: Micros) -> Platform {
+        Platform {
+            books: Books::new(terms.books.clone(), now),
+            pools: Pools::new(terms.rooms.workers, terms.dial, terms.idle / REST),
+            terms,
+            clients: Clients::default(),
+            errands: Errands::default(),
+            watch: Watch::default(),
+            left_behind: BTreeMap::new(),
+            later: Later::default(),
+            stale: None,
+            told: false,
+            began: now,
+            now,
+            stopping: false,
+            grace_over: false,
+        }
+    }
+
+    /// The books, and the ways by which they speak.
+    pub(crate) fn parts<'a>(
+        &'a mut self,
+        now: Micros,
+        out: &'a mut Outbox,
+    ) -> (&'a mut Books<Asked>, Exit<'a>) {
+        let exit = Exit {
+            terms: &self.terms,
+            clients: &mut self.clients,
+            pools: &mut self.pools,
+            errands: &mut self.errands,
+            watch: &mut self.watch,
+            left_behind: &mut self.left_behind,
+            later: &mut self.later,
+            stopping: self.stopping,
+            now,
+            out,
+        };
+        (&mut self.books, exit)
+    }
+
+    /// Whether it can serve: it knows workers, from discovery or, if that is silent, from the list it was handed.
+    pub(crate) fn is_up(&self) -> bool {
+        let listed = self.pools.workers().next().is_some();
+        !self.stopping && listed && (self.told || self.now >= self.began + READY)
+    }
+
+    fn settle(&mut self, now: Micros, id: SubmissionId, number: u16, ending: Ending, out: &mut Outbox) {
+        let (books, mut exit) = self.parts(now, out);
+        books.settle(now, id, number, ending, &mut exit);
+    }
+
+    /// Takes a page of the list.
+    fn hear_list(&mut self, now: Micros, line: &[u8], out: &mut Outbox) -> Result<(), list::Unreadable> {
+        let names = self.terms.names.clone();
+        list::hear_line(line, &names, &mut Page { platform: self, now, out })?;
+        self.books.page_over();
+        self.told = true;
+        Ok(())
+    }
+
+    fn worker_heard(&mut self, now: Micros, link: Link, bytes: &Bytes, out: &mut Outbox) {
+        let Some(conn) = self.pools.get_mut(link) else { return };
+        if conn.job.is_none() {
+            // Nothing was asked on it: whatever comes next could not be told from it.
+            return self.pools.end(link, out);
+        }
+        conn.heard(bytes);
+        loop {
+            let Some(conn) = self.pools.get_mut(link) else { return };
+            match conn.next() {
+                Ok(Heard::Nothing) => return,
+                Ok(Heard::Piece(200, piece))
+                    if matches!(conn.job, Some(Job::Shot { reading: false, .. })) =>
+                {
+                    if !self.events(now, link, piece, out) {
+                        return self.spoilt(now, link, out);
+                    }
+                }
+                Ok(Heard::Piece(..)) => {}
+                Ok(Heard::End(status, never_ran)) => {
+                    return self.whole_answer(now, link, status, never_ran, out)
+                }
+                Err(problem) => {
+                    tracing::debug!(worker = ?conn.worker, %problem, "an answer that cannot be read");
+                    return self.spoilt(now, link, out);
+                }
+            }
+        }
+    }
+
+    /// Passes a piece of a stream on; its start only once a first event is whole. False if that is none.
+    fn events(&mut self, now: Micros, link: Link, piece: Bytes, out: &mut Outbox) -> bool {
+        let Some(conn) = self.pools.get_mut(link) else { return true };
+        let Some(Job::Shot { id, .. }) = conn.job else { return true };
+        conn.patience.set(now + SILENCE, key(Ring::Worker(link)), out);
+        let Some(client) = self.books.submissions.get(id).map(|s| s.asked.client) else { return true };
+        if conn.streams {
+            out.send(client, write::chunk(&piece));
+            return true;
+        }
+        conn.first.extend_from_slice(&piece);
+        let begins = |with: &[u8]| conn.first.starts_with(with) || with.starts_with(&conn.first);
+        if !(begins(b"data:") || begins(b":")) || conn.first.len() > EVENT {
+            return false;
+        }
+        if !conn.first.windows(2).any(|w| w == b"\n\n") {
+            return true;
+        }
+        conn.streams = true;
+        let first = std::mem::take(&mut conn.first);
+        let last = self.stopping || self.clients.get(client).is_none_or(|c| c.last);
+        let fields = [("content-type", "text/event-stream"), ("cache-control", "no-store")];
+        out.send(client, write::chunked_head(200, fields, last));
+        out.send(client, write::chunk(&first));
+        self.clients.begin(client);
+        let (books, mut exit) = self.parts(now, out);
+        books.started(now, id, &mut exit);
+        if let Some(s) = books.submissions.get_mut(id) {
+            // No other shot will need it.
+            s.asked.body = Bytes::new();
+            s.asked.fields = vec![];
+        }
+        true
+    }
+
+    /// An answer is whole.
+    fn whole_answer(&mut self, now: Micros, link: Link, status: u16, never_ran: bool, out: &mut Outbox) {
+        let Some(conn) = self.pools.get_mut(link) else { return };
+        let (worker, streamed) = (conn.worker, conn.streams);
+        let Some(job) = self.pools.ended(now, link, out) else { return };
+        match job {
+            Job::Shot { id, number, reading } => {
+                let ending = match status {
+                    202 if reading => Ending::Read,
+                    200 if !reading && streamed => Ending::Honoured,
+                    410 if never_ran => Ending::Stateless,
+                    503 | 504 if never_ran => Ending::Full,
+                    _ => Ending::Fault,
+                };
+                self.settle(now, id, number, ending, out);
+            }
+            Job::Place { id } => {
+                // 204 and 404 tell nothing: a place may be held all the same, or nobody knows of one.
+                if matches!(status, 200 | 409) {
+                    let (books, mut exit) = self.parts(now, out);
+                    books.held(now, id, worker, status == 200, &mut exit);
+                }
+            }
+            Job::Errand { number } => self.errands.done(number, Some(link), &mut self.pools, out),
+            Job::Probe { nonce } => {
+                let (books, mut exit) = self.parts(now, out);
+                books.probed(now, nonce, status == 200, &mut exit);
+            }
+        }
+    }
+
+    /// What comes on the connection can't be read, or no longer comes: the request may have run.
+    fn spoilt(&mut self, now: Micros, link: Link, out: &mut Outbox) {
+        let Some(job) = self.pools.get_mut(link).and_then(|c| c.job) else { return };
+        self.pools.end(link, out);
+        self.came_to_nothing(now, link, job, Ending::Fault, out);
+    }
+
+    fn came_to_nothing(&mut self, now: Micros, link: Link, job: Job, ending: Ending, out: &mut Outbox) {
+        match job {
+            Job::Shot { id, number, .. } => self.settle(now, id, number, ending, out),
+            Job::Place { .. } => {}
+            Job::Errand { number } => self.errands.lost(now, number, link, &mut self.pools, out),
+            Job::Probe { nonce } => {
+                let (books, mut exit) = self.parts(now, out);
+                books.probed(now, nonce, false, &mut exit);
+            }
+        }
+    }
+
+    /// A connection to a worker has ended, or never came about.
+    fn worker_lost(&mut self, now: Micros, link: Link, out: &mut Outbox) {
+        let Some(conn) = self.pools.get_mut(link) else { return };
+        if conn.written {
+            if let Some((status, never_ran)) = conn.ends_with() {
+                return self.whole_answer(now, link, status, never_ran, out);
+            }
+        }
+        let Some(conn) = self.pools.lose(link) else { return };
+        let Some(job) = conn.job else { return };
+        // An old connection that was found dead says nothing of the worker.
+        let ending = match (conn.written, conn.used) {
+            (true, _) => Ending::Broken,
+            (false, true) => Ending::NeverSent,
+            (false, false) => Ending::Unreachable,
+        };
+        self.came_to_nothing(now, link, job, ending, out);
+    }
+
+    /// The wait on a connection to a worker may be over.
+    fn worker_rang(&mut self, now: Micros, link: Link, out: &mut Outbox) {
+        let Some(conn) = self.pools.get_mut(link) else { return };
+        if !conn.patience.over(now, key(Ring::Worker(link)), out) {
+            return;
+        }
+        if conn.streams && conn.job.is_some() {
+            tracing::debug!(worker = ?conn.worker, "a stream is silent");
+            return self.spoilt(now, link, out);
+        }
+        self.pools.end(link, out);
+    }
+
+    /// A read that did not end well may have left a state: it is let go once no shot is out and the books know of
+    /// none, unless an answer has begun, with which all else goes by itself.
+    fn clean_up(&mut self, now: Micros, out: &mut Outbox) {
+        let mut free = vec![];
+        let submissions = &self.books.submissions;
+        self.left_behind.retain(|id, trace| {
+            let stays = submissions.get(*id).is_some_and(|s| s.shot.is_some() && !s.streams());
+            let begun = submissions.get(*id).is_some_and(|s| s.streams());
+            if !stays && !begun {
+                free.push((*id, trace.clone()));
+            }
+            stays
+        });
+        for (id, trace) in free {
+            self.parts(now, out).1.free(id, trace, None);
+        }
+    }
+}
+
+impl Program for Platform {
+    fn begin(&mut self, now: Micros, out: &mut Outbox) {
+        self.now = now;
+        let known = std::mem::take(&mut self.terms.known);
+        if !known.is_null() {
+            let names = self.terms.names.clone();
+            // It was read once when the file was.
+            let _ = list::hear(&known, &names, &mut Page { platform: self, now, out });
+            self.books.page_over();
+        }
+        self.watch.begin(now, self.terms.discovery, self.books.version(), out);
+        self.turn(now, out);
+    }
+
+    fn accepted(&mut self, now: Micros, link: Link, _door: usize, out: &mut Outbox) {
+        self.now = now;
+        self.client_came(now, link, out);
+    }
+
+    fn opened(&mut self, _now: Micros, _link: Link, _out: &mut Outbox) {}
+
+    fn heard(&mut self, now: Micros, link: Link, bytes: &Bytes, out: &mut Outbox) {
+        self.now = now;
+        if !link.dialled() {
+            return self.client_heard(now, link, bytes, out);
+        }
+        if !self.watch.is(link) {
+            return self.worker_heard(now, link, bytes, out);
+        }
+        match self.watch.heard(now, bytes, out) {
+            Ok(lines) => {
+                for line in lines {
+                    if let Err(problem) = self.hear_list(now, &line, out) {
+                        tracing::warn!(%problem, "a line of discovery cannot be read; the watch is opened anew");
+                        return self.watch.end(now, out);
+                    }
+                }
+            }
+            Err(problem) => {
+                tracing::warn!(%problem, "discovery's answer cannot be read; the watch is opened anew");
+                self.watch.end(now, out);
+            }
+        }
+    }
+
+    fn drained(&mut self, now: Micros, link: Link, out: &mut Outbox) {
+        let Some(conn) = self.pools.get_mut(link) else { return };
+        conn.written = true;
+        let (place, job) = (conn.place.take(), conn.job);
+        if let (Some(at), Some(Job::Shot { id, .. })) = (place, job) {
+            let trace = self.books.submissions.get(id).map(|s| s.asked.trace.clone());
+            if let Some(trace) = trace {
+                self.parts(now, out).1.place(id, &trace, at);
+            }
+        }
+    }
+
+    fn lost(&mut self, now: Micros, link: Link, _loss: Loss, out: &mut Outbox) {
+        self.now = now;
+        if self.watch.is(link) {
+            tracing::debug!("discovery ended the watch; the list stays in force");
+            self.watch.end(now, out);
+        } else if link.dialled() {
+            self.worker_lost(now, link, out);
+        } else if let Some(id) = self.clients.lose(link) {
+            let (books, mut exit) = self.parts(now, out);
+            books.dropped(now, id, &mut exit);
+        }
+    }
+
+    /// A client that reads slowly slows its own stream only.
+    fn crowded(&mut self, _now: Micros, link: Link, crowded: bool, out: &mut Outbox) {
+        let Some(client) = self.clients.get(link) else { return };
+        if let At::Answer(id, ..) = client.at {
+            if let Some(worker) = self.pools.shot(id) {
+                out.hush(worker, crowded);
+            }
+        }
+    }
+
+    fn rang(&mut self, now: Micros, key: u64, out: &mut Outbox) {
+        self.now = now;
+        let what = key & ((1 << KIND) - 1);
+        let timer = match key >> KIND {
+            0 => Timer::Wake,
+            1 => Timer::CutOff(self.books.submissions.long(what)),
+            2 => Timer::Probe(what),
+            3 => Timer::Shares,
+            4 => return self.client_rang(now, Link(what), out),
+            5 => return self.worker_rang(now, Link::of_dial(what), out),
+            6 => return self.errands.rang(now, what, &mut self.pools, out),
+            7 => {
+                if self.watch.rang(now, out) {
+                    self.watch.begin(now, self.terms.discovery, self.books.version(), out);
+                }
+                return;
+            }
+            _ => {
+                self.grace_over = true;
+                return self.books.stop();
+            }
+        };
+        let (books, mut exit) = self.parts(now, out);
+        books.rang(now, timer, &mut exit);
+    }
+
+    fn turn(&mut self, now: Micros, out: &mut Outbox) {
+        loop {
+            let (books, mut exit) = self.parts(now, out);
+            books.turn(now, &mut exit);
+            let endings = std::mem::take(&mut self.later.endings);
+            let answered = std::mem::take(&mut self.later.answered);
+            if endings.is_empty() && answered.is_empty() {
+                break;
+            }
+            for (id, number, ending) in endings {
+                self.settle(now, id, number, ending, out);
+            }
+            for link in answered {
+                self.requests(now, link, out);
+            }
+        }
+        self.clean_up(now, out);
+    }
+
+    fn reread(&mut self, now: Micros, file: &Bytes, out: &mut Outbox) {
+        self.now = now;
+        let fresh = match file::read(file) {
+            Ok(fresh) => fresh,
+            Err(problem) => {
+                tracing::error!(%problem, "the new configuration cannot be used; the old one stays in force");
+                return;
+            }
+        };
+        if fresh.rooms != self.terms.rooms || fresh.listen != self.terms.listen {
+            tracing::warn!("limits and the address to listen at take effect at the next start");
+        }
+        tracing::info!("the configuration was read again");
+        (self.terms.discovery, self.terms.travel) = (fresh.discovery, fresh.travel);
+        self.watch.end(now, out);
+        self.watch.begin(now, self.terms.discovery, self.books.version(), out);
+    }
+
+    fn late(&mut self, now: Micros, by: Micros) {
+        self.books.late(now, by);
+    }
+
+    fn stop(&mut self, now: Micros, out: &mut Outbox) {
+        tracing::info!(open = self.books.submissions.len(), "ends: what is open is finished");
+        self.stopping = true;
+        for link in self.clients.idle() {
+            self.clients.lose(link);
+            out.close(link, "the router ends");
+        }
+        out.ring(now + GRACE, key(Ring::Grace));
+    }
+
+    fn done(&self) -> bool {
+        self.grace_over
+            && self.clients.is_empty()
+            && self.errands.is_empty()
+            && self.books.submissions.is_empty()
+    }
+}
+
+/// Hears a page of the list for the program.
+struct Page<'a> {
+    platform: &'a mut Platform,
+    now: Micros,
+    out: &'a mut Outbox,
+}
+
+impl list::Ear for Page<'_> {
+    /// After a gap discovery may be behind what it told before. What is in force is newer then, and changes are
+    /// heard again once they are newer too; only if that lasts has its count begun anew.
+    fn page(&mut self, version: u64, whole: bool) -> bool {
+        let (p, now) = (&mut *self.platform, self.now);
+        if p.told && version < p.books.version() {
+            let since = *p.stale.get_or_insert(now);
+            if !whole || now < since + STALE {
+                tracing::debug!(version, whole, "an old list is passed over");
+                return false;
+            }
+        }
+        p.stale = None;
+        if whole {
+            // Those that it does not name are gone.
+            let gone: Vec<_> = p.pools.workers().collect();
+            gone.into_iter().for_each(|w| p.pools.unlist(w));
+        }
+        p.books.page(now, version, whole);
+        true
+    }
+
+    fn entry(&mut self, listing: Listing, at: Address) {
+        let p = &mut *self.platform;
+        if listing.standing == Standing::Gone {
+            p.pools.gone(listing.worker, self.out);
+            return p.books.gone(self.now, listing.worker);
+        }
+        let started = listing.started.max(0) as Micros * 100;
+        p.books.entry(self.now, listing);
+        for link in p.pools.listed(listing.worker, at, started) {
+            // Its process is another one now: what was out there has broken.
+            p.worker_lost(self.now, link, self.out);
+            self.out.cut(link);
+        }
+    }
+}
--- a/crates/reactor/src/conn.rs
+++ b/crates/reactor/src/conn.rs
@@ -15,6 +15,9 @@
 pub const HIGH: usize = 256 << 10;
 /// And under which it is told that it no longer is.
 pub const LOW: usize = 64 << 10;
+/// The same two marks where bytes pass raw: there are many such connections, in little memory.
+pub const RAW_HIGH: usize = 32 << 10;
+pub const RAW_LOW: usize = 8 << 10;
 /// Bytes waiting over which a connection is closed: room for four of the largest frames.
 pub const MOST: usize = 4 << 20;
 
@@ -29,6 +32,11 @@
     Closing {
         until: Micros,
     },
+    /// This side has ended; what still comes is thrown away, so that the last words are not lost by a reset.
+    Lingering {
+        until: Micros,
+        left: usize,
+    },
     Dead,
 }
 
@@ -40,6 +48,8 @@
     pub crowded: bool,
     /// Bytes pass as they come, not in frames.
     pub raw: bool,
+    /// What the poller was last asked to look for: reading, writing.
+    pub watched: (bool, bool),
     /// Frames that passed, each way.
     pub sent: u64,
     pub heard: u64,
@@ -66,6 +76,7 @@
             hushed: false,
             crowded: false,
             raw: false,
+            watched: (false, false),
             sent: 0,
             heard: 0,
             arrived,
@@ -106,6 +117,15 @@
         self.waiting.len()
     }
 
+    /// Bytes waiting over which the program hears that the link is crowded, and under which no longer.
+    pub fn marks(&self) -> (usize, usize) {
+        if self.raw {
+            (RAW_HIGH, RAW_LOW)
+        } else {
+            (HIGH, LOW)
+        }
+    }
+
     /// Sends what the socket takes now.
     pub fn flush(&mut self) -> io::Result<()> {
         while !self.waiting.is_empty() {
@@ -117,13 +137,26 @@
                 Err(e) => return Err(e),
             }
         }
+        // A buffer that once held much would keep it for as long as the connection is there.
+        if self.raw {
+            self.waiting = BytesMut::new();
+        }
         Ok(())
     }
 
+    /// Throws away what has come, a piece at most; how much that was, or None at the end.
+    pub fn waste(&mut self, piece: &mut [u8]) -> Option<usize> {
+        match self.stream.read(piece) {
+            Ok(0) => None,
+            Ok(got) => Some(got),
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => Some(0),
+            Err(_) => None,
+        }
+    }
+
     /// Reads a piece at most and cuts it into frames.
-    pub fn read(&mut self) -> io::Result<Got> {
-        let mut piece = [0; PIECE];
-        let got = match self.stream.read(&mut piece) {
+    pub fn read(&mut self, piece: &mut [u8]) -> io::Result<Got> {
+        let got = match self.stream.read(piece) {
             Ok(got) => got,
             Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
                 return Ok(Got::Frames(vec![]));
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -1,7 +1,7 @@
 //! The loop itself.
 
 use std::collections::{HashMap, VecDeque};
-use std::io;
+use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::AsRawFd;
 use std::path::PathBuf;
@@ -18,7 +18,7 @@
 use tideroute_wire::Micros;
 
 use crate::clock::Clock;
-use crate::conn::{Conn, Got, Stage, HIGH, LOW, MOST};
+use crate::conn::{Conn, Got, Stage, MOST, PIECE};
 use crate::mailbox::{mailbox, Letters, Mailbox};
 use crate::signals::Signals;
 use crate::tap::Tap;
@@ -34,7 +34,16 @@
 const TICK: Micros = 100;
 /// Keys of the poller: doors come first, then the signals, then connections.
 const SIGNALS: usize = 1 << 16;
-const CONNS: usize = SIGNALS + 1;
+const REREADS: usize = SIGNALS + 1;
+const CONNS: usize = REREADS + 1;
+/// Bytes of a file that is read again; a larger one is none of ours.
+const LARGEST: u64 = 16 << 20;
+/// Bytes that a raw connection may still bring after its last word: what the largest senders have under way.
+const WASTE: usize = 96 << 20;
+/// Pieces of them thrown away in one go, so that a sender at full speed leaves time for the others.
+const WASTES: usize = 8;
+/// Microseconds that it may take to stop sending.
+const STOPS: Micros = 2_000_000;
 
 #[derive(Debug, thiserror::Error)]
 pub enum ReactorError {
@@ -59,6 +68,7 @@
     Opened(Link),
     Lost(Link, Loss),
     Crowded(Link, bool),
+    Drained(Link),
 }
 
 pub struct Reactor {
@@ -72,11 +82,18 @@
     news: VecDeque<News>,
     wheel: Wheel<Ring>,
     signals: Option<Signals>,
+    rereads: Option<(Signals, PathBuf)>,
     tap: Option<Tap>,
     keep: Option<PathBuf>,
     letters: Option<Letters>,
     published: Option<Mailbox>,
     raw: bool,
+    /// Raw connections that linger, and how many may.
+    lingering: usize,
+    most_lingering: usize,
+    /// Doors stay open after a signal to end, and another changes nothing.
+    patient: bool,
+    piece: Box<[u8]>,
     links: u64,
     stopping: bool,
     vanished: bool,
@@ -133,20 +150,39 @@
             news: VecDeque::new(),
             wheel: Wheel::new(clock.now() / TICK),
             signals: None,
+            rereads: None,
             tap: None,
             keep: None,
             letters: None,
             published: None,
             raw: false,
+            lingering: 0,
+            most_lingering: usize::MAX,
+            patient: false,
+            piece: vec![0; PIECE].into(),
             links: 0,
             stopping: false,
             vanished: false,
         })
     }
 
-    /// What passes at the doors is bytes as they come, and not frames.
-    pub fn raw(&mut self) {
-        self.raw = true;
+    /// What passes is bytes as they come, and not frames. A connection that the program ends with something
+    /// still to send is then closed in two steps, so many of them at once.
+    pub fn raw(&mut self, most_lingering: usize) {
+        (self.raw, self.most_lingering) = (true, most_lingering);
+    }
+
+    /// Asked to end, it keeps its doors open until the program is done, and a second signal changes nothing.
+    pub fn patient(&mut self) {
+        self.patient = true;
+    }
+
+    /// SIGHUP has the file read and handed to the program.
+    pub fn reread(&mut self, path: PathBuf) -> Result<(), ReactorError> {
+        let signals = Signals::rereads()?;
+        add(&self.poller, &signals.heard, Event::readable(REREADS))?;
+        self.rereads = Some((signals, path));
+        Ok(())
     }
 
     /// Where what the program publishes goes.
@@ -187,7 +223,7 @@
 
     /// SIGTERM and SIGINT stop the program; a second one ends the run at once.
     pub fn catch_signals(&mut self) -> Result<(), ReactorError> {
-        let signals = Signals::catch()?;
+        let signals = Signals::ends()?;
         add(&self.poller, &signals.heard, Event::readable(SIGNALS))?;
         self.signals = Some(signals);
         Ok(())
@@ -205,7 +241,8 @@
                 self.reset_all();
                 return Ok(Ended::Vanished);
             }
-            if program.done() && self.conns.iter().all(|(_, c)| c.waiting() == 0) {
+            let lingers = self.patient && self.lingering > 0;
+            if program.done() && !lingers && self.conns.iter().all(|(_, c)| c.waiting() == 0) {
                 self.note_process(What::Left);
                 return Ok(Ended::Done);
             }
@@ -223,13 +260,14 @@
                 match event.key {
                     SIGNALS => {
                         let count = self.signals.as_mut().map_or(0, Signals::count);
-                        if count > 1 || (count == 1 && self.stopping) {
+                        if !self.patient && (count > 1 || (count == 1 && self.stopping)) {
                             return Ok(Ended::Forced);
                         }
-                        if count == 1 {
+                        if count > 0 && !self.stopping {
                             self.stop(program, &mut out)?;
                         }
                     }
+                    REREADS => self.read_again(program, &mut out),
                     door if door < SIGNALS => self.accept(door, program, &mut out),
                     key => self.ready(key - CONNS, event, program, &mut out),
                 }
@@ -258,14 +296,35 @@
     /// Asks the program to end, as a signal does; its doors take nobody any more.
     fn stop(&mut self, program: &mut impl Program, out: &mut Outbox) -> Result<(), ReactorError> {
         self.stopping = true;
-        for door in std::mem::take(&mut self.doors) {
-            self.poller.delete(&door)?;
+        if !self.patient {
+            for door in std::mem::take(&mut self.doors) {
+                self.poller.delete(&door)?;
+            }
         }
         program.stop(self.clock.now(), out);
         self.carry_out(out);
         Ok(())
     }
 
+    /// Hands the program its file; what can't be read leaves the old one in force.
+    fn read_again(&mut self, program: &mut impl Program, out: &mut Outbox) {
+        let Some((signals, path)) = &mut self.rereads else { return };
+        if signals.count() == 0 {
+            return;
+        }
+        let mut bytes = Vec::new();
+        let file = std::fs::File::open(&path).and_then(|f| f.take(LARGEST).read_to_end(&mut bytes));
+        match file {
+            Ok(_) => {
+                program.reread(self.clock.now(), &bytes.into(), out);
+                self.carry_out(out);
+            }
+            Err(problem) => {
+                tracing::error!(%problem, path = %path.display(), "cannot be read again; the old one stays");
+            }
+        }
+    }
+
     fn now(&self) -> Micros {
         self.clock.now()
     }
@@ -306,6 +365,7 @@
                     News::Opened(link) => program.opened(now, link, out),
                     News::Lost(link, loss) => program.lost(now, link, loss, out),
                     News::Crowded(link, crowded) => program.crowded(now, link, crowded, out),
+                    News::Drained(link) => program.drained(now, link, out),
                 }
                 self.carry_out(out);
             }
@@ -339,7 +399,8 @@
                     let until = self.now() + within;
                     self.note(link, What::Dialled, &Bytes::copy_from_slice(&to));
                     match Conn::dial(link, to, until) {
-                        Ok(conn) => {
+                        Ok(mut conn) => {
+                            conn.raw = self.raw;
                             self.insert(conn, Event::writable(0));
                             self.wheel.set(until / TICK + 1, Ring::Patience(link));
                         }
@@ -351,6 +412,11 @@
                 }
                 Act::Send { link, frame } => self.send(link, &frame),
                 Act::Close { link, why } => self.close(link, &why),
+                Act::Cut { link } => {
+                    if let Some(&place) = self.places.get(&link) {
+                        self.bury(place);
+                    }
+                }
                 Act::Ring { at, key } => self.wheel.set(at.div_ceil(TICK), Ring::Program(key)),
                 Act::Hush { link, hush } => {
                     let Some(&place) = self.places.get(&link) else { continue };
@@ -380,6 +446,7 @@
         let link = conn.link;
         let place = self.conns.insert(conn);
         interest.key = CONNS + place;
+        self.conns[place].watched = (interest.readable, interest.writable);
         if let Err(problem) = add(&self.poller, &self.conns[place].stream, interest) {
             tracing::error!(%problem, "a connection could not be watched");
             self.conns.remove(place);
@@ -434,14 +501,17 @@
 
     /// Tells the poller what the connection waits for.
     fn watch(&mut self, place: usize) {
-        let conn = &self.conns[place];
-        let key = CONNS + place;
-        let interest = match conn.stage {
-            Stage::Dialling { .. } => Event::writable(key),
-            Stage::Open => Event::new(key, !conn.hushed, conn.waiting() > 0),
-            Stage::Closing { .. } => Event::writable(key),
+        let conn = &mut self.conns[place];
+        let wanted = match conn.stage {
+            Stage::Dialling { .. } | Stage::Closing { .. } => (false, true),
+            Stage::Open => (!conn.hushed, conn.waiting() > 0),
+            Stage::Lingering { .. } => (true, false),
             Stage::Dead => return,
         };
+        if std::mem::replace(&mut conn.watched, wanted) == wanted {
+            return;
+        }
+        let interest = Event::new(CONNS + place, wanted.0, wanted.1);
         if let Err(problem) = self.poller.modify_with_mode(&conn.stream, interest, PollMode::Level) {
             tracing::error!(%problem, "a connection could not be watched");
         }
@@ -459,16 +529,48 @@
         counter!("tideroute_bytes_total", "way" => "out").increment((before - conn.waiting()) as u64);
         let (waiting, closing) = (conn.waiting(), conn.stage != Stage::Open);
         if closing && waiting == 0 {
-            return self.bury(place);
+            return self.end(place);
         }
-        let crowded = if conn.crowded { waiting > LOW } else { waiting > HIGH };
+        let (high, low) = conn.marks();
+        let crowded = if conn.crowded { waiting > low } else { waiting > high };
         if crowded != conn.crowded && !closing {
             conn.crowded = crowded;
             self.news.push_back(News::Crowded(conn.link, crowded));
         }
+        if self.conns[place].raw && before > 0 && waiting == 0 {
+            self.news.push_back(News::Drained(self.conns[place].link));
+        }
         self.watch(place);
     }
 
+    /// The last words have gone out. A reset would follow if the peer still sends, and might overtake them: a
+    /// raw connection that was taken at a door ends on this side first.
+    fn end(&mut self, place: usize) {
+        let conn = &mut self.conns[place];
+        let lingers = conn.raw && !conn.link.dialled() && self.lingering < self.most_lingering;
+        if !lingers || conn.stream.shutdown(std::net::Shutdown::Write).is_err() {
+            return self.bury(place);
+        }
+        let until = self.clock.now() + STOPS;
+        conn.stage = Stage::Lingering { until, left: WASTE };
+        self.lingering += 1;
+        self.wheel.set(until / TICK + 1, Ring::Patience(conn.link));
+        self.watch(place);
+    }
+
+    /// Throws away what still comes on a connection that lingers, until its peer has ended it too.
+    fn waste(&mut self, place: usize) {
+        for _ in 0..WASTES {
+            let conn = &mut self.conns[place];
+            let Stage::Lingering { until, left } = conn.stage else { return };
+            match conn.waste(&mut self.piece) {
+                Some(0) => return,
+                Some(got) if got < left => conn.stage = Stage::Lingering { until, left: left - got },
+                _ => return self.bury(place),
+            }
+        }
+    }
+
     /// Ends a connection that the program did not end, and tells it.
     fn lose(&mut self, place: usize, loss: Loss, why: &str) {
         let conn = &self.conns[place];
@@ -488,6 +590,7 @@
     fn bury(&mut self, place: usize) {
         let conn = &mut self.conns[place];
         if conn.stage != Stage::Dead {
+            self.lingering -= usize::from(matches!(conn.stage, Stage::Lingering { .. }));
             conn.stage = Stage::Dead;
             let _ = self.poller.delete(&conn.stream);
             let _ = conn.stream.shutdown(std::net::Shutdown::Both);
@@ -501,7 +604,9 @@
             Stage::Dialling { until } if until <= self.now() => {
                 self.lose(place, Loss::Unreached, "no connection in time");
             }
-            Stage::Closing { until } if until <= self.now() => self.bury(place),
+            Stage::Closing { until } | Stage::Lingering { until, .. } if until <= self.now() => {
+                self.bury(place);
+            }
             _ => {}
         }
     }
@@ -539,15 +644,23 @@
         if let Stage::Dialling { .. } = conn.stage {
             return self.reached(place);
         }
-        if event.writable {
+        if let Stage::Lingering { .. } = conn.stage {
+            return self.waste(place);
+        }
+        if event.writable && conn.waiting() > 0 {
             self.flush(place);
         }
+        // Of a link that is hushed the poller still tells that it broke, over and over.
+        let hushed = self.conns[place].hushed && self.conns[place].stage == Stage::Open;
+        if hushed && (event.is_interrupt() || event.is_err().unwrap_or(false)) {
+            return self.lose(place, Loss::Broken, "it broke while nothing was read from it");
+        }
         let open = |r: &Self| r.conns.get(place).is_some_and(|c| c.stage == Stage::Open);
         if !event.readable || !open(self) || self.conns[place].hushed {
             return;
         }
         let link = self.conns[place].link;
-        let (frames, end) = match self.conns[place].read() {
+        let (frames, end) = match self.conns[place].read(&mut self.piece) {
             Ok(Got::Frames(frames)) => (frames, None),
             Ok(Got::End(frames)) => (frames, Some("its peer ended it".to_string())),
             Ok(Got::Bad(frames, problem)) => (frames, Some(problem.to_string())),
@@ -609,7 +722,7 @@
         for door in &self.doors {
             let _ = self.poller.delete(door);
         }
-        if let Some(signals) = &self.signals {
+        for signals in self.signals.iter().chain(self.rereads.iter().map(|(signals, _)| signals)) {
             let _ = self.poller.delete(&signals.heard);
         }
     }
--- a/crates/reactor/src/signals.rs
+++ b/crates/reactor/src/signals.rs
@@ -1,19 +1,29 @@
-//! SIGTERM and SIGINT as bytes on a socket pair, which the loop polls like any other.
+//! Signals as bytes on socket pairs, which the loop polls like any other.
 
 use std::io::Read;
 use std::os::unix::net::UnixStream;
 
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 pub struct Signals {
     pub heard: UnixStream,
 }
 
 impl Signals {
-    pub fn catch() -> std::io::Result<Signals> {
+    /// Those that ask for the end.
+    pub fn ends() -> std::io::Result<Signals> {
+        Self::catch(&[SIGTERM, SIGINT])
+    }
+
+    /// The one that asks to read the file again.
+    pub fn rereads() -> std::io::Result<Signals> {
+        Self::catch(&[SIGHUP])
+    }
+
+    fn catch(signals: &[i32]) -> std::io::Result<Signals> {
         let (heard, said) = UnixStream::pair()?;
         heard.set_nonblocking(true)?;
-        for signal in [SIGTERM, SIGINT] {
+        for &signal in signals {
             signal_hook::low_level::pipe::register(signal, said.try_clone()?)?;
         }
         Ok(Signals { heard })
--- a/crates/wirehost/src/terms.rs
+++ b/crates/settings/src/lib.rs
@@ -1,4 +1,5 @@
-//! Reads the settings of one instance, a JSON object, into the terms that it works under.
+//! Reads the settings of one instance, a JSON object, into the terms that its decisions work under. The adapter
+//! on the simulator's wire and the router on the platform have them from here.
 
 use serde_json::Value;
 use tideroute::interface::{Group, Repeat, Role, Tenths, Terms, Track};
@@ -55,8 +56,13 @@
 
 pub fn read(text: &[u8]) -> Result<Terms, String> {
     let root: Value = serde_json::from_slice(text).map_err(|e| format!("the settings do not parse: {e}"))?;
-    let stretch = list(&root, "family_info.aim_us_per_1000_prompt_tokens").cloned().unwrap_or_default();
-    let tracks = list(&root, "classes")?.iter().enumerate();
+    terms(&root)
+}
+
+/// The terms of settings that are parsed already.
+pub fn terms(root: &Value) -> Result<Terms, String> {
+    let stretch = list(root, "family_info.aim_us_per_1000_prompt_tokens").cloned().unwrap_or_default();
+    let tracks = list(root, "classes")?.iter().enumerate();
     let tracks = tracks.map(|(i, class)| track(class, stretch.get(i).and_then(Value::as_f64).unwrap_or(0.0)));
     let role = |kind: &Value| match kind.as_str() {
         Some("read") => Ok(Role::Reader),
@@ -65,21 +71,21 @@
         _ => Err(format!("kind_role {kind} in the settings is unknown")),
     };
     Ok(Terms {
-        routers: number(&root, "balancers")?.max(1.0) as u32,
+        routers: number(root, "balancers")?.max(1.0) as u32,
         tracks: tracks.collect::<Result<_, _>>()?,
-        roles: list(&root, "family_info.kind_role")?.iter().map(role).collect::<Result<_, _>>()?,
-        places: flag(&root, "family_info.ahead"),
-        writers_read: flag(&root, "family_info.writers_read"),
-        release: tenths(number(&root, "family_info.pin_limit_ms")?),
-        cold_share: number(&root, "invariants.cold_share")?,
-        warm_after: tenths(number(&root, "invariants.ramp_time_ms")?),
-        fall_multiple: number(&root, "invariants.fall_multiple")?,
-        fall_span: tenths(number(&root, "invariants.fall_ms")?),
-        max_shots: number(&root, "caps.max_attempts")? as u16,
-        withdrawals: flag(&root, "caps.cancel"),
-        probes: flag(&root, "caps.probing"),
-        subscribes: word(&root, "discovery")? == "subscribe",
-        advice: flag(&root, "caps.retry_after"),
-        longest_advice: tenths(number(&root, "caps.max_retry_after_ms").unwrap_or(0.0)),
+        roles: list(root, "family_info.kind_role")?.iter().map(role).collect::<Result<_, _>>()?,
+        places: flag(root, "family_info.ahead"),
+        writers_read: flag(root, "family_info.writers_read"),
+        release: tenths(number(root, "family_info.pin_limit_ms")?),
+        cold_share: number(root, "invariants.cold_share")?,
+        warm_after: tenths(number(root, "invariants.ramp_time_ms")?),
+        fall_multiple: number(root, "invariants.fall_multiple")?,
+        fall_span: tenths(number(root, "invariants.fall_ms")?),
+        max_shots: number(root, "caps.max_attempts")? as u16,
+        withdrawals: flag(root, "caps.cancel"),
+        probes: flag(root, "caps.probing"),
+        subscribes: word(root, "discovery")? == "subscribe",
+        advice: flag(root, "caps.retry_after"),
+        longest_advice: tenths(number(root, "caps.max_retry_after_ms").unwrap_or(0.0)),
     })
 }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -16,6 +16,16 @@
     pub fn dialled(self) -> bool {
         self.0 & DIALLED != 0
     }
+
+    /// Its number among those dialled, or among those accepted.
+    pub fn number(self) -> u64 {
+        self.0 & !DIALLED
+    }
+
+    /// The dialled link of that number.
+    pub fn of_dial(number: u64) -> Link {
+        Link(DIALLED | number)
+    }
 }
 
 /// How a link ended, as far as this side can know.
@@ -45,6 +55,10 @@
         link: Link,
         why: String,
     },
+    /// Ends the link at once: what has not gone out yet never does. No `lost` follows.
+    Cut {
+        link: Link,
+    },
     /// Calls `rang` with the key at that time or soon after. Nothing takes a timer back: ignore it instead.
     Ring {
         at: Micros,
@@ -89,6 +103,10 @@
         self.acts.push(Act::Close { link, why: why.into() });
     }
 
+    pub fn cut(&mut self, link: Link) {
+        self.acts.push(Act::Cut { link });
+    }
+
     pub fn ring(&mut self, at: Micros, key: u64) {
         self.acts.push(Act::Ring { at, key });
     }
@@ -130,6 +148,10 @@
     fn crowded(&mut self, now: Micros, link: Link, crowded: bool, out: &mut Outbox);
     fn rang(&mut self, now: Micros, key: u64, out: &mut Outbox);
     fn turn(&mut self, now: Micros, out: &mut Outbox);
+    /// All that was sent on a raw link has been handed to the machine: its last byte is written.
+    fn drained(&mut self, _now: Micros, _link: Link, _out: &mut Outbox) {}
+    /// The file that the program was started with, read again because a signal asked for it.
+    fn reread(&mut self, _now: Micros, _file: &Bytes, _out: &mut Outbox) {}
     /// Another thread of the process tells something.
     fn told(&mut self, _now: Micros, _letter: &Bytes, _out: &mut Outbox) {}
     /// The loop came to what was due, or to its peers, so much later than it could have on an idle machine.
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,16 +1,15 @@
 //! Speaks the bench's binary wire on standard input and output and hosts one router for each instance.
 
 mod bytes;
-mod terms;
 
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
 
 use bytes::Fields;
-use terms::tenths;
 use tideroute::choice::Router;
 use tideroute::interface::{Arrival, Decision, Ending, Listing, Standing, Tenths};
+use tideroute_settings::tenths;
 
 type Routers = BTreeMap<u16, Router>;
 
@@ -66,7 +65,7 @@
     if code == 10 {
         let salt = f.u64("salt")?;
         let length = f.u32("config length")? as usize;
-        let terms = terms::read(f.bytes(length, "config")?)?;
+        let terms = tideroute_settings::read(f.bytes(length, "config")?)?;
         routers.insert(who, Router::new(terms, salt, now));
         return Ok(who);
     }
