--- /dev/null
+++ b/crates/command/tests/platform.rs
@@ -0,0 +1,359 @@
+//! The router on the platform as real processes on loopback: stand-ins of workers, discovery and clients that
+//! speak its protocol, SIGHUP and SIGTERM under load, and the five rules checked from what passed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+#[path = "../../platform/tests/common/mod.rs"]
+mod common;
+
+use common::{EVENTS, NEVER_RAN, READ};
+
+/// Long past what anything here takes; a test that waits so long has failed.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// How long the clients ask, when the new configuration comes, and when the signal to end.
+const ASKS: Duration = Duration::from_millis(3_000);
+const NEW_FILE: Duration = Duration::from_millis(1_000);
+const END: Duration = Duration::from_millis(2_600);
+const CLIENTS: usize = 12;
+
+/// What passed, as the stand-ins saw it.
+#[derive(Default)]
+struct Seen {
+    /// Whole requests at each worker that were not proven void, by trace id: when, and where.
+    shots: BTreeMap<String, Vec<(Instant, usize)>>,
+    /// States that are held, and since when.
+    states: BTreeMap<String, Instant>,
+    /// The longest that any was.
+    pinned: Duration,
+    /// When a worker was told to drain.
+    drained: BTreeMap<usize, Instant>,
+    /// Final answers of each submission; a second one would be a second entry.
+    answers: BTreeMap<String, Vec<u16>>,
+    single_use: BTreeSet<String>,
+    broken: Vec<String>,
+}
+
+type Shared = Arc<Mutex<Seen>>;
+
+fn look<T>(seen: &Shared, at: impl FnOnce(&mut Seen) -> T) -> T {
+    at(&mut seen.lock().unwrap_or_else(|e| e.into_inner()))
+}
+
+/// One message: its head, and its body by Content-Length or chunks. None at the end of the connection.
+fn message(stream: &mut TcpStream, kept: &mut Vec<u8>) -> Option<(String, Vec<u8>)> {
+    let mut piece = [0; 4096];
+    loop {
+        if let Some(end) = kept.windows(4).position(|w| w == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&kept[..end]).to_lowercase();
+            let field = |name: &str| {
+                head.split(&format!("\r\n{name}: ")).nth(1).map(|v| v.split("\r\n").next().unwrap_or(""))
+            };
+            let length = field("content-length").and_then(|l| l.parse::<usize>().ok()).unwrap_or(0);
+            let whole = if field("transfer-encoding").is_some() {
+                kept[end..].windows(5).position(|w| w == b"0\r\n\r\n").map(|at| end + at + 5)
+            } else {
+                (kept.len() >= end + 4 + length).then_some(end + 4 + length)
+            };
+            if let Some(whole) = whole {
+                let body = kept[end + 4..whole].to_vec();
+                kept.drain(..whole);
+                return Some((head, body));
+            }
+        }
+        match stream.read(&mut piece) {
+            Ok(0) => return None,
+            Ok(got) => kept.extend_from_slice(&piece[..got]),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return None,
+        }
+    }
+}
+
+fn field<'a>(head: &'a str, name: &str) -> &'a str {
+    head.split(&format!("\r\n{name}: ")).nth(1).and_then(|v| v.split("\r\n").next()).unwrap_or("")
+}
+
+fn serve(listener: TcpListener, each: impl Fn(TcpStream) + Send + Sync + 'static) {
+    let each = Arc::new(each);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (each, _) = (each.clone(), stream.set_nodelay(true));
+            std::thread::spawn(move || each(stream));
+        }
+    });
+}
+
+/// A reader or writer.
+fn worker(seen: Shared, number: usize, listener: TcpListener) {
+    serve(listener, move |mut stream| {
+        let (mut kept, mut count) = (vec![], 0);
+        while let Some((head, _)) = message(&mut stream, &mut kept) {
+            count += 1;
+            if !answer(&seen, number, count, &head, &mut stream) {
+                return;
+            }
+        }
+    });
+}
+
+fn answer(seen: &Shared, number: usize, count: usize, head: &str, stream: &mut TcpStream) -> bool {
+    let (line, trace) = (head.split("\r\n").next().unwrap_or(""), field(head, "x-trace-id").to_string());
+    let mut say = |text: &str| stream.write_all(text.as_bytes()).is_ok();
+    if let Some(trace) = line.strip_prefix("delete /internal/reservations/") {
+        look(seen, |s| s.states.remove(trace.split(' ').next().unwrap_or("")));
+        return say("HTTP/1.1 204 No Content\r\n\r\n");
+    }
+    if line.starts_with("post /internal/reservations/") {
+        return say(&common::plain(if count % 41 == 0 { 409 } else { 200 }, "", ""));
+    }
+    if line.starts_with("get /alive") {
+        return say(&common::plain(200, "", ""));
+    }
+    let now = Instant::now();
+    look(seen, |s| {
+        if s.drained.get(&number).is_some_and(|at| now > *at + Duration::from_millis(1_050)) {
+            s.broken.push(format!("rule 3: {trace} came to worker {number} long after it was told to drain"));
+        }
+    });
+    if common::WORKERS[number].1 == "reading" {
+        std::thread::sleep(Duration::from_millis(5));
+        if count % 47 == 0 {
+            return say(NEVER_RAN);
+        }
+        look(seen, |s| s.states.insert(trace, Instant::now()));
+        return say(READ);
+    }
+    if count % 43 == 0 {
+        return say(NEVER_RAN);
+    }
+    let state = look(seen, |s| {
+        let state = s.states.remove(&trace);
+        if let Some(since) = state {
+            s.pinned = s.pinned.max(since.elapsed());
+            s.shots.entry(trace.clone()).or_default().push((now, number));
+        }
+        state
+    });
+    if state.is_none() {
+        return say(&NEVER_RAN.replace("503", "410"));
+    }
+    // Now and then the connection breaks with the request in hand, or the stream in the middle.
+    if count % 29 == 0 {
+        return false;
+    }
+    if !say(common::HEAD) {
+        return false;
+    }
+    for (n, event) in EVENTS.iter().enumerate() {
+        std::thread::sleep(Duration::from_millis(3));
+        if (n == 2 && count % 31 == 0) || !say(&common::chunk(event)) {
+            return false;
+        }
+    }
+    say("0\r\n\r\n")
+}
+
+/// Discovery: one line with the whole list, then empty ones.
+fn discovery(seen: Shared, list: Value) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("an address").to_string();
+    serve(listener, move |mut stream| {
+        if message(&mut stream, &mut vec![]).is_none() {
+            return;
+        }
+        let line = common::chunk(&format!("{list}\n"));
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        let _ = stream.write_all(format!("{head}{line}").as_bytes());
+        look(&seen, |s| {
+            let servers = list["servers"].as_array().into_iter().flatten().enumerate();
+            for (n, _) in servers.filter(|(_, server)| server["state"] == "DRAINING") {
+                s.drained.entry(n).or_insert(Instant::now());
+            }
+        });
+        while stream.write_all(common::chunk("\n").as_bytes()).is_ok() {
+            std::thread::sleep(Duration::from_millis(200));
+        }
+    });
+    at
+}
+
+/// Asks until it is told to stop. A connection that ends before a byte of an answer came is opened anew once.
+fn client(seen: Shared, number: usize, router: String, stop: Arc<AtomicBool>) {
+    let mut connection: Option<(TcpStream, Vec<u8>)> = None;
+    for n in 0.. {
+        if stop.load(Ordering::Relaxed) {
+            return;
+        }
+        let (trace, track) = (format!("c{number}-{n}"), ["safe", "once", "keyed"][n % 3]);
+        if track == "once" {
+            look(&seen, |s| s.single_use.insert(trace.clone()));
+        }
+        let asked = common::ask_for(&trace, track, 2_000, "{\"model\":\"m\"}");
+        for _ in 0..2 {
+            let Some((mut stream, mut kept)) = connection.take().or_else(|| {
+                let stream = TcpStream::connect(&router).ok()?;
+                stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+                Some((stream, vec![]))
+            }) else {
+                // Nobody listens any more: the router has ended.
+                return;
+            };
+            let sent = Instant::now();
+            let whole =
+                stream.write_all(asked.as_bytes()).is_ok().then(|| message(&mut stream, &mut kept)).flatten();
+            let status = match &whole {
+                Some((head, _)) => head.get(9..12).and_then(|s| s.parse().ok()).unwrap_or(0),
+                // An answer that began and broke is an answer: its stream failed.
+                None if !kept.is_empty() => 1,
+                None => continue,
+            };
+            look(&seen, |s| {
+                s.answers.entry(trace.clone()).or_default().push(status);
+                if status != 200 && status != 1 && sent.elapsed() > Duration::from_millis(2_050) {
+                    s.broken.push(format!("rule 1: {trace} was answered {status} after its time"));
+                }
+            });
+            if whole.is_some_and(|(head, _)| field(&head, "connection") != "close") {
+                connection = Some((stream, kept));
+            }
+            break;
+        }
+    }
+}
+
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn signal(child: &Child, name: &str) {
+    let sent = Command::new("kill").args([name, &child.id().to_string()]).status().expect("kill runs");
+    assert!(sent.success());
+}
+
+fn until<T>(mut look: impl FnMut() -> Option<T>) -> T {
+    let began = Instant::now();
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(began.elapsed() < PATIENCE, "waited too long");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn up(router: &str) -> Option<()> {
+    let mut stream = TcpStream::connect(router).ok()?;
+    stream.write_all(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n").ok()?;
+    let (head, _) = message(&mut stream, &mut vec![])?;
+    head.starts_with("http/1.1 200").then_some(())
+}
+
+/// A port that was free a moment ago.
+fn free() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address").to_string()
+}
+
+#[test]
+fn signals_under_load_break_no_rule() {
+    let seen = Shared::default();
+    let mut list = common::list(5);
+    for (n, server) in list["servers"].as_array_mut().expect("a list").iter_mut().enumerate() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        server["addr"] = json!(listener.local_addr().expect("an address").to_string());
+        worker(seen.clone(), n, listener);
+    }
+    let mut drains = list.clone();
+    drains["version"] = json!(6);
+    drains["servers"][2]["state"] = json!("DRAINING");
+    let (old, new) = (discovery(seen.clone(), list.clone()), discovery(seen.clone(), drains));
+    let (router, mut file) = (free(), common::file());
+    (file["listen"], file["discovery"], file["known"]) = (json!(router), json!(old), list);
+    let path = std::env::temp_dir().join(format!("tideroute-platform-{}.json", std::process::id()));
+    std::fs::write(&path, file.to_string()).expect("a file");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tideroute"));
+    command.arg("platform").env("EDGE_CONFIG", &path).stdin(Stdio::null());
+    let mut running = Running(command.spawn().expect("it runs"));
+    until(|| up(&router));
+    let (stop, began) = (Arc::new(AtomicBool::new(false)), Instant::now());
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|n| {
+            let (seen, router, stop) = (seen.clone(), router.clone(), stop.clone());
+            std::thread::spawn(move || client(seen, n, router, stop))
+        })
+        .collect();
+    until(|| (began.elapsed() >= NEW_FILE).then_some(()));
+    file["discovery"] = json!(new);
+    std::fs::write(&path, file.to_string()).expect("a file");
+    signal(&running.0, "-HUP");
+    until(|| look(&seen, |s| s.drained.get(&2).copied()));
+    until(|| (began.elapsed() >= END).then_some(()));
+    signal(&running.0, "-TERM");
+    signal(&running.0, "-TERM");
+    until(|| (began.elapsed() >= ASKS).then_some(()));
+    stop.store(true, Ordering::Relaxed);
+    clients.into_iter().for_each(|c| c.join().expect("a client"));
+    let ended = until(|| running.0.try_wait().expect("its end"));
+    assert_eq!(ended.code(), Some(0));
+    let _ = std::fs::remove_file(&path);
+    look(&seen, |s| {
+        assert_eq!(s.broken, Vec::<String>::new());
+        let honoured = s.answers.values().filter(|a| a[..] == [200]).count();
+        assert!(honoured > 200, "{honoured} honoured of {}", s.answers.len());
+        for (trace, answers) in &s.answers {
+            assert_eq!(answers.len(), 1, "rule 1: {trace} has {answers:?}");
+            assert!(matches!(answers[0], 1 | 200 | 502 | 503 | 504), "{trace}: {answers:?}");
+            let shots = s.shots.get(trace).map_or(0, Vec::len);
+            // Rule 2: once at most, and no turn-back after it.
+            let once = s.single_use.contains(trace);
+            assert!(!once || shots <= 1, "rule 2: {trace} ran {shots} times");
+            assert!(!once || shots == 0 || answers[0] != 503, "rule 2: {trace} ran and was turned back");
+        }
+        assert!(s.shots.values().flatten().any(|(at, w)| *w == 3 && *at > s.drained[&2]), "others go on");
+        // Rule 5.
+        assert!(s.pinned < Duration::from_millis(1_300), "a state was held for {:?}", s.pinned);
+        assert!(s.states.is_empty(), "rule 5: states are left: {:?}", s.states);
+    });
+}
+
+#[test]
+fn a_configuration_that_can_not_be_used_ends_it_before_it_listens() {
+    let path = std::env::temp_dir().join(format!("tideroute-bad-{}.json", std::process::id()));
+    let start = |file: Option<&str>| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tideroute"));
+        command.arg("platform").env_remove("EDGE_CONFIG").stdin(Stdio::null());
+        if let Some(text) = file {
+            std::fs::write(&path, text).expect("a file");
+            command.env("EDGE_CONFIG", &path);
+        }
+        let output = command.output().expect("it runs");
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+    };
+    let (code, told) = start(None);
+    assert!(code == Some(2) && told.contains("EDGE_CONFIG"), "{told}");
+    let (code, told) = start(Some("{"));
+    assert!(code == Some(2) && told.contains("no JSON") && told.contains("tideroute-bad"), "{told}");
+    let mut file = common::file();
+    file["limits"] = json!({});
+    let (code, told) = start(Some(&file.to_string()));
+    assert!(code == Some(2) && told.contains("limits.sockets: expected"), "{told}");
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut file = common::file();
+    file["listen"] = json!(taken.local_addr().expect("an address").to_string());
+    let (code, told) = start(Some(&file.to_string()));
+    assert!(code == Some(2) && told.contains("cannot listen at"), "{told}");
+    let _ = std::fs::remove_file(&path);
+}
--- a/crates/platform/src/errands.rs
+++ b/crates/platform/src/errands.rs
@@ -72,6 +72,9 @@
         if errand.out.is_empty() {
             tracing::debug!(id = errand.id, "nobody could be told to let go");
             self.open.remove(&number);
+        } else {
+            // Nobody else is left to ask: who was asked has as long again.
+            out.ring(now + PATIENCE, key(Ring::Errand(number)));
         }
     }
 
--- /dev/null
+++ b/crates/platform/tests/clients.rs
@@ -0,0 +1,211 @@
+//! Clients that can't be trusted, and the limits of the process, on bytes in virtual time.
+
+mod common;
+
+use common::*;
+
+/// What passes to workers so far.
+fn shots(stage: &mut Stage) -> usize {
+    stage.calls("POST /v1").len()
+}
+
+#[test]
+fn what_is_no_sound_submission_gets_an_error_and_goes_to_no_worker() {
+    let sound = ask("id", "safe");
+    let with = |from: &str, to: &str| sound.replace(from, to);
+    for (status, request) in [
+        (400, "\u{16}\u{3}\u{1}\u{0} noise\r\n\r\n".to_string()),
+        (400, "GET\r\n\r\n".into()),
+        (400, with("Host: service.internal\r\n", "")),
+        (400, with("X-Trace-Id: id\r\n", "")),
+        (400, with("X-Trace-Id: id", "X-Trace-Id:")),
+        (400, with("X-Trace-Id: id", "X-Trace-Id: a/../b")),
+        (400, with("X-Trace-Id: id", &format!("X-Trace-Id: {}", "a".repeat(200)))),
+        (400, with("X-Trace-Id: id", "X-Trace-Id: a\r\nX-Trace-Id: b")),
+        (400, with("X-Qos: safe", "X-Qos: nobody-knows")),
+        (400, with("X-Qos: safe\r\n", "")),
+        (400, with("X-Expires-In-Ms: 4000", "X-Expires-In-Ms: soon")),
+        (400, with("X-Expires-In-Ms: 4000", "X-Expires-In-Ms: -1")),
+        (400, with("X-Expires-In-Ms: 4000", "X-Expires-In-Ms: +1")),
+        (400, with("X-Expires-In-Ms: 4000", "X-Expires-In-Ms: 1e3")),
+        (400, with("X-Expires-In-Ms: 4000", "X-Expires-In-Ms: 99999999999999999999999")),
+        (400, with("X-Expires-In-Ms: 4000\r\n", "")),
+        (400, with("prompt_len=500", "prompt_len=many")),
+        (400, with("prompt_len=500", "prompt_len=-5")),
+        (400, with("prompt_len=500", "prompt_len=99999999999")),
+        (400, with("Content-Length: 27", "Content-Length: -27")),
+        (400, with("Content-Length: 27", "Content-Length: 27\r\nContent-Length: 27")),
+        (400, with("Content-Length: 27", "Content-Length: 27\r\nTransfer-Encoding: chunked")),
+        (400, with("Content-Length: 27", "Content-Length: 20")),
+        (400, with("Content-Length: 27\r\n", "")),
+        (413, with("Content-Length: 27", "Content-Length: 60000000")),
+        (413, with("Content-Length: 27", "Content-Length: 999999999999999999999999")),
+        (431, format!("POST /v1/chat/completions HTTP/1.1\r\nx: {}", "y".repeat(9_000))),
+        (405, with("POST /v1", "GET /v1")),
+        (404, with("/v1/chat/completions", "/internal/reservations/id")),
+        (505, with("HTTP/1.1", "HTTP/1.0")),
+        (417, with("Host:", "Expect: wonders\r\nHost:")),
+    ] {
+        for split in [1, request.len()] {
+            let mut stage = Stage::new();
+            let client = stage.come();
+            request.as_bytes().chunks(split).for_each(|piece| stage.say(client, piece));
+            assert_eq!(stage.statuses(client), [status], "{}", request.get(..300).unwrap_or(&request));
+            assert_eq!(stage.ended.get(&client), Some(&false), "told, then closed in two steps");
+            assert_eq!(shots(&mut stage), 0, "{request:?}");
+        }
+    }
+}
+
+#[test]
+fn a_body_hides_no_second_request() {
+    let mut stage = Stage::new();
+    let client = stage.come();
+    let hidden = ask("hidden", "once");
+    let body = format!("0\r\n\r\n{hidden}");
+    let outer =
+        ask_for("outer", "safe", 4_000, &body).replace("Host:", "Transfer-Encoding: chunked\r\nHost:");
+    stage.say(client, outer);
+    assert_eq!(stage.statuses(client), [400]);
+    assert_eq!(shots(&mut stage), 0);
+}
+
+#[test]
+fn a_chunked_body_goes_on_with_its_length() {
+    let mut stage = Stage::new();
+    let client = stage.come();
+    let whole = ask("id", "safe");
+    let (head, _) = whole.split_once("Content-Length").expect("a length");
+    let body = r#"{"model":"m"}"#;
+    stage.say(client, format!("{head}Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n\r\n"));
+    assert_eq!(stage.statuses(client), [100]);
+    stage.say(client, format!("{}{}0\r\n\r\n", chunk(&body[..5]), chunk(&body[5..])));
+    let (reader, _) = stage.shot();
+    assert!(
+        stage.text(reader).ends_with(&format!("content-length: 13\r\n\r\n{body}")),
+        "{}",
+        stage.text(reader)
+    );
+}
+
+#[test]
+fn an_id_that_is_open_gets_an_error_and_the_first_is_left_alone() {
+    let mut stage = Stage::new();
+    let (first, second) = (stage.come(), stage.come());
+    stage.say(first, ask("id", "safe"));
+    let (reader, _) = stage.shot();
+    stage.say(second, ask("id", "safe"));
+    assert_eq!(stage.statuses(second), [409]);
+    stage.say(reader, READ);
+    let (writer, _) = stage.shot();
+    stage.say(writer, stream());
+    assert_eq!(unchunked(&stage.text(first)), (EVENTS.concat(), true));
+    // Once it is over, nothing of it is kept.
+    let third = stage.come();
+    stage.say(third, ask("id", "safe"));
+    assert_eq!(shots(&mut stage), 1);
+}
+
+#[test]
+fn sound_requests_behind_each_other_are_answered_whole_and_in_order() {
+    let mut stage = Stage::new();
+    stage.discover(&list(5));
+    let client = stage.come();
+    let asked = ["a", "b", "c"].map(|id| ask(id, "safe")).concat();
+    stage.say(client, format!("{asked}GET /up HTTP/1.1\r\nHost: a\r\n\r\n"));
+    for id in ["a", "b", "c"] {
+        let (reader, _) = stage.shot();
+        assert!(stage.text(reader).contains(&format!("x-trace-id: {id}\r\n")));
+        stage.say(reader, READ);
+        let (writer, _) = stage.shot();
+        stage.say(writer, stream());
+    }
+    assert_eq!(stage.statuses(client), [200, 200, 200, 200]);
+    assert_eq!(stage.text(client).matches("data: [DONE]").count(), 3);
+    assert!(!stage.ended.contains_key(&client));
+}
+
+#[test]
+fn who_sends_far_ahead_is_not_read_until_its_turn_comes() {
+    let mut stage = Stage::new();
+    let client = stage.come();
+    stage.say(client, ask("a", "safe"));
+    let behind = ask_for("b", "safe", 4_000, &format!("\"{}\"", "x".repeat(100_000)));
+    behind.as_bytes().chunks(10_000).for_each(|piece| stage.say(client, piece));
+    assert!(stage.hushed.contains(&client));
+    let (reader, _) = stage.shot();
+    stage.say(reader, READ);
+    let (writer, _) = stage.shot();
+    stage.say(writer, stream());
+    assert!(!stage.hushed.contains(&client));
+    assert_eq!(shots(&mut stage), 1, "the second follows");
+}
+
+#[test]
+fn silent_and_half_connections_end_in_time() {
+    let mut stage = Stage::new();
+    let (silent, half, body) = (stage.come(), stage.come(), stage.come());
+    stage.say(half, "POST /v1/chat");
+    let whole = ask("id", "safe");
+    stage.say(body, &whole[..whole.len() - 5]);
+    for _ in 0..25 {
+        stage.pass(100 * MS);
+        // One that drips gets no more time for it.
+        stage.say(half, "x");
+    }
+    assert_eq!((stage.statuses(silent), stage.ended.get(&silent)), (vec![], Some(&false)));
+    assert_eq!((stage.statuses(half), stage.statuses(body)), (vec![408], vec![408]));
+    assert_eq!(shots(&mut stage), 0);
+}
+
+#[test]
+fn connections_beyond_the_room_take_that_of_the_idle_and_never_of_an_open_request() {
+    let mut stage = Stage::new();
+    let open: Vec<_> = (0..60)
+        .map(|n| {
+            let client = stage.come();
+            stage.say(client, ask(&format!("id{n}"), "safe"));
+            client
+        })
+        .collect();
+    let silent: Vec<_> = (0..400).map(|_| stage.come()).collect();
+    assert!(open.iter().all(|c| !stage.ended.contains_key(c) || stage.statuses(*c) == [503]));
+    assert!(silent[..200].iter().all(|c| stage.ended.contains_key(c)), "the idle that came first");
+    assert!(!stage.ended.contains_key(&silent[399]), "one more is always taken");
+    // And still one that asks is served.
+    let client = stage.come();
+    stage.say(client, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert_eq!(stage.statuses(client).len(), 1);
+}
+
+#[test]
+fn more_than_may_be_open_is_turned_back_with_a_time() {
+    let mut stage = Stage::new();
+    let mut full = None;
+    for n in 0..107 {
+        let client = stage.come();
+        stage.say(client, ask_for(&format!("id{n}"), "safe", 4_000, "{}"));
+        if stage.statuses(client) == [503] {
+            full = Some(client);
+            break;
+        }
+    }
+    let client = full.expect("one that is turned back");
+    assert!(stage.text(client).contains("retry-after: 0."), "{}", stage.text(client));
+    assert!(!stage.ended.contains_key(&client), "the connection goes on");
+}
+
+#[test]
+fn bodies_that_are_being_read_take_no_more_than_their_part_of_memory() {
+    let mut stage = Stage::new();
+    let body = format!("\"{}\"", "x".repeat(250_000));
+    let mut told = 0;
+    for n in 0..60 {
+        let client = stage.come();
+        let whole = ask_for(&format!("id{n}"), "safe", 4_000, &body);
+        // All but the last byte: it is held and can go nowhere.
+        stage.say(client, &whole[..whole.len() - 1]);
+        told += usize::from(stage.statuses(client) == [503]);
+    }
+    assert!((20..40).contains(&told), "{told} of 60 bodies of 250 KB are told no where 8 MB may be held");
+}
--- /dev/null
+++ b/crates/platform/tests/common/mod.rs
@@ -0,0 +1,304 @@
+//! A router fed with bytes in virtual time: the test is its clients, workers, discovery and loop at once.
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use serde_json::json;
+use tideroute_platform::Platform;
+use tideroute_wire::link::{Act, Link, Loss, Outbox, Program};
+use tideroute_wire::{Address, Micros};
+
+pub const BEGAN: Micros = 1_700_000_000_000_000;
+pub const MS: Micros = 1_000;
+pub const DISCOVERY: &str = "127.0.9.9:85";
+
+/// Two readers and two writers in one cell, and one of each in another.
+pub const WORKERS: [(&str, &str, u16); 6] = [
+    ("r1", "reading", 0),
+    ("r2", "reading", 0),
+    ("w1", "writing", 0),
+    ("w2", "writing", 0),
+    ("r3", "reading", 1),
+    ("w3", "writing", 1),
+];
+
+pub fn address_of(worker: usize) -> String {
+    format!("127.0.1.{}:80", worker + 1)
+}
+
+pub fn entry(worker: usize, state: &str, started_ms: u64) -> serde_json::Value {
+    let (id, kind, cell) = WORKERS[worker];
+    json!({"id": id, "addr": address_of(worker), "zone": "east", "kind": kind, "cell": cell, "state": state,
+        "weight": 1.0, "started_ms": started_ms})
+}
+
+pub fn list(version: u64) -> serde_json::Value {
+    let servers: Vec<_> = (0..WORKERS.len()).map(|w| entry(w, "SERVING", 0)).collect();
+    json!({"version": version, "full": true, "servers": servers})
+}
+
+/// A configuration: three tracks, one of each kind of repeat.
+pub fn file() -> serde_json::Value {
+    let class = |name: &str, repeat: &str| {
+        json!({"name": name, "idempotency": repeat, "dedup_scope": "all", "key_ttl_ms": 5_000.0,
+            "on_time_ms": 1_000.0, "hard_limit_ms": 5_000.0, "worth": 1.0})
+    };
+    json!({
+        "name": "n1", "listen": "127.0.0.1:80", "discovery": DISCOVERY, "seed": "00000000000000ab",
+        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256},
+        "known": list(4),
+        "settings": {
+            "balancers": 1,
+            "caps": {"cancel": true, "conn_idle_ms": 10_000.0, "dial_timeout_ms": 250.0, "max_attempts": 6,
+                "max_retry_after_ms": 500.0, "probing": true, "retry_after": true},
+            "classes": [class("safe", "pure"), class("once", "side_effect"), class("keyed", "token")],
+            "discovery": "automatic", "failure_domains": ["east"], "kinds": ["reading", "writing"],
+            "family_info": {"ahead": true, "kind_role": ["read", "write"], "pin_limit_ms": 1_000.0,
+                "aim_us_per_1000_prompt_tokens": [0.0, 0.0, 0.0], "writers_read": false},
+            "invariants": {"cold_share": 0.3, "fall_ms": 1_000.0, "fall_multiple": 2.5, "ramp_time_ms": 10_000.0},
+        }
+    })
+}
+
+pub struct Stage {
+    pub program: Platform,
+    pub now: Micros,
+    out: Outbox,
+    rings: BTreeSet<(Micros, u64)>,
+    came: u64,
+    /// Dialled links that are open or may come to be, and to whom.
+    pub dialled: BTreeMap<Link, Address>,
+    /// All that the router has sent on each link.
+    pub sent: BTreeMap<Link, Vec<u8>>,
+    /// Links that the router ended, and whether it cut them.
+    pub ended: BTreeMap<Link, bool>,
+    pub hushed: BTreeSet<Link>,
+    /// Sent, and not yet told to be written.
+    unwritten: BTreeSet<Link>,
+    /// Dials are answered at once, and what is sent is written at once.
+    pub eager: bool,
+    /// How much of what was sent each worker's link has been asked for already.
+    taken: BTreeMap<Link, usize>,
+}
+
+impl Stage {
+    pub fn new() -> Stage {
+        Stage::with(&file())
+    }
+
+    pub fn with(file: &serde_json::Value) -> Stage {
+        let terms = tideroute_platform::read(file.to_string().as_bytes()).expect("a sound configuration");
+        let mut stage = Stage {
+            program: Platform::new(terms, BEGAN),
+            now: BEGAN,
+            out: Outbox::default(),
+            rings: BTreeSet::new(),
+            came: 0,
+            dialled: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            hushed: BTreeSet::new(),
+            unwritten: BTreeSet::new(),
+            eager: true,
+            taken: BTreeMap::new(),
+        };
+        stage.program.begin(stage.now, &mut stage.out);
+        stage.settle();
+        stage
+    }
+
+    /// Carries out what the router asked for, as its loop does, until it asks for nothing more.
+    fn settle(&mut self) {
+        loop {
+            self.program.turn(self.now, &mut self.out);
+            let acts = self.out.take();
+            for act in acts {
+                match act {
+                    Act::Dial { link, to, .. } => drop(self.dialled.insert(link, to)),
+                    Act::Send { link, frame } => {
+                        assert!(!self.ended.contains_key(&link), "sends on a link that it ended");
+                        self.sent.entry(link).or_default().extend_from_slice(&frame);
+                        self.unwritten.insert(link);
+                    }
+                    Act::Close { link, .. } => drop(self.ended.insert(link, false)),
+                    Act::Cut { link } => {
+                        self.unwritten.remove(&link);
+                        self.ended.insert(link, true);
+                    }
+                    Act::Ring { at, key } => drop(self.rings.insert((at, key))),
+                    Act::Hush { link, hush: true } => drop(self.hushed.insert(link)),
+                    Act::Hush { link, .. } => drop(self.hushed.remove(&link)),
+                    act => panic!("the router asks for {act:?}"),
+                }
+            }
+            let written = std::mem::take(&mut self.unwritten);
+            let (now, later): (Vec<_>, Vec<_>) =
+                written.into_iter().partition(|l| self.eager || !l.dialled());
+            self.unwritten.extend(later);
+            if now.is_empty() {
+                return;
+            }
+            now.into_iter().for_each(|link| self.program.drained(self.now, link, &mut self.out));
+        }
+    }
+
+    /// What was sent on a link has been written.
+    pub fn written(&mut self, link: Link) {
+        self.unwritten.remove(&link);
+        self.program.drained(self.now, link, &mut self.out);
+        self.settle();
+    }
+
+    pub fn come(&mut self) -> Link {
+        let link = Link(self.came);
+        self.came += 1;
+        self.program.accepted(self.now, link, 0, &mut self.out);
+        self.settle();
+        link
+    }
+
+    pub fn say(&mut self, link: Link, bytes: impl AsRef<[u8]>) {
+        if !self.ended.contains_key(&link) {
+            let bytes = Bytes::copy_from_slice(bytes.as_ref());
+            self.program.heard(self.now, link, &bytes, &mut self.out);
+            self.settle();
+        }
+    }
+
+    /// The other end closes or resets the link.
+    pub fn lose(&mut self, link: Link) {
+        self.lose_as(link, Loss::Broken);
+    }
+
+    pub fn lose_as(&mut self, link: Link, loss: Loss) {
+        self.unwritten.remove(&link);
+        self.dialled.remove(&link);
+        self.program.lost(self.now, link, loss, &mut self.out);
+        self.settle();
+    }
+
+    pub fn crowded(&mut self, link: Link, crowded: bool) {
+        self.program.crowded(self.now, link, crowded, &mut self.out);
+        self.settle();
+    }
+
+    pub fn reread(&mut self, file: &serde_json::Value) {
+        self.program.reread(self.now, &Bytes::from(file.to_string()), &mut self.out);
+        self.settle();
+    }
+
+    pub fn stop(&mut self) {
+        self.program.stop(self.now, &mut self.out);
+        self.settle();
+    }
+
+    /// Lets time pass; timers ring when they are due.
+    pub fn pass(&mut self, time: Micros) {
+        let until = self.now + time;
+        while let Some(&(at, key)) = self.rings.first().filter(|(at, _)| *at <= until) {
+            self.rings.pop_first();
+            self.now = self.now.max(at);
+            self.program.rang(self.now, key, &mut self.out);
+            self.settle();
+        }
+        self.now = until;
+    }
+
+    pub fn text(&self, link: Link) -> String {
+        String::from_utf8_lossy(self.sent.get(&link).map_or(&[], Vec::as_slice)).into_owned()
+    }
+
+    /// Statuses of the answers that a client has got.
+    pub fn statuses(&self, link: Link) -> Vec<u16> {
+        let text = self.text(link);
+        text.split("HTTP/1.1 ").skip(1).filter_map(|part| part.get(..3)?.parse().ok()).collect()
+    }
+
+    /// Calls to workers that begin with these words and were not taken yet: the link and the worker.
+    pub fn calls(&mut self, begin: &str) -> Vec<(Link, usize)> {
+        let mut found = vec![];
+        for (&link, to) in &self.dialled {
+            let all = self.sent.get(&link).map_or(&[][..], Vec::as_slice);
+            let taken = self.taken.entry(link).or_default();
+            if !self.ended.contains_key(&link) && all[*taken..].starts_with(begin.as_bytes()) {
+                *taken = all.len();
+                found.push((link, usize::from(to[3]) - 1));
+            }
+        }
+        found
+    }
+
+    /// The one such call.
+    pub fn call(&mut self, begin: &str) -> (Link, usize) {
+        let calls = self.calls(begin);
+        assert_eq!(calls.len(), 1, "calls that begin with {begin}: {calls:?}");
+        calls[0]
+    }
+
+    pub fn shot(&mut self) -> (Link, usize) {
+        self.call("POST /v1/chat")
+    }
+
+    /// The link of the watch at discovery, and what was asked on it.
+    pub fn watch(&self) -> (Link, String) {
+        let at = |(link, to): (&Link, &Address)| (to[2] == 9 || to[2] == 8) && !self.ended.contains_key(link);
+        let link = self.dialled.iter().filter(|e| at(*e)).map(|(l, _)| *l).last().expect("a watch");
+        (link, self.text(link))
+    }
+
+    /// Discovery answers the watch with a line.
+    pub fn discover(&mut self, line: &serde_json::Value) {
+        let (link, _) = self.watch();
+        let line = format!("{line}\n");
+        let text =
+            format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{line}\r\n", line.len());
+        self.say(link, text);
+    }
+}
+
+pub fn ask(trace: &str, track: &str) -> String {
+    ask_for(trace, track, 4_000, r#"{"model":"m","messages":[]}"#)
+}
+
+pub fn ask_for(trace: &str, track: &str, left: u64, body: &str) -> String {
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: service.internal\r\nX-Trace-Id: {trace}\r\nX-Qos: {track}\r\n\
+         X-Object: 7f3a\r\nX-Expires-In-Ms: {left}\r\nX-Props: prefix=5c0f,prompt_len=500,prefix_len=200,max_out=80\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+pub fn plain(status: u16, fields: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status} Some\r\n{fields}content-length: {}\r\n\r\n{body}", body.len())
+}
+
+pub const READ: &str = "HTTP/1.1 202 Accepted\r\ncontent-length: 19\r\n\r\n{\"cached_tokens\":10}";
+pub const NEVER_RAN: &str = "HTTP/1.1 503 Full\r\nx-never-ran: 1\r\ncontent-length: 0\r\n\r\n";
+pub const HEAD: &str =
+    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+pub const EVENTS: [&str; 3] = ["data: {\"a\":1}\n\n", "data: {\"b\":2}\n\n", "data: [DONE]\n\n"];
+
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// A whole stream as a worker sends it.
+pub fn stream() -> String {
+    format!("{HEAD}{}0\r\n\r\n", EVENTS.map(chunk).concat())
+}
+
+/// The body of a chunked answer, and whether its last chunk is there.
+pub fn unchunked(text: &str) -> (String, bool) {
+    let (mut left, mut body) = (text.split_once("\r\n\r\n").map_or("", |(_, b)| b), String::new());
+    while let Some((size, rest)) = left.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).expect("a size");
+        if size == 0 {
+            return (body, rest == "\r\n");
+        }
+        body.push_str(&rest[..size]);
+        left = &rest[size + 2..];
+    }
+    (body, false)
+}
--- /dev/null
+++ b/crates/platform/tests/list.rs
@@ -0,0 +1,233 @@
+//! Discovery, new configurations and the end, on bytes in virtual time.
+
+mod common;
+
+use common::*;
+use serde_json::json;
+use tideroute_wire::link::{Link, Loss};
+
+fn up(stage: &mut Stage) -> u16 {
+    let client = stage.come();
+    stage.say(client, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    stage.statuses(client)[0]
+}
+
+/// The worker to which a submission's read goes.
+fn reader_of(stage: &mut Stage, trace: &str) -> usize {
+    let client = stage.come();
+    stage.say(client, ask(trace, "safe"));
+    let (link, at) = stage.shot();
+    stage.lose(client);
+    assert!(stage.ended.contains_key(&link));
+    stage.pass(20 * MS);
+    for begin in ["POST /internal", "DELETE"] {
+        let calls = stage.calls(begin);
+        calls.into_iter().for_each(|(link, _)| stage.say(link, "HTTP/1.1 204 No Content\r\n\r\n"));
+    }
+    at
+}
+
+#[test]
+fn it_is_up_once_discovery_has_spoken_or_is_silent_for_a_while() {
+    let mut stage = Stage::new();
+    assert_eq!(up(&mut stage), 503);
+    stage.discover(&list(5));
+    assert_eq!(up(&mut stage), 200);
+    let mut stage = Stage::new();
+    stage.pass(1_100 * MS);
+    assert_eq!(up(&mut stage), 200, "a dead agent does not stop it");
+    let mut unknown = file();
+    unknown["known"] = json!({"version": 0, "full": true, "servers": []});
+    let mut stage = Stage::with(&unknown);
+    stage.pass(1_100 * MS);
+    assert_eq!(up(&mut stage), 503, "it knows nobody to send to");
+}
+
+#[test]
+fn lines_come_in_odd_pieces_and_changes_are_applied_in_order() {
+    let mut stage = Stage::new();
+    let (link, asked) = stage.watch();
+    assert!(asked.starts_with("GET /discovery/hosts?watch=1&after=4 HTTP/1.1\r\n"), "{asked}");
+    let drain = |version, states: [&str; 3]| {
+        let servers: Vec<_> = [0, 1, 4].iter().zip(states).map(|(w, s)| entry(*w, s, 0)).collect();
+        json!({"version": version, "full": false, "servers": servers})
+    };
+    let text = format!(
+        "{}\n\n{}\n",
+        drain(5, ["DRAINING", "SERVING", "DELETED"]),
+        drain(6, ["DRAINING", "SERVING", "DELETED"])
+    );
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    stage.say(link, head);
+    for piece in text.as_bytes().chunks(7) {
+        let piece = std::str::from_utf8(piece).expect("ASCII");
+        chunk(piece).as_bytes().chunks(3).for_each(|bytes| stage.say(link, bytes));
+    }
+    for n in 0..20 {
+        assert_eq!(reader_of(&mut stage, &format!("id{n}")), 1, "the one that is left");
+    }
+}
+
+#[test]
+fn a_watch_that_ends_is_silent_or_can_not_be_read_is_opened_anew() {
+    let ends: [fn(&mut Stage, Link); 5] = [
+        |s, l| s.lose(l),
+        |s, l| s.lose_as(l, Loss::Unreached),
+        |s, _| s.pass(5_100 * MS),
+        |s, l| s.say(l, "HTTP/1.1 500 Oh\r\n\r\n"),
+        |s, l| {
+            s.say(
+                l,
+                format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{}", chunk("{\"version\":\n")),
+            )
+        },
+    ];
+    for (n, end) in ends.into_iter().enumerate() {
+        let mut stage = Stage::new();
+        let (link, _) = stage.watch();
+        end(&mut stage, link);
+        stage.pass(250 * MS);
+        let (again, asked) = stage.watch();
+        assert!(again != link && asked.contains("after=4 "), "case {n}");
+        assert_eq!(up(&mut stage), if n == 2 { 200 } else { 503 }, "the old list stays, case {n}");
+    }
+}
+
+#[test]
+fn a_list_older_than_the_one_in_force_is_passed_over_until_it_lasts() {
+    let mut stage = Stage::new();
+    let mut newer = list(9);
+    newer["servers"][0]["state"] = json!("DRAINING");
+    stage.discover(&newer);
+    stage.discover(&list(7));
+    for n in 0..20 {
+        assert_ne!(reader_of(&mut stage, &format!("id{n}")), 0, "it drains still");
+    }
+    stage.pass(11_000 * MS);
+    stage.discover(&list(7));
+    let readers: Vec<_> = (0..40).map(|n| reader_of(&mut stage, &format!("x{n}"))).collect();
+    assert!(readers.contains(&0) || readers.iter().all(|r| *r == readers[0]), "{readers:?}");
+}
+
+#[test]
+fn workers_are_ranked_by_their_names_and_not_by_their_addresses() {
+    let mut moved = file();
+    for (n, server) in moved["known"]["servers"].as_array_mut().expect("a list").iter_mut().enumerate() {
+        server["addr"] = json!(format!("127.0.1.{}:80", 6 - n));
+    }
+    let (mut here, mut there) = (Stage::new(), Stage::with(&moved));
+    for n in 0..30 {
+        let (a, b) = (reader_of(&mut here, &format!("id{n}")), reader_of(&mut there, &format!("id{n}")));
+        assert_eq!(a, 5 - b, "the same reader at another address");
+    }
+}
+
+#[test]
+fn a_new_start_under_an_old_name_makes_old_connections_dead() {
+    let mut stage = Stage::new();
+    stage.discover(&list(5));
+    let client = stage.come();
+    stage.say(client, ask("id", "safe"));
+    let (reader, at) = stage.shot();
+    stage.pass(1_000 * MS);
+    let started = stage.now / MS - 100;
+    stage.discover(&json!({"version": 6, "full": false, "servers": [entry(at, "SERVING", started)]}));
+    assert!(stage.ended.contains_key(&reader));
+    stage.pass(20 * MS);
+    assert_ne!(stage.shot().1, at, "it is read elsewhere: that one is cold");
+}
+
+#[test]
+fn a_new_configuration_moves_the_watch_and_disturbs_nothing() {
+    let mut stage = Stage::new();
+    stage.discover(&list(5));
+    let client = stage.come();
+    stage.say(client, ask("id", "safe"));
+    let (reader, _) = stage.shot();
+    let (old, _) = stage.watch();
+    let mut fresh = file();
+    fresh["discovery"] = json!("127.0.8.8:85");
+    stage.reread(&fresh);
+    let (new, asked) = stage.watch();
+    assert!(stage.ended.contains_key(&old) && asked.contains("after=5 "));
+    assert_eq!(stage.dialled[&new], [127, 0, 8, 8, 0, 85]);
+    for bad in [json!({}), json!([]), json!({"name": "n1"})] {
+        stage.reread(&bad);
+        assert_eq!(stage.watch().0, new, "a bad file changes nothing");
+    }
+    stage.say(reader, READ);
+    let (writer, _) = stage.shot();
+    stage.say(writer, stream());
+    assert!(unchunked(&stage.text(client)).1);
+}
+
+#[test]
+fn the_end_keeps_what_it_owes() {
+    let mut stage = Stage::new();
+    stage.discover(&list(5));
+    let (open, idle) = (stage.come(), stage.come());
+    stage.say(idle, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    stage.say(open, ask("open", "safe"));
+    read(&mut stage);
+    let (writer, _) = stage.shot();
+    stage.say(writer, format!("{HEAD}{}", chunk(EVENTS[0])));
+    stage.stop();
+    stage.stop();
+    assert!(stage.ended.contains_key(&idle) && !stage.ended.contains_key(&open));
+    assert_eq!(up(&mut stage), 503);
+    // The others have not heard of the end yet: one that comes now is served.
+    stage.pass(300 * MS);
+    let late = stage.come();
+    stage.say(late, ask("late", "safe"));
+    read(&mut stage);
+    let (late_writer, _) = stage.shot();
+    stage.say(late_writer, stream());
+    assert!(unchunked(&stage.text(late)).1 && stage.text(late).contains("connection: close"));
+    assert!(stage.ended.contains_key(&late), "its connection ends between requests");
+    stage.pass(500 * MS);
+    let too_late = stage.come();
+    stage.say(too_late, ask("too-late", "safe"));
+    assert_eq!(stage.statuses(too_late), [503]);
+    assert!(!done(&stage), "a stream is open");
+    stage.say(writer, format!("{}0\r\n\r\n", chunk(EVENTS[1])));
+    assert!(unchunked(&stage.text(open)).1);
+    assert!(done(&stage));
+}
+
+fn read(stage: &mut Stage) {
+    let (reader, _) = stage.shot();
+    stage.say(reader, READ);
+}
+
+fn done(stage: &Stage) -> bool {
+    tideroute_wire::link::Program::done(&stage.program)
+}
+
+#[test]
+fn a_configuration_that_lacks_something_says_what() {
+    for (path, value, told) in [
+        ("/listen", json!("here"), "listen: expected an IPv4 address with a port"),
+        ("/discovery", json!(null), "discovery: expected an IPv4 address with a port"),
+        ("/seed", json!("xyz"), "seed: expected hexadecimal digits"),
+        ("/limits/sockets", json!(12), "limits.sockets: expected a number of descriptors, 64 or more"),
+        ("/limits/memory_mb", json!(-1), "limits.memory_mb: expected megabytes, 16 or more"),
+        ("/settings/kinds", json!("a"), "settings.kinds: expected a list of names"),
+        (
+            "/settings/caps/dial_timeout_ms",
+            json!(null),
+            "settings.caps.dial_timeout_ms: expected milliseconds",
+        ),
+        (
+            "/settings/invariants/cold_share",
+            json!("x"),
+            "settings: invariants.cold_share in the settings is not a number",
+        ),
+        ("/known/servers/0/addr", json!("x"), "known: addr is missing or is not what it should be"),
+    ] {
+        let mut bad = file();
+        *bad.pointer_mut(path).expect("there") = value;
+        let problem = tideroute_platform::read(bad.to_string().as_bytes()).expect_err(path);
+        assert_eq!(problem.to_string(), told);
+    }
+    assert!(tideroute_platform::read(b"{").expect_err("cut").to_string().starts_with("it is no JSON"));
+}
--- /dev/null
+++ b/crates/platform/tests/shots.rs
@@ -0,0 +1,323 @@
+//! Submissions from a client to workers and back, on bytes in virtual time.
+
+mod common;
+
+use common::*;
+use tideroute_wire::link::Loss;
+
+/// Reads a submission at a reader; the writer's call is out afterwards.
+fn read(stage: &mut Stage) {
+    let (reader, _) = stage.shot();
+    stage.say(reader, READ);
+}
+
+#[test]
+fn a_submission_is_read_and_written_and_its_events_pass_unchanged() {
+    let mut stage = Stage::new();
+    let client = stage.come();
+    stage.say(client, ask("id-1", "safe"));
+    let (reader, at) = stage.shot();
+    assert_eq!(WORKERS[at].1, "reading");
+    let asked = stage.text(reader);
+    assert!(asked.starts_with("POST /v1/chat/completions HTTP/1.1\r\n"), "{asked}");
+    assert!(asked.contains("x-trace-id: id-1\r\n") && asked.ends_with("{\"model\":\"m\",\"messages\":[]}"));
+    assert!(asked.contains("x-props: prefix=5c0f,prompt_len=500") && asked.contains("x-expires-in-ms: 3995"));
+    // A place is asked for at a writer of the reader's cell while it reads.
+    let (place, writer) = stage.call("POST /internal/reservations/id-1 ");
+    assert_eq!((WORKERS[writer].1, WORKERS[writer].2), ("writing", WORKERS[at].2));
+    stage.say(place, plain(200, "", ""));
+    stage.pass(50 * MS);
+    stage.say(reader, READ);
+    let (link, to) = stage.shot();
+    assert_eq!(to, writer, "the writer that held the place");
+    assert_eq!(stage.text(client), "", "no head before an event");
+    for (n, event) in EVENTS.iter().enumerate() {
+        stage.say(link, if n == 0 { format!("{HEAD}{}", chunk(event)) } else { chunk(event) });
+        assert!(stage.text(client).ends_with(&chunk(event)), "as it comes");
+    }
+    stage.say(link, "0\r\n\r\n");
+    assert_eq!(unchunked(&stage.text(client)), (EVENTS.concat(), true));
+    assert_eq!(stage.statuses(client), [200]);
+    assert!(stage.calls("DELETE").is_empty(), "a stream frees all else by itself");
+    // The connections are used again.
+    let dials = stage.dialled.len();
+    stage.say(client, ask("id-2", "safe"));
+    read(&mut stage);
+    assert_eq!(stage.dialled.len(), dials);
+}
+
+#[test]
+fn cut_at_every_byte_all_is_the_same() {
+    let (asked, answer) = (ask("id", "safe"), format!("HTTP/1.1 103 Early\r\nlink: a\r\n\r\n{}", stream()));
+    let play = |client_cut: usize, worker_cut: usize| {
+        let mut stage = Stage::new();
+        let client = stage.come();
+        stage.say(client, &asked[..client_cut]);
+        stage.say(client, &asked[client_cut..]);
+        let (reader, _) = stage.shot();
+        let cut = worker_cut.min(READ.len());
+        stage.say(reader, &READ[..cut]);
+        stage.say(reader, &READ[cut..]);
+        let (writer, _) = stage.shot();
+        stage.say(writer, &answer[..worker_cut]);
+        stage.say(writer, &answer[worker_cut..]);
+        assert!(!stage.ended.contains_key(&writer), "the connection is kept, cut at {worker_cut}");
+        unchunked(&stage.text(client))
+    };
+    let whole = (EVENTS.concat(), true);
+    (1..asked.len()).for_each(|cut| assert_eq!(play(cut, 0), whole, "the client's bytes cut at {cut}"));
+    (1..answer.len()).for_each(|cut| assert_eq!(play(0, cut), whole, "the worker's bytes cut at {cut}"));
+}
+
+#[test]
+fn what_never_ran_is_sent_again_and_what_may_have_run_only_where_that_is_harmless() {
+    // How the writer's shot ends; whether a single-use submission may go on after it.
+    type Ends = fn(&mut Stage, tideroute_wire::link::Link);
+    let ends: [(&str, Ends, bool); 8] = [
+        ("turned away", |s, l| s.say(l, NEVER_RAN), true),
+        ("turned away as over", |s, l| s.say(l, NEVER_RAN.replace("503", "504")), true),
+        ("no state", |s, l| s.say(l, NEVER_RAN.replace("503", "410")), true),
+        ("503 without a word that it never ran", |s, l| s.say(l, plain(503, "", "")), false),
+        ("an error", |s, l| s.say(l, plain(500, "", "oh")), false),
+        ("reset", |s, l| s.lose(l), false),
+        ("noise for a head", |s, l| s.say(l, "\u{7}\u{8}noise\r\n\r\n"), false),
+        ("a head without events", |s, l| s.say(l, format!("{HEAD}0\r\n\r\n")), false),
+    ];
+    for (what, end, again) in ends {
+        for (track, goes_on) in [("safe", true), ("once", again)] {
+            let mut stage = Stage::new();
+            let client = stage.come();
+            stage.say(client, ask("id", track));
+            read(&mut stage);
+            let (writer, _) = stage.shot();
+            end(&mut stage, writer);
+            stage.pass(300 * MS);
+            assert_eq!(stage.calls("POST /v1/chat").len(), usize::from(goes_on), "{track} after {what}");
+            // What can't go on is told at once, and not as a refusal.
+            assert_eq!(
+                stage.statuses(client),
+                if goes_on { vec![] } else { vec![502] },
+                "{track} after {what}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_request_that_was_not_written_whole_never_ran() {
+    for (opened, loss) in [(false, Loss::Unreached), (true, Loss::Broken)] {
+        let mut stage = Stage::new();
+        let client = stage.come();
+        stage.say(client, ask("id", "once"));
+        read(&mut stage);
+        stage.eager = false;
+        // The writer's call went out while all was still written at once: break it and look at the next.
+        let (writer, first) = stage.shot();
+        stage.say(writer, NEVER_RAN);
+        let (writer, second) = stage.shot();
+        assert_ne!(first, second);
+        if opened {
+            stage.pass(MS);
+        }
+        stage.lose_as(writer, loss);
+        stage.pass(300 * MS);
+        assert_eq!(stage.calls("POST /v1/chat").len(), 1, "it is tried again");
+        assert!(stage.statuses(client).is_empty());
+    }
+}
+
+#[test]
+fn a_stream_that_breaks_or_turns_out_spoilt_ends_the_client_without_the_last_chunk() {
+    for (what, bytes) in [
+        ("a size that can't be read", "zz\r\n"),
+        ("a chunk that does not fit", "3\r\nabcdef\r\n"),
+        ("a chunk of 3 GB", "c0000000\r\nabc"),
+        ("its connection ends", ""),
+    ] {
+        let mut stage = Stage::new();
+        let client = stage.come();
+        stage.say(client, ask("id", "safe"));
+        read(&mut stage);
+        let (writer, _) = stage.shot();
+        stage.say(writer, format!("{HEAD}{}", chunk(EVENTS[0])));
+        if bytes.is_empty() {
+            stage.lose(writer);
+        } else {
+            stage.say(writer, bytes);
+        }
+        assert_eq!(stage.ended.get(&client), Some(&false), "{what}: the client's connection ends at once");
+        assert_eq!(unchunked(&stage.text(client)), (EVENTS[0].into(), false), "{what}");
+        assert!(stage.calls("POST /v1/chat").is_empty(), "{what}: nothing more is sent");
+    }
+}
+
+#[test]
+fn more_than_belongs_to_an_answer_costs_the_connection_and_not_the_answer() {
+    let mut stage = Stage::new();
+    let client = stage.come();
+    stage.say(client, ask("id", "safe"));
+    read(&mut stage);
+    let (writer, _) = stage.shot();
+    stage.say(writer, format!("{}HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi", stream()));
+    assert_eq!(unchunked(&stage.text(client)), (EVENTS.concat(), true));
+    assert!(stage.ended.contains_key(&writer));
+    // And so do bytes on a connection that rests.
+    let (resting, _) = stage
+        .dialled
+        .iter()
+        .map(|(l, a)| (*l, *a))
+        .find(|(l, a)| a[2] == 1 && !stage.ended.contains_key(l))
+        .expect("the reader's");
+    stage.say(resting, "HTTP/1.1 200 OK\r\n\r\n");
+    assert!(stage.ended.contains_key(&resting));
+}
+
+#[test]
+fn heads_ahead_and_heads_without_end_are_bounded() {
+    for answer in
+        ["HTTP/1.1 100 Continue\r\n\r\n".repeat(20), format!("HTTP/1.1 200 OK\r\nx: {}", "y".repeat(20_000))]
+    {
+        let mut stage = Stage::new();
+        let client = stage.come();
+        stage.say(client, ask("id", "once"));
+        read(&mut stage);
+        let (writer, _) = stage.shot();
+        stage.say(writer, answer);
+        assert!(stage.ended.contains_key(&writer));
+        assert_eq!(stage.statuses(client), [502], "it may have run");
+    }
+}
+
+#[test]
+fn the_first_part_of_an_event_is_no_event() {
+    let mut stage = Stage::new();
+    let client = stage.come();
+    stage.say(client, ask("id", "safe"));
+    read(&mut stage);
+    let (writer, _) = stage.shot();
+    stage.say(writer, format!("{HEAD}{}", chunk("data: {\"a\"")));
+    assert_eq!(stage.text(client), "");
+    stage.lose(writer);
+    assert_eq!(stage.calls("POST /v1/chat").len(), 1, "the client has seen nothing: another shot goes out");
+}
+
+#[test]
+fn the_time_ends_what_has_not_begun_and_nothing_that_has() {
+    let mut stage = Stage::new();
+    let (late, streams) = (stage.come(), stage.come());
+    stage.say(late, ask_for("late", "once", 1_000, "{}"));
+    read(&mut stage);
+    let (writer, _) = stage.shot();
+    stage.say(streams, ask_for("streams", "once", 1_000, "{}"));
+    read(&mut stage);
+    let (streaming, _) = stage.shot();
+    stage.say(streaming, format!("{HEAD}{}", chunk(EVENTS[0])));
+    stage.pass(1_000 * MS);
+    assert!(stage.ended.contains_key(&writer), "nobody waits for it any more");
+    assert_eq!(stage.statuses(late), [504], "told before the client's time is up");
+    stage.pass(5_000 * MS);
+    stage.say(streaming, format!("{}0\r\n\r\n", chunk(EVENTS[1])));
+    assert_eq!(unchunked(&stage.text(streams)).1, true);
+}
+
+#[test]
+fn a_client_that_goes_away_takes_its_shots_with_it_and_frees_what_was_read() {
+    let mut stage = Stage::new();
+    let client = stage.come();
+    stage.say(client, ask("id", "safe"));
+    let (reader, _) = stage.shot();
+    stage.calls("POST /internal");
+    stage.lose(client);
+    stage.pass(20 * MS);
+    assert!(stage.ended.contains_key(&reader));
+    let (free, _) = stage.call("DELETE /internal/reservations/id ");
+    // The first one asked is silent: another is.
+    stage.pass(150 * MS);
+    let (second, _) = stage.call("DELETE /internal/reservations/id ");
+    stage.say(second, "HTTP/1.1 204 No Content\r\n\r\n");
+    assert!(stage.ended.contains_key(&free), "the one that is silent is not waited for");
+    stage.pass(3_000 * MS);
+    assert!(stage.calls("DELETE").is_empty());
+}
+
+#[test]
+fn letting_go_is_tried_elsewhere_while_connections_fail() {
+    let mut stage = Stage::new();
+    let client = stage.come();
+    stage.say(client, ask("id", "safe"));
+    let (reader, _) = stage.shot();
+    stage.lose(reader);
+    // The broken read may have left a state, but another read is out: what it makes must not be freed.
+    assert!(stage.calls("DELETE").is_empty());
+    stage.lose(client);
+    stage.pass(20 * MS);
+    let mut tried = vec![];
+    for _ in 0..3 {
+        let (free, at) = stage.call("DELETE /internal/reservations/id ");
+        tried.push(at);
+        stage.lose_as(free, Loss::Unreached);
+    }
+    tried.sort_unstable();
+    tried.dedup();
+    assert_eq!(tried.len(), 3, "each time at another worker");
+}
+
+#[test]
+fn a_place_that_is_not_held_is_told_apart_from_one_that_is_not_known() {
+    for (answer, other) in
+        [(plain(409, "", ""), 1), ("HTTP/1.1 204 No Content\r\n\r\n".into(), 0), (plain(404, "", ""), 0)]
+    {
+        let mut stage = Stage::new();
+        let client = stage.come();
+        stage.say(client, ask("id", "safe"));
+        let (place, first) = stage.call("POST /internal/reservations/id ");
+        stage.say(place, &answer);
+        stage.pass(100 * MS);
+        let others = stage.calls("POST /internal/reservations/id ");
+        assert_eq!(others.len(), other, "{answer}");
+        assert!(others.iter().all(|(_, at)| *at != first));
+    }
+}
+
+#[test]
+fn a_place_is_asked_for_once_the_reader_has_the_whole_request() {
+    let mut stage = Stage::new();
+    stage.eager = false;
+    let client = stage.come();
+    stage.say(client, ask("id", "safe"));
+    let (reader, _) = stage.shot();
+    assert!(stage.calls("POST /internal").is_empty());
+    stage.written(reader);
+    stage.call("POST /internal/reservations/id ");
+}
+
+#[test]
+fn a_slow_client_slows_its_own_stream_only() {
+    let mut stage = Stage::new();
+    let (slow, other) = (stage.come(), stage.come());
+    stage.say(slow, ask("a", "safe"));
+    read(&mut stage);
+    let (slow_writer, _) = stage.shot();
+    stage.say(other, ask("b", "safe"));
+    read(&mut stage);
+    let (writer, _) = stage.shot();
+    stage.say(slow_writer, format!("{HEAD}{}", chunk(EVENTS[0])));
+    stage.say(writer, format!("{HEAD}{}", chunk(EVENTS[0])));
+    stage.crowded(slow, true);
+    assert!(stage.hushed.contains(&slow_writer) && !stage.hushed.contains(&writer));
+    stage.crowded(slow, false);
+    assert!(stage.hushed.is_empty());
+}
+
+#[test]
+fn connections_are_put_away_long_before_their_worker_would() {
+    let mut stage = Stage::new();
+    let client = stage.come();
+    stage.say(client, ask("id", "safe"));
+    let (reader, _) = stage.shot();
+    stage.say(reader, READ);
+    stage.pass(4_900 * MS);
+    assert!(!stage.ended.contains_key(&reader));
+    stage.pass(200 * MS);
+    assert!(stage.ended.contains_key(&reader), "after half of the ten seconds that the settings name");
+}
