Rested connections are trusted no longer than they hold; single-use writing shots go on new ones

Checked with a line in the log for each connection that ended under its call: nearly all were used before, with no byte of an answer, after rests of 13 to 600 ms, where the settings name 15 s. Excluded: workers (the same workers answered on new connections), our own idle time (no rest was over 0.6 s), closes that were told (167 resting connections ended by themselves and were put away). Wrong: pools.rs took any connection that rested for less than half of the settings' idle time. Change: a connection that breaks silently under its next call shows how long a rest can be; half of that is trusted from then on, by all workers' pools, until it is as old as the settings' idle time. Whether a request on an old connection has run is never known, so the writing shot of a single-use submission goes on a new one.

--- a/crates/platform/src/exit.rs
+++ b/crates/platform/src/exit.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use tideroute::interface::{Ending, SubmissionId, WorkerId};
+use tideroute::interface::{Ending, Repeat, SubmissionId, WorkerId};
 use tideroute_host::{Answer, Shot, Submission, Timer, Ways};
 use tideroute_http::write;
 use tideroute_wire::link::{Link, Outbox};
@@ -97,7 +97,9 @@
         let fields = s.asked.fields.iter().map(|(name, value)| (*name, value.as_str()));
         let fields = fields.chain([(words::LEFT, left.as_str())]);
         let bytes = write::request("POST", &s.asked.target, fields, Some(&s.asked.body));
-        let job = Job::Shot { id, number: shot.number, reading: shot.reading };
+        let track = self.terms.books.module.tracks.get(usize::from(s.track));
+        let once = !shot.reading && track.is_some_and(|t| t.repeat == Repeat::SingleUse);
+        let job = Job::Shot { id, number: shot.number, reading: shot.reading, once };
         if self.pools.call(self.now, shot.worker, job, bytes, self.out).is_none() {
             self.later.endings.push((id, shot.number, Ending::NeverSent));
         }
--- a/crates/platform/src/pools.rs
+++ b/crates/platform/src/pools.rs
@@ -23,10 +23,22 @@
 /// What a connection is there for now.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Job {
-    Shot { id: SubmissionId, number: u16, reading: bool },
-    Place { id: SubmissionId },
-    Errand { number: u64 },
-    Probe { nonce: u64 },
+    /// `once` for the writing of a submission that may run but once.
+    Shot {
+        id: SubmissionId,
+        number: u16,
+        reading: bool,
+        once: bool,
+    },
+    Place {
+        id: SubmissionId,
+    },
+    Errand {
+        number: u64,
+    },
+    Probe {
+        nonce: u64,
+    },
 }
 
 /// An answer of which the head is there.
@@ -53,6 +65,8 @@
     pub patience: Patience,
     opened: Micros,
     rests_since: Micros,
+    /// How long it had rested before this call.
+    pub rested: Micros,
     arrived: BytesMut,
     heads: u8,
     coming: Option<Coming>,
@@ -79,6 +93,8 @@
     most: usize,
     dial: Micros,
     idle: Micros,
+    /// Connections that have rested longer are not trusted, since when; none after `idle` of that.
+    doubt: Option<(Micros, Micros)>,
 }
 
 impl Pools {
@@ -142,6 +158,32 @@
         }
     }
 
+    /// A connection that had rested so long broke under its next call with no byte of an answer: something on
+    /// the way forgets connections sooner than the workers say. Half of that is trusted until it is old news.
+    pub fn broke_after(&mut self, now: Micros, rested: Micros) {
+        let trusted = self.trusted(now);
+        if rested / 2 <= trusted {
+            self.doubt = Some((rested / 2, now));
+        }
+    }
+
+    fn trusted(&self, now: Micros) -> Micros {
+        self.doubt.filter(|(_, since)| now < since + self.idle).map_or(self.idle, |(rest, _)| rest)
+    }
+
+    /// Takes the connection to a worker that rested last, if it can be trusted.
+    fn rested(&mut self, now: Micros, worker: WorkerId, out: &mut Outbox) -> Option<Link> {
+        let link = self.resting.get_mut(&worker).and_then(Vec::pop)?;
+        let since = self.conns.get(&link)?.rests_since;
+        if now.saturating_sub(since) <= self.trusted(now) {
+            return Some(link);
+        }
+        // Those below it have rested longer still.
+        let others = self.resting.remove(&worker).unwrap_or_default();
+        others.into_iter().chain([link]).for_each(|link| self.end(link, out));
+        None
+    }
+
     /// Begins a call. None if there is no way to the worker, or no descriptor left for one.
     pub fn call(
         &mut self,
@@ -151,7 +193,10 @@
         bytes: Bytes,
         out: &mut Outbox,
     ) -> Option<Link> {
-        let rested = self.resting.get_mut(&worker).and_then(Vec::pop);
+        // Whether a request on an old connection that breaks has run is never known. One that may run but once
+        // goes on a new one.
+        let fresh = matches!(job, Job::Shot { once: true, .. });
+        let rested = if fresh { None } else { self.rested(now, worker, out) };
         let link = match rested {
             Some(link) => link,
             None => {
@@ -168,6 +213,7 @@
         let conn = self.conns.get_mut(&link)?;
         self.rests.remove(&(conn.rests_since, link));
         (conn.job, conn.written, conn.used) = (Some(job), false, rested.is_some());
+        conn.rested = if conn.used { now - conn.rests_since } else { 0 };
         (conn.place, conn.streams, conn.heads) = (None, false, 0);
         conn.patience.set(Micros::MAX, 0, out);
         if let Job::Shot { id, .. } = job {
@@ -235,6 +281,7 @@
             patience: Patience::ENDLESS,
             opened: now,
             rests_since: 0,
+            rested: 0,
             arrived: BytesMut::new(),
             heads: 0,
             coming: None,
@@ -274,6 +321,10 @@
     }
 
     /// The answer that the connection's end completes, if it does.
+    pub fn silent(&self) -> bool {
+        self.arrived.is_empty() && self.coming.is_none()
+    }
+
     pub fn ends_with(&self) -> Option<(u16, bool)> {
         let coming = self.coming.as_ref().filter(|c| c.body.may_end())?;
         Some((coming.status, coming.never_ran))
--- a/crates/platform/src/program.rs
+++ b/crates/platform/src/program.rs
@@ -212,7 +212,7 @@
         let (worker, streamed) = (conn.worker, conn.streams);
         let Some(job) = self.pools.ended(now, link, out) else { return };
         match job {
-            Job::Shot { id, number, reading } => {
+            Job::Shot { id, number, reading, .. } => {
                 let ending = match status {
                     202 if reading => Ending::Read,
                     200 if !reading && streamed => Ending::Honoured,
@@ -265,7 +265,22 @@
             }
         }
         let Some(conn) = self.pools.lose(link) else { return };
-        let Some(job) = conn.job else { return };
+        let Some(job) = conn.job else {
+            tracing::debug!(worker = ?conn.worker, "a resting connection ended");
+            return;
+        };
+        tracing::debug!(
+            worker = ?conn.worker,
+            ?job,
+            written = conn.written,
+            used = conn.used,
+            rested = conn.rested,
+            silent = conn.silent(),
+            "a connection ended under its call"
+        );
+        if conn.used && conn.silent() {
+            self.pools.broke_after(now, conn.rested);
+        }
         // An old connection that was found dead says nothing of the worker.
         let ending = match (conn.written, conn.used) {
             (true, _) => Ending::Broken,
