A stream silent for 4.5 s is ended: its client must not wait for five

Checked: the router's log shows the stream's connection open and without a byte from 8 s to 14.2 s, while others of the same worker went on. Excluded: a chunk that was held back (all that came had been passed on), the client's side (it reads), an end that was not passed on (none came). Wrong: SILENCE in crates/platform/src/program.rs was 10 s.

--- a/crates/platform/src/program.rs
+++ b/crates/platform/src/program.rs
@@ -23,8 +23,9 @@
 const READY: Micros = 1_000_000;
 /// Microseconds after a signal to end in which new submissions are still taken: others hear of the end late.
 const GRACE: Micros = 600_000;
-/// Microseconds without a byte after which a stream is taken for dead.
-const SILENCE: Micros = 10_000_000;
+/// Microseconds without a byte after which a stream is taken for dead. Its client must not be left waiting for
+/// five seconds; a worker that takes an answer back into its queue may well be silent for some.
+const SILENCE: Micros = 4_500_000;
 /// A resting connection is put away after this part of the time for which its worker would keep it.
 const REST: Micros = 2;
 /// Bytes in which a stream's first event must end.
