A stream spoilt after it began is given up, not its worker's fault; belief is told beside traffic

Checked in a debug log: of 40 streams that failed 23 were spoilt after their first event, on all workers alike, and 6 broke with a worker that vanished; both are lost whatever is done. Excluded: answers spoilt before their first event (tried elsewhere where that is harmless, as they should be). Wrong: `spoilt` in crates/platform/src/program.rs told every unreadable byte as a fault. Change: once its events have begun the router gives the shot up, and says so; an answer that never was one stays a fault.

--- a/crates/host/src/submissions.rs
+++ b/crates/host/src/submissions.rs
@@ -125,6 +125,11 @@
         self.open.remove(&id);
     }
 
+    /// All that are open, in the order in which they came.
+    pub fn iter(&self) -> impl Iterator<Item = (SubmissionId, &Submission<A>)> {
+        self.open.iter().map(|(id, s)| (*id, s))
+    }
+
     pub fn is_empty(&self) -> bool {
         self.open.is_empty()
     }
--- a/crates/platform/src/pools.rs
+++ b/crates/platform/src/pools.rs
@@ -112,6 +112,15 @@
         self.shots.get(&id).copied()
     }
 
+    /// How many shots are out on connections to each worker, and how many connections there are and rest.
+    pub fn carried(&self) -> (BTreeMap<WorkerId, usize>, usize, usize) {
+        let mut shots = BTreeMap::new();
+        for conn in self.conns.values().filter(|c| matches!(c.job, Some(Job::Shot { .. }))) {
+            *shots.entry(conn.worker).or_default() += 1;
+        }
+        (shots, self.conns.len(), self.rests.len())
+    }
+
     pub fn over(&mut self, id: SubmissionId) {
         self.shots.remove(&id);
     }
--- a/crates/platform/src/program.rs
+++ b/crates/platform/src/program.rs
@@ -32,6 +32,8 @@
 const EVENT: usize = 64 << 10;
 /// Microseconds for which a whole list that is older than the one in force is not believed.
 const STALE: Micros = 10_000_000;
+/// Microseconds between two tellings of what is believed, one line each.
+const TELLS: Micros = 1_000_000;
 /// The kind of a timer stands in the top byte of its key, what it is for beneath.
 const KIND: u32 = 56;
 
@@ -45,6 +47,8 @@
     Watch,
     /// The time for new submissions after a signal to end.
     Grace,
+    /// What is believed is told.
+    Belief,
 }
 
 pub(crate) fn key(ring: Ring) -> u64 {
@@ -58,6 +62,7 @@
         Ring::Errand(number) => (6, number),
         Ring::Watch => (7, 0),
         Ring::Grace => (8, 0),
+        Ring::Belief => (9, 0),
     };
     kind << KIND | what
 }
@@ -240,9 +245,13 @@
 
     /// What comes on the connection can't be read, or no longer comes: the request may have run.
     fn spoilt(&mut self, now: Micros, link: Link, out: &mut Outbox) {
-        let Some(job) = self.pools.get_mut(link).and_then(|c| c.job) else { return };
+        let Some((job, streams)) = self.pools.get_mut(link).and_then(|c| Some((c.job?, c.streams))) else {
+            return;
+        };
         self.pools.end(link, out);
-        self.came_to_nothing(now, link, job, Ending::Fault, out);
+        // A stream that began well is given up by this side; only an answer that never was one is a fault.
+        let ending = if streams { Ending::Withdrawn } else { Ending::Fault };
+        self.came_to_nothing(now, link, job, ending, out);
     }
 
     fn came_to_nothing(&mut self, now: Micros, link: Link, job: Job, ending: Ending, out: &mut Outbox) {
@@ -304,6 +313,26 @@
         self.pools.end(link, out);
     }
 
+    /// Tells, where the log asks for it, what the books believe is out at each worker and what is out on
+    /// connections; the two never differ between turns, or one of them is wrong.
+    fn tell_belief(&mut self, now: Micros, out: &mut Outbox) {
+        if !tracing::enabled!(tracing::Level::DEBUG) {
+            return;
+        }
+        let mut believed = BTreeMap::<_, usize>::new();
+        for shot in self.books.submissions.iter().filter_map(|(_, s)| s.shot.as_ref()) {
+            *believed.entry(shot.worker).or_default() += 1;
+        }
+        let (carried, connections, resting) = self.pools.carried();
+        let (open, clients, held) = (self.books.submissions.len(), self.clients.len(), self.clients.held);
+        let workers = self.pools.workers().count();
+        tracing::debug!(open, clients, held, connections, resting, workers, ?carried, "believes");
+        if believed != carried {
+            tracing::debug!(?believed, ?carried, "belief and traffic differ");
+        }
+        out.ring(now + TELLS, key(Ring::Belief));
+    }
+
     /// A read that did not end well may have left a state: it is let go once no shot is out and the books know of
     /// none, unless an answer has begun, with which all else goes by itself.
     fn clean_up(&mut self, now: Micros, out: &mut Outbox) {
@@ -334,6 +363,7 @@
             self.books.page_over();
         }
         self.watch.begin(now, self.terms.discovery, self.books.version(), out);
+        self.tell_belief(now, out);
         self.turn(now, out);
     }
 
@@ -420,10 +450,11 @@
                 }
                 return;
             }
-            _ => {
+            8 => {
                 self.grace_over = true;
                 return self.books.stop();
             }
+            _ => return self.tell_belief(now, out),
         };
         let (books, mut exit) = self.parts(now, out);
         books.rang(now, timer, &mut exit);
--- a/crates/platform/tests/shots.rs
+++ b/crates/platform/tests/shots.rs
@@ -391,3 +391,20 @@
     assert_eq!(stage.ended.get(&client), Some(&false), "within the five seconds that the platform allows");
     assert!(stage.ended.contains_key(&writer) && !unchunked(&stage.text(client)).1);
 }
+
+#[test]
+fn a_stream_spoilt_after_it_began_does_not_speak_against_its_worker() {
+    // What a writer sends, and whether its worker is looked at for it.
+    for (bytes, suspected) in
+        [(format!("{HEAD}{}zz\r\n", chunk(EVENTS[0])), false), ("noise\r\n\r\n".into(), true)]
+    {
+        let mut stage = Stage::new();
+        let client = stage.come();
+        stage.say(client, ask("id", "safe"));
+        read(&mut stage);
+        let (writer, _) = stage.shot();
+        stage.say(writer, bytes);
+        stage.pass(100 * MS);
+        assert_eq!(!stage.calls("GET /alive").is_empty(), suspected);
+    }
+}
