--- a/crates/command/tests/platform.rs
+++ b/crates/command/tests/platform.rs
@@ -13,11 +13,11 @@
 
 #[path = "../../platform/tests/common/mod.rs"]
 mod common;
+mod waiting;
 
 use common::{EVENTS, NEVER_RAN, READ};
+use waiting::{signal, until};
 
-/// Long past what anything here takes; a test that waits so long has failed.
-const PATIENCE: Duration = Duration::from_secs(30);
 /// How long the clients ask, when the new configuration comes, and when the signal to end.
 const ASKS: Duration = Duration::from_millis(3_000);
 const NEW_FILE: Duration = Duration::from_millis(1_000);
@@ -238,22 +238,6 @@
     }
 }
 
-fn signal(child: &Child, name: &str) {
-    let sent = Command::new("kill").args([name, &child.id().to_string()]).status().expect("kill runs");
-    assert!(sent.success());
-}
-
-fn until<T>(mut look: impl FnMut() -> Option<T>) -> T {
-    let began = Instant::now();
-    loop {
-        if let Some(found) = look() {
-            return found;
-        }
-        assert!(began.elapsed() < PATIENCE, "waited too long");
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
 fn up(router: &str) -> Option<()> {
     let mut stream = TcpStream::connect(router).ok()?;
     stream.write_all(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n").ok()?;
--- a/crates/command/tests/program.rs
+++ b/crates/command/tests/program.rs
@@ -3,11 +3,11 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
-use std::time::{Duration, Instant};
+use std::process::{Command, Output, Stdio};
 
-/// Long past what anything here takes; a test that waits so long has failed.
-const PATIENCE: Duration = Duration::from_secs(60);
+mod waiting;
+
+use waiting::{signal, until, PATIENCE};
 
 fn tideroute() -> Command {
     Command::new(env!("CARGO_BIN_EXE_tideroute"))
@@ -48,17 +48,6 @@
     }
 }
 
-fn until<T>(mut look: impl FnMut() -> Option<T>) -> T {
-    let began = Instant::now();
-    loop {
-        if let Some(found) = look() {
-            return found;
-        }
-        assert!(began.elapsed() < PATIENCE, "waited too long");
-        std::thread::sleep(Duration::from_millis(10));
-    }
-}
-
 /// Processes whose command line names the folder.
 fn processes(folder: &Path) -> Vec<u32> {
     let named = folder.display().to_string();
@@ -72,11 +61,6 @@
     pids.filter(names).collect()
 }
 
-fn signal(child: &Child, name: &str) {
-    let sent = Command::new("kill").args([name, &child.id().to_string()]).status().expect("kill runs");
-    assert!(sent.success());
-}
-
 #[test]
 fn each_bad_file_has_one_clear_error_and_ends_with_2() {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/bad");
