--- a/crates/host/src/books.rs
+++ b/crates/host/src/books.rs
@@ -64,10 +64,6 @@
         }
     }
 
-    pub fn terms(&self) -> &BookTerms {
-        &self.terms
-    }
-
     /// The version of the list in force.
     pub fn version(&self) -> u64 {
         self.version
@@ -78,10 +74,6 @@
         self.version = 0;
     }
 
-    pub fn listing(&self, worker: WorkerId) -> Option<&Listing> {
-        self.listed.get(&worker).map(|(listing, _)| listing)
-    }
-
     pub fn listed(&self) -> impl Iterator<Item = &Listing> {
         self.listed.values().map(|(listing, _)| listing)
     }
