--- a/crates/platform/tests/shots.rs
+++ b/crates/platform/tests/shots.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use tideroute_wire::link::Loss;
+use tideroute_wire::link::{Link, Loss};
 
 /// Reads a submission at a reader; the writer's call is out afterwards.
 fn read(stage: &mut Stage) {
@@ -11,6 +11,16 @@
     stage.say(reader, READ);
 }
 
+/// A client whose submission has been read and is out at a writer.
+fn writing(track: &str) -> (Stage, Link, Link) {
+    let mut stage = Stage::new();
+    let client = stage.come();
+    stage.say(client, ask("id", track));
+    read(&mut stage);
+    let (writer, _) = stage.shot();
+    (stage, client, writer)
+}
+
 #[test]
 fn a_submission_is_read_and_written_and_its_events_pass_unchanged() {
     let mut stage = Stage::new();
@@ -70,7 +80,7 @@
 #[test]
 fn what_never_ran_is_sent_again_and_what_may_have_run_only_where_that_is_harmless() {
     // How the writer's shot ends; whether a single-use submission may go on after it.
-    type Ends = fn(&mut Stage, tideroute_wire::link::Link);
+    type Ends = fn(&mut Stage, Link);
     let ends: [(&str, Ends, bool); 8] = [
         ("turned away", |s, l| s.say(l, NEVER_RAN), true),
         ("turned away as over", |s, l| s.say(l, NEVER_RAN.replace("503", "504")), true),
@@ -83,11 +93,7 @@
     ];
     for (what, end, again) in ends {
         for (track, goes_on) in [("safe", true), ("once", again)] {
-            let mut stage = Stage::new();
-            let client = stage.come();
-            stage.say(client, ask("id", track));
-            read(&mut stage);
-            let (writer, _) = stage.shot();
+            let (mut stage, client, writer) = writing(track);
             end(&mut stage, writer);
             stage.pass(300 * MS);
             assert_eq!(stage.calls("POST /v1/chat").len(), usize::from(goes_on), "{track} after {what}");
@@ -132,11 +138,7 @@
         ("a chunk of 3 GB", "c0000000\r\nabc"),
         ("its connection ends", ""),
     ] {
-        let mut stage = Stage::new();
-        let client = stage.come();
-        stage.say(client, ask("id", "safe"));
-        read(&mut stage);
-        let (writer, _) = stage.shot();
+        let (mut stage, client, writer) = writing("safe");
         stage.say(writer, format!("{HEAD}{}", chunk(EVENTS[0])));
         if bytes.is_empty() {
             stage.lose(writer);
@@ -152,11 +154,7 @@
 
 #[test]
 fn more_than_belongs_to_an_answer_costs_the_connection_and_not_the_answer() {
-    let mut stage = Stage::new();
-    let client = stage.come();
-    stage.say(client, ask("id", "safe"));
-    read(&mut stage);
-    let (writer, _) = stage.shot();
+    let (mut stage, client, writer) = writing("safe");
     stage.say(writer, format!("{}HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi", stream()));
     assert_eq!(unchunked(&stage.text(client)), (EVENTS.concat(), true));
     assert!(stage.ended.contains_key(&writer));
@@ -176,11 +174,7 @@
     for answer in
         ["HTTP/1.1 100 Continue\r\n\r\n".repeat(20), format!("HTTP/1.1 200 OK\r\nx: {}", "y".repeat(20_000))]
     {
-        let mut stage = Stage::new();
-        let client = stage.come();
-        stage.say(client, ask("id", "once"));
-        read(&mut stage);
-        let (writer, _) = stage.shot();
+        let (mut stage, client, writer) = writing("once");
         stage.say(writer, answer);
         assert!(stage.ended.contains_key(&writer));
         assert_eq!(stage.statuses(client), [502], "it may have run");
@@ -189,11 +183,7 @@
 
 #[test]
 fn the_first_part_of_an_event_is_no_event() {
-    let mut stage = Stage::new();
-    let client = stage.come();
-    stage.say(client, ask("id", "safe"));
-    read(&mut stage);
-    let (writer, _) = stage.shot();
+    let (mut stage, client, writer) = writing("safe");
     stage.say(writer, format!("{HEAD}{}", chunk("data: {\"a\"")));
     assert_eq!(stage.text(client), "");
     stage.lose(writer);
@@ -374,11 +364,7 @@
 
 #[test]
 fn a_client_is_not_left_waiting_on_a_stream_that_has_stopped() {
-    let mut stage = Stage::new();
-    let client = stage.come();
-    stage.say(client, ask("id", "safe"));
-    read(&mut stage);
-    let (writer, _) = stage.shot();
+    let (mut stage, client, writer) = writing("safe");
     stage.say(writer, format!("{HEAD}{}", chunk(EVENTS[0])));
     // Events that come slowly are no reason.
     for _ in 0..3 {
@@ -398,11 +384,7 @@
     for (bytes, suspected) in
         [(format!("{HEAD}{}zz\r\n", chunk(EVENTS[0])), false), ("noise\r\n\r\n".into(), true)]
     {
-        let mut stage = Stage::new();
-        let client = stage.come();
-        stage.say(client, ask("id", "safe"));
-        read(&mut stage);
-        let (writer, _) = stage.shot();
+        let (mut stage, _, writer) = writing("safe");
         stage.say(writer, bytes);
         stage.pass(100 * MS);
         assert_eq!(!stage.calls("GET /alive").is_empty(), suspected);
