--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -47,6 +47,7 @@
 #[derive(Debug)]
 pub struct Entry {
     pub track: u8,
+    pub contract: Tenths,
     pub cut_off: Tenths,
     pub shots: u16,
     pub out: Option<Shot>,
@@ -125,9 +126,11 @@
         let arrival = Arrival { id, track, session, prefix, prompt, left };
         assert!(self.router.arrived(self.now, arrival));
         let cut_off = self.now + left;
+        let contract = self.now + self.terms.tracks[usize::from(track)].contract_of(prompt);
         let (since, out, ran, place) = (self.now, None, None, None);
         let entry = Entry {
             track,
+            contract,
             cut_off,
             shots: 0,
             out,
@@ -229,9 +232,23 @@
             );
             let pinned = e.held && e.out.is_none() && self.now > e.since + self.terms.release;
             assert!(!pinned, "{id} pinned at {}: {e:?}", self.now);
+            assert!(!self.held_back(e), "{id} held back at {}: {e:?}", self.now);
         }
     }
 
+    /// Nothing more can come of it and it has no final answer: no shot is left, it may not run again, or its
+    /// contract time is over while none is out.
+    fn held_back(&self, e: &Entry) -> bool {
+        let spent = e.shots + if e.held { 1 } else { 2 } > self.terms.max_shots;
+        let over = e.ran.is_some_and(|(first, _)| match self.terms.tracks[usize::from(e.track)].repeat {
+            Repeat::Replayable => false,
+            Repeat::SingleUse => true,
+            // The window closes between two looks.
+            Repeat::Referenced { window, .. } => self.now > first + window + 10 * MS,
+        });
+        !e.ended && e.out.is_none() && (spent || over || self.now > e.contract.min(e.cut_off))
+    }
+
     fn check(&mut self, decision: Decision) {
         let now = self.now;
         match decision {
