A submission whose shots are spent is answered at once, though its state still waits

Seen: a new test on bytes found a submission turned away by its writer with its last shot, its state still at the reader, and no answer. Cause: forward (src/choice.rs) asked for a shot left only where it sent to a writer; without one it fell to the arms that wait, until 0.7 of the release time or until it was hopeless: held back though nothing could come of it. Ruled out: the platform's part, which answers in the same moment in which the module decides (tests/shots.rs). Change: spent shots end it before anything else; the state is let go as at any end.

Beside it: a client for whom there is no room was told 0.5 s by the platform, whatever the settings, or nothing; it is told the longest advice that the settings allow, or nothing where they allow none.

--- a/crates/host/src/books.rs
+++ b/crates/host/src/books.rs
@@ -203,8 +203,17 @@
         }
         let why = if full { "full" } else { "stopping" };
         counter!("tideroute_untaken_total", "why" => why).increment(1);
-        let advice = full && self.terms.module.advice;
-        Some((why, if advice { self.terms.module.longest_advice.max(0) as Micros * TENTH } else { 0 }))
+        Some((why, if full { self.advice() } else { 0 }))
+    }
+
+    /// How long who is told that there is no room should stay away; 0 where the terms allow no such advice.
+    pub fn advice(&self) -> Micros {
+        let terms = &self.terms.module;
+        if terms.advice {
+            terms.longest_advice.max(0) as Micros * TENTH
+        } else {
+            0
+        }
     }
 
     /// Takes a new submission; with a tenant it may have to wait until its share lets it in.
--- a/crates/platform/src/entry.rs
+++ b/crates/platform/src/entry.rs
@@ -8,7 +8,8 @@
 use tideroute_wire::Micros;
 
 use crate::ask::{is_json, Ask, Asked, Refusal};
-use crate::clients::{text, At};
+use crate::clients::At;
+use crate::exit::said;
 use crate::program::{key, Platform, Ring};
 use crate::rooms::{BODY, HEAD};
 use crate::words;
@@ -37,9 +38,7 @@
                 Some(idle) => self.refuse(idle, Refusal(408, "others come, and this is not whole"), out),
                 None => {
                     counter!("tideroute_clients_sent_away_total").increment(1);
-                    let no = text("too many connections");
-                    out.send(link, write::answer(503, [("retry-after", "0.5")], &no, true));
-                    return out.close(link, "too many connections");
+                    return self.refuse(link, Refusal(503, "too many connections"), out);
                 }
             }
         }
@@ -207,11 +206,13 @@
         false
     }
 
-    /// Tells a client no and ends its connection: nobody knows what else it would bring.
+    /// Tells a client no, and when to come back if that is for want of room, and ends its connection: nobody
+    /// knows what else it would bring.
     pub(crate) fn refuse(&mut self, link: Link, Refusal(status, why): Refusal, out: &mut Outbox) {
         counter!("tideroute_refused_total", "status" => status.to_string()).increment(1);
         tracing::debug!(link = link.0, status, why, "refuses a request");
-        out.send(link, write::answer(status, [("content-type", "text/plain")], &text(why), true));
+        let after = if status == 503 { self.books.advice() } else { 0 };
+        out.send(link, said(status, after, why, true));
         self.clients.lose(link);
         out.close(link, why);
     }
--- a/crates/platform/src/exit.rs
+++ b/crates/platform/src/exit.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use tideroute::interface::{Ending, Repeat, SubmissionId, WorkerId};
 use tideroute_host::{Answer, Shot, Submission, Timer, Ways};
 use tideroute_http::write;
@@ -29,6 +30,14 @@
     pub answered: Vec<Link>,
 }
 
+/// A plain text as an answer, with the microseconds that its client should stay away; 0 for no advice.
+pub fn said(status: u16, after: Micros, what: &str, last: bool) -> Bytes {
+    let after = (after > 0).then(|| format!("{:.3}", after as f64 / 1e6));
+    let fields = [("content-type", "text/plain")];
+    let fields = fields.into_iter().chain(after.iter().map(|a| ("retry-after", a.as_str())));
+    write::answer(status, fields, &text(what), last)
+}
+
 pub struct Exit<'a> {
     pub terms: &'a Terms,
     pub clients: &'a mut Clients,
@@ -68,10 +77,7 @@
     /// An answer that is all there is to say, on a connection that goes on if it can.
     pub fn say(&mut self, link: Link, status: u16, after: Micros, what: &str) {
         let last = self.stopping || self.clients.get(link).is_none_or(|c| c.last);
-        let after = (after > 0).then(|| format!("{:.3}", after as f64 / 1e6));
-        let fields = [("content-type", "text/plain")];
-        let fields = fields.into_iter().chain(after.iter().map(|a| ("retry-after", a.as_str())));
-        self.out.send(link, write::answer(status, fields, &text(what), last));
+        self.out.send(link, said(status, after, what, last));
         self.complete(link, last);
     }
 
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -209,3 +209,27 @@
     }
     assert!((20..40).contains(&told), "{told} of 60 bodies of 250 KB are told no where 8 MB may be held");
 }
+
+#[test]
+fn who_finds_no_room_is_told_when_to_come_back_where_the_settings_allow() {
+    for (advice, field) in [(true, "retry-after: 0.300\r\n"), (false, "")] {
+        let mut terms = file();
+        terms["settings"]["caps"]["retry_after"] = advice.into();
+        terms["settings"]["caps"]["max_retry_after_ms"] = 300.0.into();
+        let body = format!("\"{}\"", "x".repeat(250_000));
+        let whole = ask_for("id", "safe", 4_000, &body);
+        // Open submissions fill the one room, bodies without their last byte the other.
+        for (why, much) in [("full", ""), ("no memory for one more request", &whole[..whole.len() - 1])] {
+            let mut stage = Stage::with(&terms);
+            let told = (0..200).find_map(|n| {
+                let client = stage.come();
+                let asked = if much.is_empty() { ask(&format!("id{n}"), "safe") } else { much.to_string() };
+                stage.say(client, asked);
+                (stage.statuses(client) == [503]).then(|| stage.text(client))
+            });
+            let told = told.expect("one that finds no room");
+            assert!(told.ends_with(&format!("{why}\n")) && told.contains(field), "{told}");
+            assert_eq!(told.contains("retry-after"), advice, "{told}");
+        }
+    }
+}
--- a/crates/platform/tests/shots.rs
+++ b/crates/platform/tests/shots.rs
@@ -190,6 +190,29 @@
     assert_eq!(stage.calls("POST /v1/chat").len(), 1, "the client has seen nothing: another shot goes out");
 }
 
+#[test]
+fn what_is_given_up_is_answered_in_the_same_moment() {
+    // The shots are used up, by a turn-away: harmless, and its client is told when to come back.
+    for advice in [true, false] {
+        let mut terms = file();
+        terms["settings"]["caps"]["max_attempts"] = 2.into();
+        terms["settings"]["caps"]["retry_after"] = advice.into();
+        let mut stage = Stage::with(&terms);
+        let client = stage.come();
+        stage.say(client, ask("id", "once"));
+        read(&mut stage);
+        let (writer, _) = stage.shot();
+        stage.say(writer, NEVER_RAN);
+        assert_eq!(stage.statuses(client), [503]);
+        assert_eq!(stage.text(client).contains("retry-after: 0."), advice, "{}", stage.text(client));
+    }
+    // It may have run and must not run again: no promise, and no advice either.
+    let (mut stage, client, writer) = writing("once");
+    stage.lose(writer);
+    assert_eq!(stage.statuses(client), [502]);
+    assert!(!stage.text(client).contains("retry-after"));
+}
+
 #[test]
 fn the_time_ends_what_has_not_begun_and_nothing_that_has() {
     let mut stage = Stage::new();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -688,13 +688,14 @@
 
     /// The next step of a submission that has no shot out.
     fn forward(&mut self, now: Tenths, s: &mut Submission) {
-        if now + LOOK >= s.cut_off || !self.may_repeat(now, s) {
+        // Without a shot left not even a state that waits at its reader can be answered.
+        if now + LOOK >= s.cut_off || !self.may_repeat(now, s) || s.shots >= self.terms.max_shots {
             return self.end(s);
         }
         if let Some(reader) = s.state {
             let overdue = s.since + (self.terms.release as f64 * PINNED) as Tenths <= now;
             match self.writer_for(now, s, reader) {
-                Some(writer) if s.shots < self.terms.max_shots && self.may_run(now, s, writer) => {
+                Some(writer) if self.may_run(now, s, writer) => {
                     let cross = self.workers.get(&reader).map(|w| w.list.cell)
                         != self.workers.get(&writer).map(|w| w.list.cell);
                     if s.place.is_some_and(|(w, _)| w != writer) {
--- a/tests/lessons.rs
+++ b/tests/lessons.rs
@@ -310,3 +310,12 @@
     let open = turned_away(&mut world);
     assert!(shut > 20 && open < 5, "{shut} then {open}");
 }
+
+#[test]
+fn without_a_shot_left_a_submission_is_answered_at_once_though_its_state_waits() {
+    let mut world = World::new(Terms { max_shots: 2, ..terms() }, 6);
+    let id = read(&mut world, false);
+    world.settle(id, Ending::Full);
+    assert!(world.logged(&Decision::LetGo { id }));
+    assert!(matches!(world.log.last(), Some((at, Decision::TurnBack { .. })) if *at == world.now));
+}
