The door weighs the usual way only as far as it was seen of late

Cause: the door (forward, src/choice.rs) asks usual(), and a fading mean keeps its value, whatever its readings' age, until their weight is 1e-6, some 70 s: a router that sees a submission in three seconds and once had a slow way lets one in fifty in, and hears nothing that could change that. Change: readings are weighed against one reading's worth of no wait, so that old ones count for less and less; a router that sees much is not touched. A lesson fails without it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,6 +32,9 @@
 const BELIEF: Tenths = 10_000;
 /// Part of the contract time that the way to a first token may take before less is sent that way.
 const READING: f64 = 0.5;
+/// Readings' worth of no wait at all with which the door weighs what it knows of waits: one, so that a second
+/// of some traffic outweighs it and a router that sees little forgets in a few times the memory.
+const DOOR: f64 = 1.0;
 /// What waits is given up when less than so many times the usual way to a first token is left.
 const SLACK: f64 = 3.0;
 /// One pair in so many passes a shut gate, to measure again; the design's value.
@@ -435,7 +438,7 @@
         open && first.is_some_and(|id| (0..tracks).all(|track| self.usable(now, id, (0, track), None)))
     }
 
-    /// Those parked that may be hopeless, may have to end by now, or have no longer prompt than there is room for.
+    /// Those parked that may be hopeless, may have to end by now, or have no longer prompt than there is room.
     fn due(&mut self, now: Tenths, room: Option<f64>, open: &Open) -> BTreeSet<Need> {
         let mut due = BTreeSet::new();
         for track in self.needs.tracks() {
@@ -605,8 +608,8 @@
         self.roster = Roster::new(workers.iter().map(|w| (&w.list, w.role)), shares);
     }
 
-    /// The readers to try first, by rendezvous hashing of the prefix or session, and how many of its order these
-    /// take up.
+    /// The readers to try first, by rendezvous hashing of the prefix or session, and how many of its order
+    /// these take up.
     fn readers(&mut self, now: Tenths, arrival: &Arrival) -> (Vec<WorkerId>, usize) {
         let key = arrival.key();
         // A cold reader that the submission drew comes first, or its part would fall to the hash again.
@@ -716,7 +719,7 @@
             let own = &self.terms.tracks[usize::from(s.arrival.track)];
             let above = self.terms.tracks.iter().filter(|t| t.earnings >= own.earnings);
             let spare = own.contract - above.map(|t| t.contract).min().unwrap_or(own.contract);
-            let part = self.usual(now, s.arrival.track) / (s.contract - s.came - spare) as f64;
+            let part = self.recent(now, s.arrival.track) / (s.contract - s.came - spare) as f64;
             if self.chance.unit() > (READING / part).powi(2) {
                 return self.end(s);
             }
@@ -877,6 +880,13 @@
         self.waits.iter_mut().filter_map(|w| w.get_mut(&track)?.read(now, MEMORY)).sum()
     }
 
+    /// The same, as far as it was seen of late: guards against a door that stays shut for want of readings,
+    /// as hardly any comes while it is. Harms where one slow way in a lull tells of a jam that goes on.
+    fn recent(&mut self, now: Tenths, track: u8) -> f64 {
+        let waits = self.waits.iter_mut().filter_map(|w| Some(w.get_mut(&track)?.sums(now, MEMORY)));
+        waits.map(|(total, count)| total / (count + DOOR)).sum()
+    }
+
     fn end_if_hopeless(&mut self, now: Tenths, s: &mut Submission) {
         let usual = self.usual(now, s.arrival.track);
         if now + (usual * SLACK) as Tenths + LOOK > s.contract.min(s.cut_off) {
--- a/tests/lessons.rs
+++ b/tests/lessons.rs
@@ -319,3 +319,32 @@
     assert!(world.logged(&Decision::LetGo { id }));
     assert!(matches!(world.log.last(), Some((at, Decision::TurnBack { .. })) if *at == world.now));
 }
+
+/// How many of a hundred submissions are let in at this moment; those that are leave again.
+fn let_in(world: &mut World) -> usize {
+    let mut sent = 0;
+    for _ in 0..100 {
+        let id = world.arrive(1, 1, 10.0, LEFT);
+        if world.open[&id].out.is_some() {
+            sent += 1;
+            world.drop_client(id);
+            world.settle(id, Ending::Withdrawn);
+        }
+    }
+    sent
+}
+
+#[test]
+fn a_door_shut_by_a_few_slow_ways_opens_again_though_nothing_new_is_heard() {
+    let mut world = World::new(Terms { places: false, probes: false, ..terms() }, 2);
+    let ids: Vec<_> = (0..5).map(|_| world.arrive(1, 1, 10.0, LEFT)).collect();
+    world.pass(1_200 * MS);
+    ids.iter().for_each(|id| world.settle(*id, Ending::Read));
+    world.pass(200 * MS);
+    ids.iter().for_each(|id| world.start(*id));
+    ids.iter().for_each(|id| world.settle(*id, Ending::Honoured));
+    let soon = let_in(&mut world);
+    world.pass(15_000 * MS);
+    let later = let_in(&mut world);
+    assert!(soon < 60 && later > 95, "{soon} of 100 soon, {later} after three times the memory");
+}
