Settings that contradict themselves or lack what is needed end the program, naming the key

Need: a setting that is not known is passed over; one that is wrong must be told at start. Before, a switch that was no boolean counted as off, an unknown way of discovery as automatic, a missing longest advice as 0, a short list of stretches as 0, negative numbers and a fleet in which nothing reads or writes were taken. One reader for adapter and router (crates/settings), so both tell.

--- a/crates/command/tests/deployed.rs
+++ b/crates/command/tests/deployed.rs
@@ -56,8 +56,8 @@
 #[test]
 fn run_is_one_process_that_waits_without_spinning() {
     let listen = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let settings = r#"{"balancers":1,"classes":[],"kinds":[],"failure_domains":[],"discovery":"push",
-        "family_info":{"kind_role":[],"aim_us_per_1000_prompt_tokens":[],"pin_limit_ms":1000},
+    let settings = r#"{"balancers":1,"classes":[],"kinds":["both"],"failure_domains":[],"discovery":"automatic",
+        "family_info":{"kind_role":["both"],"aim_us_per_1000_prompt_tokens":[],"pin_limit_ms":1000},
         "invariants":{"cold_share":0.2,"ramp_time_ms":8000,"fall_multiple":2.5,"fall_ms":1000},
         "caps":{"max_attempts":6,"dial_timeout_ms":250,"conn_idle_ms":15000}}"#;
     let config = format!(
--- a/crates/platform/tests/list.rs
+++ b/crates/platform/tests/list.rs
@@ -220,7 +220,7 @@
         (
             "/settings/invariants/cold_share",
             json!("x"),
-            "settings: invariants.cold_share in the settings is not a number",
+            "settings: invariants.cold_share in the settings is not a number of 0 or more",
         ),
         ("/known/servers/0/addr", json!("x"), "known: addr is missing or is not what it should be"),
     ] {
--- /dev/null
+++ b/crates/settings/tests/settings.rs
@@ -0,0 +1,86 @@
+//! Settings as a router is told them: what is not known is passed over, what is wrong is named by its key.
+
+use serde_json::{json, Value};
+use tideroute::interface::{Repeat, Role};
+
+fn settings() -> Value {
+    json!({
+        "balancers": 3, "unheard_of": {"a": 1}, "discovery": "subscribe", "kinds": ["r", "w"],
+        "caps": {"cancel": true, "max_attempts": 6, "probing": true, "retry_after": true,
+            "max_retry_after_ms": 500.0, "new_switch": "often"},
+        "classes": [{"name": "a", "idempotency": "pure", "on_time_ms": 1_200.0, "worth": 1.0},
+            {"name": "b", "idempotency": "side_effect", "on_time_ms": 2_500.0, "worth": 3.0}],
+        "family_info": {"ahead": true, "kind_role": ["read", "write"], "pin_limit_ms": 1_000.0,
+            "aim_us_per_1000_prompt_tokens": [40_000.0, 120_000.0]},
+        "invariants": {"cold_share": 0.3, "fall_ms": 1_000.0, "fall_multiple": 2.5, "ramp_time_ms": 14_000.0}
+    })
+}
+
+/// The settings with a value put in at a path, or taken out.
+fn with(path: &str, value: Option<Value>) -> Value {
+    let mut root = settings();
+    let (above, key) = path.rsplit_once('/').expect("a path");
+    let object = root.pointer_mut(above).and_then(Value::as_object_mut).expect("an object");
+    match value {
+        Some(value) => object.insert(key.to_string(), value),
+        None => object.remove(key),
+    };
+    root
+}
+
+#[test]
+fn what_is_told_becomes_terms_and_what_is_not_known_is_passed_over() {
+    let terms = tideroute_settings::terms(&settings()).expect("sound");
+    assert_eq!((terms.routers, terms.max_shots, terms.release), (3, 6, 10_000));
+    assert_eq!(terms.roles, [Role::Reader, Role::Writer]);
+    assert!(terms.places && terms.subscribes && terms.probes && terms.withdrawals && !terms.writers_read);
+    assert_eq!((terms.advice, terms.longest_advice), (true, 5_000));
+    assert_eq!(terms.tracks[1].repeat, Repeat::SingleUse);
+    assert_eq!(terms.tracks[1].contract_of(2_000.0), 25_000 + 2_400);
+    let bare = tideroute_settings::terms(&with("/family_info/ahead", None)).expect("sound");
+    assert!(!bare.places, "a switch that is not there is off");
+    // Without advice nobody needs the longest.
+    let mut quiet = with("/caps/max_retry_after_ms", None);
+    quiet["caps"]["retry_after"] = false.into();
+    assert_eq!(tideroute_settings::terms(&quiet).expect("sound").longest_advice, 0);
+}
+
+#[test]
+fn what_is_missing_wrong_or_contradicts_itself_is_named_by_its_key() {
+    let cases: [(&str, Option<Value>, &str); 22] = [
+        ("/balancers", None, "balancers"),
+        ("/balancers", Some(json!(-1)), "balancers"),
+        ("/classes", Some(json!({})), "classes"),
+        ("/discovery", Some(json!("by post")), "discovery"),
+        ("/discovery", None, "discovery"),
+        ("/kinds", Some(json!(["r", "w", "x"])), "family_info.kind_role"),
+        ("/caps/max_attempts", Some(json!(0)), "caps.max_attempts"),
+        ("/caps/max_attempts", Some(json!("six")), "caps.max_attempts"),
+        ("/caps/probing", Some(json!("yes")), "caps.probing"),
+        ("/caps/cancel", Some(json!(1)), "caps.cancel"),
+        ("/caps/max_retry_after_ms", None, "caps.max_retry_after_ms"),
+        ("/family_info/ahead", Some(json!(null)), "family_info.ahead"),
+        ("/family_info/writers_read", Some(json!([])), "family_info.writers_read"),
+        ("/family_info/pin_limit_ms", None, "family_info.pin_limit_ms"),
+        ("/family_info/kind_role", None, "family_info.kind_role"),
+        ("/family_info/kind_role", Some(json!(["read", "listen"])), "family_info.kind_role"),
+        ("/family_info/kind_role", Some(json!(["read", "read"])), "no kind that writes"),
+        ("/family_info/kind_role", Some(json!(["write", "write"])), "no kind that reads"),
+        ("/family_info/aim_us_per_1000_prompt_tokens", Some(json!([1.0])), "aim_us_per_1000_prompt_tokens"),
+        (
+            "/family_info/aim_us_per_1000_prompt_tokens",
+            Some(json!([1.0, -2.0])),
+            "aim_us_per_1000_prompt_tokens",
+        ),
+        ("/invariants/fall_ms", Some(json!(-5.0)), "invariants.fall_ms"),
+        ("/invariants/cold_share", None, "invariants.cold_share"),
+    ];
+    for (path, value, named) in cases {
+        let problem = tideroute_settings::terms(&with(path, value.clone())).expect_err(path);
+        assert!(problem.contains(named), "{path} as {value:?}: {problem}");
+    }
+    // A fleet of writers that read is none to complain of.
+    let mut alone = with("/family_info/writers_read", Some(json!(true)));
+    alone["family_info"]["kind_role"] = json!(["write", "write"]);
+    assert!(tideroute_settings::terms(&alone).is_ok());
+}
