Means are shrunk in one place

Read again: the door, the usual loss and the doubt of a worker each shrank a mean by hand. FadingMean::shrunk serves the three, with the same arithmetic; tests/equal.rs, whose oracle keeps the old lines, sees no other decision.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -438,7 +438,7 @@
         open && first.is_some_and(|id| (0..tracks).all(|track| self.usable(now, id, (0, track), None)))
     }
 
-    /// Those parked that may be hopeless, may have to end by now, or have no longer prompt than there is room.
+    /// Those parked that may be hopeless, may have to end by now, or have a prompt for which there is room.
     fn due(&mut self, now: Tenths, room: Option<f64>, open: &Open) -> BTreeSet<Need> {
         let mut due = BTreeSet::new();
         for track in self.needs.tracks() {
@@ -554,8 +554,7 @@
     fn doubted(&mut self, now: Tenths, id: WorkerId, track: u8) -> bool {
         let mean = usual_loss(self.losses.entry(track).or_default(), now);
         let known = self.workers.get_mut(&id).and_then(|w| w.losses.get_mut(&track));
-        let (lost, shots) = known.map_or((0.0, 0.0), |k| k.sums(now, KNOWN));
-        (lost + mean) / (shots + 1.0) - mean > DOUBT * (1.0 - mean)
+        known.map_or(mean, |k| k.shrunk(now, KNOWN, mean, 1.0)) - mean > DOUBT * (1.0 - mean)
     }
 
     /// Guards against pushing over a cold worker, by any number of routers: only submissions that draw it go
@@ -883,8 +882,7 @@
     /// The same, as far as it was seen of late: guards against a door that stays shut for want of readings,
     /// as hardly any comes while it is. Harms where one slow way in a lull tells of a jam that goes on.
     fn recent(&mut self, now: Tenths, track: u8) -> f64 {
-        let waits = self.waits.iter_mut().filter_map(|w| Some(w.get_mut(&track)?.sums(now, MEMORY)));
-        waits.map(|(total, count)| total / (count + DOOR)).sum()
+        self.waits.iter_mut().filter_map(|w| Some(w.get_mut(&track)?.shrunk(now, MEMORY, 0.0, DOOR))).sum()
     }
 
     fn end_if_hopeless(&mut self, now: Tenths, s: &mut Submission) {
@@ -975,6 +973,5 @@
 
 /// The part of shots that are lost, shrunk by two shots towards what is usual.
 fn usual_loss(losses: &mut FadingMean, now: Tenths) -> f64 {
-    let (lost, shots) = losses.sums(now, KNOWN);
-    (lost + 2.0 * RARE) / (shots + 2.0)
+    losses.shrunk(now, KNOWN, RARE, 2.0)
 }
--- a/src/fading.rs
+++ b/src/fading.rs
@@ -42,6 +42,12 @@
         (self.total.read(now, span), self.count.read(now, span))
     }
 
+    /// The mean, shrunk towards a value as if that had been read so many times just now.
+    pub fn shrunk(&mut self, now: Tenths, span: Tenths, towards: f64, times: f64) -> f64 {
+        let (total, count) = self.sums(now, span);
+        (total + times * towards) / (count + times)
+    }
+
     /// None until there is a reading, and again once all have faded to nothing.
     pub fn read(&mut self, now: Tenths, span: Tenths) -> Option<f64> {
         let count = self.count.read(now, span);
