Letters that two cores offer at the same moment are both taken

Seen: the test of the administration failed once of six runs here and once of forty, 'the figures never came': 7 of 8 submissions shown for a minute. Cause: Mailbox::offer gave up where another core held the count (try_lock); cores tell at the same moment, and Tenancy::news tells a figure again only when it changes. Ruled out: the submission itself (taken by its client) and a stranger's router (one process of its own). It waits for the count now, held for as long as an offer takes; nobody sends to that box.

--- a/crates/reactor/src/mailbox.rs
+++ b/crates/reactor/src/mailbox.rs
@@ -44,9 +44,11 @@
         Some(*sent)
     }
 
-    /// Never waits; false if the box is full or the loop has ended. For letters of which a later one tells the same.
+    /// Never waits for room; false if the box is full or the loop has ended. For letters of which a later one tells
+    /// the same. Into a box that others [`send`](Self::send) to it would wait with them.
     pub fn offer(&self, letter: Bytes) -> bool {
-        let Ok(mut sent) = self.sent.try_lock() else { return false };
+        // Guards against a letter lost because another core offers one at the same moment, as their timers do.
+        let mut sent = self.sent.lock().unwrap_or_else(|e| e.into_inner());
         let taken = self.letters.try_send(letter).is_ok();
         *sent += u64::from(taken);
         taken && self.poller.notify().is_ok()
