--- a/crates/command/tests/admin.rs
+++ b/crates/command/tests/admin.rs
@@ -2,7 +2,7 @@
 //! the protocol.
 
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
@@ -10,8 +10,10 @@
 use bytes::{Bytes, BytesMut};
 use tideroute_wire::{client, frame, say_hello_with, Malformed, Party};
 
-/// Long past what anything here takes; a test that waits so long has failed.
-const PATIENCE: Duration = Duration::from_secs(60);
+mod waiting;
+
+use waiting::{free, until, PATIENCE};
+
 const KEY: &str = "a-key-for-tests";
 
 struct Running {
@@ -21,10 +23,6 @@
     admin: String,
 }
 
-fn free() -> String {
-    TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("its address").to_string()
-}
-
 impl Running {
     fn start(what: &str) -> Running {
         let folder = std::env::temp_dir().join(format!("tideroute-admin-{what}-{}", std::process::id()));
@@ -59,11 +57,7 @@
             .spawn()
             .expect("it starts");
         self.child = Some(child);
-        let began = Instant::now();
-        while TcpStream::connect(&self.listen).is_err() || TcpStream::connect(&self.admin).is_err() {
-            assert!(began.elapsed() < PATIENCE, "it does not listen");
-            std::thread::sleep(Duration::from_millis(5));
-        }
+        until(|| TcpStream::connect(&self.listen).and(TcpStream::connect(&self.admin)).ok());
     }
 
     fn kill(&mut self) {
--- a/crates/command/tests/deployed.rs
+++ b/crates/command/tests/deployed.rs
@@ -1,10 +1,17 @@
 //! What the operators' standing test asks of `build` and `run` in the deploy file: one process that the shell is
 //! replaced by, linked dynamically against the C library, with no other program, no Unix door and no busy thread.
 
-use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
+use std::net::TcpStream;
+use std::process::{Command, Stdio};
+use std::time::Duration;
 
-const WAIT: Duration = Duration::from_secs(10);
+use serde_json::json;
+
+#[path = "../../platform/tests/common/mod.rs"]
+mod common;
+mod waiting;
+
+use waiting::{free, until, Running};
 
 /// A value of the deploy file, which has one assignment a line.
 fn line(key: &str) -> String {
@@ -15,13 +22,13 @@
 }
 
 /// `run`, but with the binary under test in place of the release build.
-fn started(config: &std::path::Path) -> Child {
+fn started(config: &std::path::Path) -> Running {
     let program = env!("CARGO_BIN_EXE_tideroute");
     let run = line("run").replace("target/release/tideroute", program);
     assert!(run.contains(program), "{run}");
     let mut command = Command::new("/bin/sh");
     command.arg("-c").arg(run).env("EDGE_CONFIG", config);
-    command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap()
+    Running(command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap())
 }
 
 fn read(pid: u32, file: &str) -> String {
@@ -55,25 +62,17 @@
 
 #[test]
 fn run_is_one_process_that_waits_without_spinning() {
-    let listen = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let settings = r#"{"balancers":1,"classes":[],"kinds":["both"],"failure_domains":[],"discovery":"automatic",
-        "family_info":{"kind_role":["both"],"aim_us_per_1000_prompt_tokens":[],"pin_limit_ms":1000},
-        "invariants":{"cold_share":0.2,"ramp_time_ms":8000,"fall_multiple":2.5,"fall_ms":1000},
-        "caps":{"max_attempts":6,"dial_timeout_ms":250,"conn_idle_ms":15000}}"#;
-    let config = format!(
-        r#"{{"name":"n0","listen":"{listen}","discovery":"127.0.0.1:1","seed":"1f","known":null,
-        "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"settings":{settings}}}"#
-    );
+    let (listen, mut file) = (free(), common::file());
+    // Nobody is at discovery: it has nothing to do but to ask again.
+    (file["listen"], file["discovery"]) = (json!(listen), json!(free()));
     let path = std::env::temp_dir().join(format!("deployed-{}.json", std::process::id()));
-    std::fs::write(&path, config).unwrap();
-    let mut child = started(&path);
-    let pid = child.id();
-    let began = Instant::now();
-    while std::net::TcpStream::connect(listen).is_err() {
-        assert!(child.try_wait().unwrap().is_none(), "it ended");
-        assert!(began.elapsed() < WAIT, "it never listened");
-        std::thread::sleep(Duration::from_millis(20));
-    }
+    std::fs::write(&path, file.to_string()).unwrap();
+    let mut running = started(&path);
+    let pid = running.0.id();
+    until(|| {
+        assert!(running.0.try_wait().unwrap().is_none(), "it ended");
+        TcpStream::connect(&listen).ok()
+    });
     let first = used(pid);
     std::thread::sleep(Duration::from_millis(1_500));
     let spent = used(pid) - first;
@@ -85,8 +84,7 @@
         .filter_map(|fd| Some(std::fs::read_link(fd.ok()?.path()).ok()?.to_string_lossy().into_owned()))
         .filter_map(|link| Some(link.strip_prefix("socket:[")?.strip_suffix(']')?.to_string()))
         .collect();
-    child.kill().unwrap();
-    child.wait().unwrap();
+    drop(running);
     std::fs::remove_file(&path).unwrap();
     assert_eq!(name.trim(), "tideroute", "the shell is replaced");
     assert_eq!(children.trim(), "");
--- a/crates/command/tests/platform.rs
+++ b/crates/command/tests/platform.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -16,7 +16,7 @@
 mod waiting;
 
 use common::{EVENTS, NEVER_RAN, READ};
-use waiting::{signal, until};
+use waiting::{free, signal, until, Running};
 
 /// How long the clients ask, when the new configuration comes, and when the signal to end.
 const ASKS: Duration = Duration::from_millis(3_000);
@@ -229,15 +229,6 @@
     }
 }
 
-struct Running(Child);
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 fn up(router: &str) -> Option<()> {
     let mut stream = TcpStream::connect(router).ok()?;
     stream.write_all(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n").ok()?;
@@ -245,12 +236,6 @@
     head.starts_with("http/1.1 200").then_some(())
 }
 
-/// A port that was free a moment ago.
-fn free() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address").to_string()
-}
-
 #[test]
 fn signals_under_load_break_no_rule() {
     let seen = Shared::default();
