--- a/crates/command/src/cores.rs
+++ b/crates/command/src/cores.rs
@@ -15,6 +15,7 @@
 use tideroute_lab::processes::NUMBERS_A_CORE;
 use tideroute_reactor::{Ended as Loop, Reactor, ReactorError};
 use tideroute_records::kinds::Router;
+use tideroute_wire::Origin;
 
 use crate::administration::Administration;
 use crate::{figures, serve, Ended, Run};
@@ -119,6 +120,12 @@
     }
 }
 
+fn origin() -> Result<Origin, String> {
+    let mut drawn = [0; 16];
+    getrandom::fill(&mut drawn).map_err(|e| format!("the machine gives no random bits for ids: {e}"))?;
+    Ok(Origin::from_be_bytes(drawn))
+}
+
 /// Runs one core on the loop it was given.
 fn core(
     record: &Router,
@@ -136,7 +143,8 @@
         return Ok(Loop::Done);
     }
     let now = reactor.clock().now();
-    // No two starts of any core have the same ids: time, process and core tell them apart.
+    // Where the module's chance begins. That no two starts of any core have the same ids needs more than a time
+    // and a process number, which agree within a fleet that restarts: what the machine draws.
     let seed = record.seed.unwrap_or(now ^ u64::from(std::process::id()) << 8) ^ u64::from(n) << 18;
     let mut kept = None;
     if let Some(path) = record.keep.as_ref().map(PathBuf::from) {
@@ -144,7 +152,7 @@
         kept = std::fs::read(&own).or_else(|_| std::fs::read(&path)).ok();
         reactor.keep(own);
     }
-    let mut terms = convert::router(record, n, seed)?;
+    let mut terms = convert::router(record, n, seed, origin()?)?;
     if let Some(admin) = admin {
         terms.books.tenants = Some(admin.join(n, reactor.mailbox())?);
         reactor.publish_to(admin.figures());
@@ -153,3 +161,32 @@
     tracing::info!(name, listen = %listen, "the router is there");
     reactor.run(&mut host).map_err(|e| e.to_string())
 }
+
+#[cfg(test)]
+mod tests {
+    use std::collections::HashSet;
+    use std::sync::Barrier;
+
+    /// Starts as a fleet that is restarted makes them: all in one moment, many in each process number's place.
+    #[test]
+    fn no_two_of_thousands_of_starts_in_one_moment_have_the_same_origin() {
+        const AT_ONCE: usize = 16;
+        const EACH: usize = 2_000;
+        let barrier = Barrier::new(AT_ONCE);
+        let drawn: Vec<Vec<_>> = std::thread::scope(|scope| {
+            let start = || {
+                barrier.wait();
+                (0..EACH).map(|_| super::origin().expect("the machine draws")).collect()
+            };
+            let starts: Vec<_> = (0..AT_ONCE).map(|_| scope.spawn(start)).collect();
+            starts.into_iter().map(|s| s.join().expect("it drew")).collect()
+        });
+        let all: HashSet<_> = drawn.iter().flatten().collect();
+        assert_eq!(all.len(), AT_ONCE * EACH);
+        // Drawn, and not counted or told by a clock: every byte varies, those of the top and of the bottom.
+        for byte in 0..16 {
+            let values: HashSet<_> = all.iter().map(|origin| (*origin >> (8 * byte)) as u8).collect();
+            assert_eq!(values.len(), 256, "byte {byte}");
+        }
+    }
+}
--- a/crates/command/tests/program.rs
+++ b/crates/command/tests/program.rs
@@ -185,14 +185,16 @@
     let folder = Folder::new("garbage");
     let port = free_port();
     let file = router_file(&folder, port);
-    let mut router = tideroute().args(["router", &file]).stdin(Stdio::null()).spawn().expect("it starts");
-    let hello = frame(&[10, 7, 8, 1, 18, 1, b'c', 24, 1]);
+    // Tethered, so that it does not outlive a test that fails.
+    let mut router =
+        tideroute().args(["router", &file, "--tethered"]).stdin(Stdio::piped()).spawn().expect("it starts");
+    let hello = frame(&[10, 7, 8, 1, 18, 1, b'c', 24, 2]);
     let submit = |track: u8| frame(&[18, 16, 8, 1, 16, track, 24, 1, 40, 9, 56, 5, 64, 192, 132, 61, 72, 1]);
     for garbage in [
         b"GET / HTTP/1.1\r\n\r\n".to_vec(),
         vec![0xff; 64],
         vec![0xff, 0xff, 0xff, 0x7f],
-        frame(&[10, 7, 8, 2, 18, 1, b'r', 24, 1]),
+        frame(&[10, 7, 8, 2, 18, 1, b'r', 24, 2]),
         frame(&[18, 2, 8, 1]),
         [hello.clone(), hello.clone()].concat(),
         [hello.clone(), frame(b"\x12\x03ab")].concat(),
@@ -242,7 +244,7 @@
         .spawn()
         .expect("it starts");
     // So many connections that each core has some; those of the core that dies end, the others stay.
-    let hello = frame(&[10, 7, 8, 1, 18, 1, b'c', 24, 1]);
+    let hello = frame(&[10, 7, 8, 1, 18, 1, b'c', 24, 2]);
     let mut clients: Vec<_> = (0..48).map(|_| connect(port)).collect();
     clients.iter_mut().for_each(|c| c.write_all(&hello).expect("it is sent"));
     // A second router is not let in beside it.
--- a/crates/host/benches/reload.rs
+++ b/crates/host/benches/reload.rs
@@ -46,7 +46,7 @@
         longest_wait: 1_000_000,
         seed: 5,
     };
-    Terms { books, list: LIST, travel: 10_000, window: 8, most_a_client: 10_000, most_clients: 4 }
+    Terms { books, list: LIST, origin: 7, travel: 10_000, window: 8, most_a_client: 10_000, most_clients: 4 }
 }
 
 fn page(round: u16) -> Bytes {
--- a/crates/host/src/lines.rs
+++ b/crates/host/src/lines.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use tideroute::interface::{SubmissionId, WorkerId};
 use tideroute_wire::link::{Link, Outbox};
-use tideroute_wire::{say_hello, Micros, Party};
+use tideroute_wire::Micros;
 
 #[derive(Default)]
 pub struct Line {
@@ -31,12 +31,19 @@
         self.by_link.get(&link).copied()
     }
 
-    /// Sends to a worker, dialling first if there is no connection.
-    pub fn send(&mut self, worker: WorkerId, name: &str, within: Micros, frame: Bytes, out: &mut Outbox) {
+    /// Sends to a worker, dialling and saying Hello first if there is no connection.
+    pub fn send(
+        &mut self,
+        worker: WorkerId,
+        hello: impl FnOnce() -> Bytes,
+        within: Micros,
+        frame: Bytes,
+        out: &mut Outbox,
+    ) {
         let line = self.lines.entry(worker).or_default();
         let link = *line.link.get_or_insert_with(|| {
             let link = out.dial(worker, within);
-            out.send(link, say_hello(Party::Router, name));
+            out.send(link, hello());
             self.by_link.insert(link, worker);
             link
         });
--- a/crates/host/src/submissions.rs
+++ b/crates/host/src/submissions.rs
@@ -84,7 +84,8 @@
     id & ((1 << COUNTED) - 1)
 }
 
-/// All open submissions by id. Ids count up from a base that no other router or start of one is likely to have.
+/// All open submissions by id. Ids count up from a base that tells starts apart in logs;
+/// where those of several routers meet, what a router's Hello says stands before them.
 pub struct Submissions<A> {
     base: u64,
     count: u64,
--- a/crates/host/src/terms.rs
+++ b/crates/host/src/terms.rs
@@ -1,6 +1,6 @@
 //! What a router is told when it starts.
 
-use tideroute_wire::{Address, Micros};
+use tideroute_wire::{Address, Micros, Origin};
 
 use crate::tenancy::TenantTerms;
 
@@ -31,6 +31,8 @@
 pub struct Terms {
     pub books: BookTerms,
     pub list: Address,
+    /// What tells its ids from those of every other router and start.
+    pub origin: Origin,
     /// What an answer needs on its way to the client: cut-offs are kept so much earlier.
     pub travel: Micros,
     /// Tokens of one stream that may be under way before its client has taken them.
--- a/crates/host/src/wires.rs
+++ b/crates/host/src/wires.rs
@@ -2,7 +2,7 @@
 
 use tideroute::interface::{Ending, SubmissionId, WorkerId};
 use tideroute_wire::link::{Link, Outbox};
-use tideroute_wire::{client, list, say_hello, worker, Micros, Party};
+use tideroute_wire::{client, list, say_router, worker, Micros};
 
 use crate::clients::Clients;
 use crate::host::key;
@@ -32,8 +32,9 @@
 
 impl Wires<'_> {
     fn send(&mut self, to: WorkerId, frame: bytes::Bytes) {
-        let books = &self.terms.books;
-        self.lines.send(to, &books.name, books.unheard, frame, self.out);
+        let terms = self.terms;
+        let hello = || say_router(&terms.books.name, terms.origin);
+        self.lines.send(to, hello, terms.books.unheard, frame, self.out);
     }
 }
 
@@ -136,7 +137,7 @@
     fn subscribe(&mut self, version: u64) {
         let link = *self.list_link.get_or_insert_with(|| {
             let link = self.out.dial(self.terms.list, self.terms.books.unheard);
-            self.out.send(link, say_hello(Party::Router, &self.terms.books.name));
+            self.out.send(link, say_router(&self.terms.books.name, self.terms.origin));
             link
         });
         self.out.send(link, list::watch(version));
--- a/crates/host/tests/noise.rs
+++ b/crates/host/tests/noise.rs
@@ -44,7 +44,7 @@
         longest_wait: 1_000_000,
         seed: 5,
     };
-    Terms { books, list: LIST, travel: 10_000, window: 8, most_a_client: 30, most_clients: 4 }
+    Terms { books, list: LIST, origin: 7, travel: 10_000, window: 8, most_a_client: 30, most_clients: 4 }
 }
 
 /// What a client hears, by its own numbers.
--- a/crates/lab/src/convert.rs
+++ b/crates/lab/src/convert.rs
@@ -6,7 +6,7 @@
 use tideroute_records::kinds::{Able, List, Role, Router, Step, Tenant, Terms, Track, Worker};
 use tideroute_shares::{Limits, Rate};
 use tideroute_standins::{Does, ListTerms, Trouble, WorkerTerms};
-use tideroute_wire::{Address, Micros};
+use tideroute_wire::{Address, Micros, Origin};
 
 /// Microseconds in one of the module's tenths of a millisecond.
 const TENTH: u64 = 100;
@@ -74,7 +74,7 @@
 
 /// The terms of one core of a router. Each is a router of its own to the decisions, so that what all of them
 /// send to a cold worker stays within the rule with no word between them; bounds are shared out evenly.
-pub fn router(r: &Router, core: u32, seed: u64) -> Result<tideroute_host::Terms, String> {
+pub fn router(r: &Router, core: u32, seed: u64, origin: Origin) -> Result<tideroute_host::Terms, String> {
     let cores = r.cores as usize;
     let mut module = module(&r.terms, r);
     module.routers = module.routers.saturating_mul(r.cores);
@@ -92,6 +92,7 @@
     Ok(tideroute_host::Terms {
         books,
         list: address(&r.list)?,
+        origin,
         travel: r.terms.travel,
         window: r.terms.window,
         most_a_client: r.terms.most_a_client,
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -157,7 +157,8 @@
             router.cores = 1;
             let seed = day.seed << 16 | self.starts;
             let kept = self.places.get(name).and_then(|&place| self.world.kept(place));
-            let host = Host::new(convert::router(&router, 0, seed).map_err(bad)?, kept, now);
+            let host =
+                Host::new(convert::router(&router, 0, seed, u128::from(seed)).map_err(bad)?, kept, now);
             ("router", &ports.routers[n], Box::new(host))
         } else {
             let mut all = day.workers().enumerate();
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -38,7 +38,7 @@
 const TICKS: f64 = 100.0;
 
 /// The numbers of a process's cores beyond the first lie so far apart in a record.
-pub const NUMBERS_A_CORE: u32 = 1000;
+pub const NUMBERS_A_CORE: u32 = 100_000;
 
 pub struct Processes {
     program: PathBuf,
--- a/crates/lab/src/straight.rs
+++ b/crates/lab/src/straight.rs
@@ -9,7 +9,7 @@
 use tideroute_records::kinds::Load as Record;
 use tideroute_wire::link::{Link, Loss, Outbox, Program};
 use tideroute_wire::worker::{self, How};
-use tideroute_wire::{say_hello, Address, Malformed, Micros, Party};
+use tideroute_wire::{say_router, Address, Malformed, Micros};
 
 use crate::traffic::{plan, Planned};
 
@@ -153,12 +153,15 @@
     }
 }
 
+/// There is one such client at its workers.
+const ORIGIN: tideroute_wire::Origin = 1;
+
 impl Program for Straight {
     fn begin(&mut self, now: Micros, out: &mut Outbox) {
         self.began = now;
         for worker in &self.workers {
             let link = out.dial(worker.address, DIAL);
-            out.send(link, say_hello(Party::Router, "straight"));
+            out.send(link, say_router("straight", ORIGIN));
             self.links.insert(worker.address, link);
         }
         self.arrive(now, out);
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -98,10 +98,6 @@
     events: u64,
 }
 
-/// Bytes of a frame kept in the record, and its start where it is longer; as the loop's own record.
-const LONGEST: usize = 1024;
-const START: usize = 16;
-
 impl World {
     /// A world that begins at a time, with so long a way between any two nodes.
     pub fn new(now: Micros, delay: Micros) -> World {
@@ -238,7 +234,7 @@
     }
 
     fn note(&mut self, id: NodeId, link: Link, what: What, place: u64, frame: &Bytes) {
-        let frame = if frame.len() > LONGEST { frame.slice(..START) } else { frame.clone() };
+        let frame = tap::kept(frame, &self.nodes[id.0].role);
         let process = self.nodes[id.0].process;
         self.passed.push(Passed { at: self.now, process, link: link.0, what, place, frame });
     }
--- a/crates/reactor/src/tap.rs
+++ b/crates/reactor/src/tap.rs
@@ -11,15 +11,10 @@
 use tideroute_wire::tap::{self, Passed, What, Who};
 use tideroute_wire::{Address, Micros};
 
-/// Bytes: of a frame longer than this only the start is kept. Chunks of states are longer; what has a
-/// meaning for the rules is shorter.
-const LONGEST: usize = 1024;
-/// Bytes kept of the start of a longer frame.
-const START: usize = 16;
-
 pub struct Tap {
     file: BufWriter<File>,
     process: u32,
+    role: String,
 }
 
 impl Tap {
@@ -27,11 +22,11 @@
     pub fn begin(path: &Path, who: &Who) -> io::Result<Tap> {
         let mut file = BufWriter::with_capacity(1 << 18, File::create(path)?);
         tap::write_head(&mut file, std::slice::from_ref(who), "")?;
-        Ok(Tap { file, process: who.number })
+        Ok(Tap { file, process: who.number, role: who.role.clone() })
     }
 
     pub(crate) fn note(&mut self, at: Micros, link: Link, what: What, place: u64, frame: &Bytes) {
-        let frame = if frame.len() > LONGEST { frame.slice(..START) } else { frame.clone() };
+        let frame = tap::kept(frame, &self.role);
         let passed = Passed { at, process: self.process, link: link.0, what, place, frame };
         self.write(&passed);
     }
--- a/crates/records/src/schema.cue
+++ b/crates/records/src/schema.cue
@@ -221,7 +221,7 @@
 #Day: {
 	note:    string | *""
 	seed:    int & >=0 | *7
-	routers: int & >=1 & <=64 | *3
+	routers: int & >=1 & <=1000 | *3
 	// Of each router.
 	cores: int & >=1 & <=64 | *1
 	cells:   int & >=1 & <=1000 | *4
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -23,6 +23,8 @@
 
 /// Breaks named one by one; of further ones only the number is told.
 const NAMED: usize = 200;
+/// Events after which what is long over is judged and forgotten, so that memory follows what is open.
+const SETTLES: u64 = 1 << 18;
 
 /// What a break concerns.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -130,6 +132,9 @@
             report.note(Rule::Record, passed.at, None, "the record goes back in time");
         }
         last = passed.at;
+        if report.counts.events % SETTLES == 0 {
+            shots.settle(last, &links, &mut report);
+        }
         if !roles.contains_key(&passed.process) {
             report.note(Rule::Record, passed.at, None, format!("process {} is unknown", passed.process));
             continue;
@@ -154,6 +159,6 @@
         }
         What::Closed | What::Unreached => shots.closed(passed, talk, report),
         What::Killed | What::Left => shots.process_ended(passed, report),
-        What::Dialled | What::Met | What::Accepted | What::Began => {}
+        What::Dialled | What::Met | What::Accepted | What::Began | What::Joined => {}
     }
 }
--- a/crates/rules/src/shots.rs
+++ b/crates/rules/src/shots.rs
@@ -25,7 +25,8 @@
 
 /// A submission as its router saw it.
 struct Held {
-    router: u32,
+    /// The client's number for it, at the router's end.
+    number: Number,
     client: u64,
     track: u8,
     at: Micros,
@@ -52,6 +53,9 @@
 
 type Number = (u32, u64, u64);
 
+/// Microseconds for which what is over is remembered: longer than any client waits or any process halts.
+const REMEMBERS: Micros = 120_000_000;
+
 pub struct Shots {
     terms: Terms,
     pub cold: Cold,
@@ -59,7 +63,8 @@
     /// Heard by the router and not yet taken or turned back.
     coming: BTreeMap<Number, (u8, Micros, Micros)>,
     ids: BTreeMap<Number, u64>,
-    held: BTreeMap<u64, Held>,
+    /// By router and its id, which is its own.
+    held: BTreeMap<(u32, u64), Held>,
     /// When each router's answer to a client's number went out.
     answered: BTreeMap<Number, Micros>,
     probes: BTreeSet<(u32, u64)>,
@@ -173,7 +178,7 @@
 
     pub fn router_is_left(&mut self, passed: &Passed, n: u64) {
         let id = self.ids.get(&number(passed, n));
-        if let Some(held) = id.and_then(|id| self.held.get_mut(id)) {
+        if let Some(held) = id.and_then(|&id| self.held.get_mut(&(passed.process, id))) {
             held.over.get_or_insert(passed.at);
         }
     }
@@ -185,7 +190,7 @@
         };
         report.counts.taken += 1;
         let held = Held {
-            router: passed.process,
+            number: number(passed, n),
             client: passed.link,
             track,
             at,
@@ -199,14 +204,14 @@
             over: None,
         };
         self.ids.insert(number(passed, n), id);
-        if self.held.insert(id, held).is_some() {
+        if self.held.insert((passed.process, id), held).is_some() {
             report.note(Rule::Record, passed.at, Some(id), "two submissions have one id");
         }
     }
 
     pub fn router_relays(&mut self, passed: &Passed, n: u64, report: &mut Report) {
         let id = self.ids.get(&number(passed, n)).copied();
-        let Some(held) = id.and_then(|id| self.held.get_mut(&id)) else {
+        let Some(held) = id.and_then(|id| self.held.get_mut(&(passed.process, id))) else {
             return report.note(Rule::Record, passed.at, id, format!("a token for number {n}, never taken"));
         };
         held.relayed.get_or_insert(passed.at);
@@ -224,7 +229,7 @@
             return;
         }
         let id = self.ids.get(&key).copied();
-        let Some(held) = id.and_then(|id| self.held.get_mut(&id)) else {
+        let Some(held) = id.and_then(|id| self.held.get_mut(&(passed.process, id))) else {
             return report.note(Rule::Record, passed.at, id, format!("number {n} is answered, never taken"));
         };
         held.over.get_or_insert(passed.at);
@@ -251,7 +256,7 @@
     /// The submission, with anything pinned until now told first.
     fn book(&mut self, passed: &Passed, id: u64, report: &mut Report) -> Option<&mut Held> {
         let release = self.terms.release;
-        let Some(held) = self.held.get_mut(&id).filter(|h| h.router == passed.process) else {
+        let Some(held) = self.held.get_mut(&(passed.process, id)) else {
             report.note(Rule::Record, passed.at, Some(id), "a shot of a submission that was never taken");
             return None;
         };
@@ -328,7 +333,7 @@
 
     pub fn hold_answered(&mut self, passed: &Passed, id: u64, at: Address, yes: bool, report: &mut Report) {
         // After the end nothing is expected of it: it was let go of while the answer was under way.
-        if !self.held.contains_key(&id) {
+        if !self.held.contains_key(&(passed.process, id)) {
             return report.note(Rule::Record, passed.at, Some(id), "an answer on a place never asked for");
         }
         let Some(held) = self.book(passed, id, report) else { return };
@@ -410,7 +415,8 @@
             Between::RouterWorker if talk.dialled => {
                 let release = self.terms.release;
                 let unreached = passed.what == What::Unreached;
-                for (id, held) in self.held.iter_mut().filter(|(_, h)| h.router == passed.process) {
+                let mine = (passed.process, 0)..=(passed.process, u64::MAX);
+                for ((_, id), held) in self.held.range_mut(mine) {
                     let mine = |o: &&Out| o.link == passed.link;
                     let Some(out) = held.out.as_ref().filter(mine) else {
                         if held.held.contains(&talk.to) {
@@ -428,8 +434,8 @@
                 }
             }
             Between::ClientRouter if !talk.dialled => {
-                let gone = |h: &&mut Held| h.router == passed.process && h.client == passed.link;
-                for held in self.held.values_mut().filter(gone) {
+                let mine = (passed.process, 0)..=(passed.process, u64::MAX);
+                for (_, held) in self.held.range_mut(mine).filter(|(_, h)| h.client == passed.link) {
                     held.over.get_or_insert(passed.at);
                 }
             }
@@ -440,7 +446,8 @@
     pub fn process_ended(&mut self, passed: &Passed, report: &mut Report) {
         self.ended.insert(passed.process);
         let release = self.terms.release;
-        for (id, held) in self.held.iter_mut().filter(|(_, h)| h.router == passed.process) {
+        let mine = (passed.process, 0)..=(passed.process, u64::MAX);
+        for ((_, id), held) in self.held.range_mut(mine) {
             held.look_for_pins(*id, passed.at, release, report);
             // A router that ended in order owes nothing more; one that was killed is excused.
             if passed.what == What::Left && held.over.is_none() {
@@ -451,35 +458,66 @@
         }
     }
 
+    /// What was over long before this moment is judged and forgotten; a word of it that still comes is one of
+    /// a submission never taken, a break all the same.
+    pub fn settle(&mut self, now: Micros, links: &Links, report: &mut Report) {
+        let old = |since: Micros| since + REMEMBERS < now;
+        let done = |a: &Asked| (a.left || a.answers > 0) && old(a.until.max(a.sent_at));
+        let asked: Vec<_> = self.asked.iter().filter(|(_, a)| done(a)).map(|(n, _)| *n).collect();
+        for n in asked {
+            if let Some(asked) = self.asked.remove(&n) {
+                self.judge(n, &asked, links, report);
+            }
+        }
+        // What a client's answer is judged by is kept for as long again.
+        let over =
+            |h: &Held| h.out.is_none() && h.held.is_empty() && h.over.is_some_and(|at| old(at + REMEMBERS));
+        let ids = &mut self.ids;
+        let answered = &mut self.answered;
+        self.held.retain(|_, held| {
+            let gone = over(held);
+            if gone {
+                ids.remove(&held.number);
+                answered.remove(&held.number);
+            }
+            !gone
+        });
+    }
+
     /// The record is at its end: what is still open should not be.
     pub fn finish(&mut self, last: Micros, links: &Links, report: &mut Report) {
         let release = self.terms.release;
-        for (id, held) in &mut self.held {
-            if !self.ended.contains(&held.router) {
+        for ((router, id), held) in &mut self.held {
+            if !self.ended.contains(router) {
                 held.look_for_pins(*id, last, release, report);
             }
         }
-        for ((process, link, n), asked) in &self.asked {
-            let other = links.other(*process, *link);
-            let id = other.and_then(|(p, l)| self.ids.get(&(p, l, *n))).copied();
-            if asked.left {
-                report.counts.left += 1;
-            } else if asked.answers == 0 {
-                if links.over(*process, *link) || other.is_none_or(|(p, l)| links.over(p, l)) {
-                    report.counts.void += 1;
-                } else {
-                    let what = format!("client link {link:x} number {n} was never answered");
-                    report.note(Rule::Lost, asked.sent_at, id, what);
-                }
-            } else if asked.first_token.is_none_or(|t| t > asked.until) {
-                // The router's clock is the client's: on one machine they agree.
-                // A client that reads late has not been answered late.
-                let relayed = id.and_then(|id| self.held.get(&id)).and_then(|h| h.relayed);
-                let sent = other.and_then(|(p, l)| self.answered.get(&(p, l, *n)).copied());
-                if relayed.or(sent).is_some_and(|at| at > asked.until) {
-                    let what = format!("client link {link:x} number {n} was answered after its time");
-                    report.note(Rule::Lost, asked.until, id, what);
-                }
+        for (n, asked) in std::mem::take(&mut self.asked) {
+            self.judge(n, &asked, links, report);
+        }
+    }
+
+    /// Whether a client had its one answer in time.
+    fn judge(&self, (process, link, n): Number, asked: &Asked, links: &Links, report: &mut Report) {
+        let other = links.other(process, link);
+        let id = other.and_then(|(p, l)| Some((p, *self.ids.get(&(p, l, n))?)));
+        if asked.left {
+            report.counts.left += 1;
+        } else if asked.answers == 0 {
+            if links.over(process, link) || other.is_none_or(|(p, l)| links.over(p, l)) {
+                report.counts.void += 1;
+            } else {
+                let what = format!("client link {link:x} number {n} was never answered");
+                report.note(Rule::Lost, asked.sent_at, id.map(|(_, id)| id), what);
+            }
+        } else if asked.first_token.is_none_or(|t| t > asked.until) {
+            // The router's clock is the client's: on one machine they agree.
+            // A client that reads late has not been answered late.
+            let relayed = id.and_then(|key| self.held.get(&key)).and_then(|h| h.relayed);
+            let sent = other.and_then(|(p, l)| self.answered.get(&(p, l, n)).copied());
+            if relayed.or(sent).is_some_and(|at| at > asked.until) {
+                let what = format!("client link {link:x} number {n} was answered after its time");
+                report.note(Rule::Lost, asked.until, id.map(|(_, id)| id), what);
             }
         }
     }
--- a/crates/rules/tests/broken.rs
+++ b/crates/rules/tests/broken.rs
@@ -7,7 +7,7 @@
 use tideroute_rules::{check, Group, Repeat, Report, Rule, Terms, TrackTerms, WorkerTerms};
 use tideroute_wire::list::{Page, Standing};
 use tideroute_wire::tap::{self, counts, Passed, What, Who};
-use tideroute_wire::{client, list, say_hello, worker, Address, Party};
+use tideroute_wire::{client, list, say_hello, say_router, worker, Address, Party};
 
 const CLIENT: u32 = 1;
 const ROUTER: u32 = 2;
@@ -15,6 +15,8 @@
 const WRITER: u32 = 4;
 const LIST: u32 = 5;
 const OTHER: u32 = 6;
+/// A second router, where a test has one.
+const SECOND: u32 = 7;
 const MS: u64 = 1000;
 /// The id of the one submission of most records.
 const ID: u64 = 77;
@@ -100,7 +102,11 @@
         self.note(to, link, What::Accepted, 0, Bytes::from([dialler, taker].concat()));
         self.note(from, link, What::Met, 0, Bytes::from([taker, dialler].concat()));
         self.lines.push(Line { from, to, link, said: [0, 0] });
-        self.say(link as usize, true, say_hello(party, "somebody"));
+        let hello = match party {
+            Party::Router => say_router("somebody", u128::from(from)),
+            _ => say_hello(party, "somebody"),
+        };
+        self.say(link as usize, true, hello);
     }
 
     /// Something is said on a line, by who dialled it or by who took it, and heard.
@@ -182,7 +188,7 @@
 fn check_events(passed: &[Passed]) -> Report {
     let role = |process| match process {
         CLIENT => "client",
-        ROUTER => "router",
+        ROUTER | SECOND => "router",
         LIST => "list",
         _ => "worker",
     };
@@ -193,7 +199,7 @@
         address: Some(address(number)),
     };
     let mut record = Vec::new();
-    let processes: Vec<_> = (1..=6).map(who).collect();
+    let processes: Vec<_> = (1..=7).map(who).collect();
     tap::write_head(&mut record, &processes, &serde_json::to_string(&terms()).unwrap()).unwrap();
     passed.iter().for_each(|p| tap::write(&mut record, p).unwrap());
     check(record.as_slice()).unwrap()
@@ -391,6 +397,60 @@
     }
 }
 
+/// Ids were once told apart by a time and a process number, and two routers of a fleet had the same ones.
+#[test]
+fn two_processes_with_one_origin_or_one_with_two_are_found() {
+    for (process, origin) in [(OTHER, u128::from(ROUTER)), (ROUTER, 99)] {
+        let mut book = clean();
+        book.connect(process, LIST, Party::Client);
+        let hello = |p: &&mut Passed| p.link == 7 && matches!(p.what, What::Sent | What::Heard);
+        book.passed.iter_mut().filter(hello).for_each(|p| p.frame = say_router("it", origin));
+        if process == OTHER {
+            // It is a worker in the other tests.
+            book.passed.iter_mut().filter(|p| p.process == OTHER).for_each(|p| p.process = SECOND);
+            book.passed.retain(|p| p.link == 7 || p.process != SECOND);
+        }
+        let report = book.check();
+        let told = report.broken.iter().any(|b| b.what.contains("have one origin"));
+        assert!(told, "{:?}", report.broken);
+    }
+}
+
+/// A relay between two ends: each sees the relay's address in place of the other's.
+#[test]
+fn ends_joined_by_a_relay_are_compared_as_one_connection() {
+    let (before, behind) = ([127, 0, 0, 9, 1, 1], [127, 0, 0, 9, 2, 2]);
+    let relayed = |changed: bool, late: bool, told: bool| {
+        let mut book = clean();
+        book.close_all();
+        let dialler = [127, 0, 0, 1, 9, 2];
+        let joined = [before, dialler, address(WRITER), behind].concat();
+        for p in book.passed.iter_mut().filter(|p| p.link == 2) {
+            match p.what {
+                What::Met => p.frame = Bytes::from([before, dialler].concat()),
+                What::Accepted => p.frame = Bytes::from([behind, address(WRITER)].concat()),
+                What::Heard if changed && p.place == 2 => p.frame = Bytes::from_static(b"else"),
+                _ => {}
+            }
+        }
+        let mut tell = book.passed[0].clone();
+        (tell.what, tell.link, tell.frame) = (What::Joined, 0, joined.into());
+        let at = if late { book.passed.len() - 1 } else { 0 };
+        tell.at = book.passed[at].at;
+        if told {
+            book.passed.insert(at, tell);
+        }
+        check_events(&book.passed)
+    };
+    for late in [false, true] {
+        let report = relayed(false, late, true);
+        assert!(report.kept(), "{:?}", report.broken);
+        assert!(!relayed(true, late, true).kept());
+    }
+    // Not told of the relay, the check finds words that nobody said.
+    assert!(!relayed(false, false, false).kept());
+}
+
 #[test]
 fn nothing_can_be_taken_out_without_being_missed() {
     let mut book = clean();
--- a/crates/standins/src/reading.rs
+++ b/crates/standins/src/reading.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use tideroute_wire::link::{Link, Outbox};
-use tideroute_wire::{fetch, worker, Micros};
+use tideroute_wire::{fetch, worker, Micros, Whose};
 
 use crate::state;
 use crate::worker::{key, Bench, Timer};
@@ -43,9 +43,9 @@
 
 #[derive(Default)]
 pub struct Reading {
-    reads: BTreeMap<u64, Read>,
-    by_serial: BTreeMap<u64, u64>,
-    waiting: VecDeque<u64>,
+    reads: BTreeMap<Whose, Read>,
+    by_serial: BTreeMap<u64, Whose>,
+    waiting: VecDeque<Whose>,
     running: usize,
     kept: VecDeque<u64>,
     crowded: BTreeSet<Link>,
@@ -66,7 +66,7 @@
         &mut self,
         now: Micros,
         router: Link,
-        id: u64,
+        id: Whose,
         shot: u16,
         prefix: u64,
         prompt_tokens: u32,
@@ -78,11 +78,11 @@
         let full =
             self.waiting.len() >= bench.terms.reads_waiting && self.running >= bench.terms.reads_at_once;
         if !bench.takes_new() || full || self.reads.contains_key(&id) {
-            out.send(router, worker::ended(id, shot, worker::How::Full));
+            out.send(router, worker::ended(id.1, shot, worker::How::Full));
             return false;
         }
         if bench.faults {
-            out.send(router, worker::ended(id, shot, worker::How::Fault));
+            out.send(router, worker::ended(id.1, shot, worker::How::Fault));
             return false;
         }
         let serial = bench.serial();
@@ -132,7 +132,7 @@
             out.ring(now + read.step_takes, key(Timer::Read, serial));
         } else {
             let (router, prefix) = (read.router, read.prefix);
-            let done = worker::read_done(id, read.shot, read.kept, read.state.len() as u64);
+            let done = worker::read_done(id.1, read.shot, read.kept, read.state.len() as u64);
             self.running -= 1;
             out.send(router, done);
             if prefix != 0 && !self.kept.contains(&prefix) {
@@ -148,7 +148,7 @@
     }
 
     /// Sends the fetcher what there is and it has not got, unless it is not taking any.
-    fn pump(&mut self, id: u64, bench: &Bench, out: &mut Outbox) {
+    fn pump(&mut self, id: Whose, bench: &Bench, out: &mut Outbox) {
         let Some(read) = self.reads.get_mut(&id) else { return };
         let (there, done) = (read.there(), read.done());
         let Some((link, sent)) = read.fetcher.as_mut() else { return };
@@ -170,14 +170,14 @@
     }
 
     /// False if there is no such read.
-    pub fn fetch(&mut self, link: Link, id: u64, bench: &Bench, out: &mut Outbox) -> bool {
+    pub fn fetch(&mut self, link: Link, id: Whose, bench: &Bench, out: &mut Outbox) -> bool {
         let Some(read) = self.reads.get_mut(&id) else { return false };
         read.fetcher = Some((link, 0));
         self.pump(id, bench, out);
         true
     }
 
-    pub fn unfetch(&mut self, link: Link, id: u64) {
+    pub fn unfetch(&mut self, link: Link, id: Whose) {
         if let Some(read) = self.reads.get_mut(&id) {
             read.fetcher.take_if(|(l, _)| *l == link);
         }
@@ -201,13 +201,13 @@
     }
 
     /// Lets go of a state that waits.
-    pub fn let_go(&mut self, id: u64) {
+    pub fn let_go(&mut self, id: Whose) {
         if self.reads.get(&id).is_some_and(Read::done) {
             self.remove(id);
         }
     }
 
-    pub fn withdraw(&mut self, now: Micros, id: u64, shot: u16, bench: &mut Bench, out: &mut Outbox) {
+    pub fn withdraw(&mut self, now: Micros, id: Whose, shot: u16, bench: &mut Bench, out: &mut Outbox) {
         if self.reads.get(&id).is_some_and(|r| r.shot == shot) {
             self.remove(id);
             self.start(now, bench, out);
@@ -220,7 +220,7 @@
         self.start(now, bench, out);
     }
 
-    fn remove(&mut self, id: u64) {
+    fn remove(&mut self, id: Whose) {
         let Some(read) = self.reads.remove(&id) else { return };
         self.by_serial.remove(&read.serial);
         match read.steps {
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use tideroute_wire::link::{Link, Loss, Outbox, Program};
 use tideroute_wire::list::Standing;
-use tideroute_wire::{fetch, list, say_hello, worker, Address, Malformed, Micros, Party};
+use tideroute_wire::{fetch, list, say_hello, worker, Address, Malformed, Micros, Origin, Party, Whose};
 
 use crate::reading::Reading;
 use crate::writing::Writing;
@@ -163,7 +163,8 @@
 enum Peer {
     /// Has not said Hello.
     Unknown,
-    Router,
+    /// A router, with what tells its ids from another's.
+    Router(Origin),
     /// A writer that fetches from here.
     Fetcher,
     /// A reader that is fetched from.
@@ -177,7 +178,7 @@
     pub(crate) writing: Writing,
     peers: BTreeMap<Link, Peer>,
     readers: BTreeMap<Address, Link>,
-    early: VecDeque<(u64, Link, u64)>,
+    early: VecDeque<(u64, Link, Whose)>,
     list: Option<Link>,
     silent: bool,
     stopping: bool,
@@ -258,7 +259,7 @@
     }
 
     /// A fetch for a read that is not here yet waits for it a little while.
-    fn fetch(&mut self, now: Micros, link: Link, id: u64, out: &mut Outbox) {
+    fn fetch(&mut self, now: Micros, link: Link, id: Whose, out: &mut Outbox) {
         if self.reading.fetch(link, id, &self.bench, out) {
             return;
         }
@@ -275,15 +276,15 @@
             Some(Peer::Unknown) => {
                 let (party, ..) = tideroute_wire::first(frame)?;
                 let peer = match party {
-                    Party::Router => Peer::Router,
+                    Party::Router => Peer::Router(tideroute_wire::origin_of(frame)?),
                     Party::Worker => Peer::Fetcher,
                     Party::Client => return Err(Malformed::Range("party")),
                 };
                 self.peers.insert(link, peer);
                 Ok(())
             }
-            Some(Peer::Router) => {
-                worker::hear_router(frame, &mut RouterLink { worker: self, now, link, out })
+            Some(Peer::Router(origin)) => {
+                worker::hear_router(frame, &mut RouterLink { worker: self, now, link, origin, out })
             }
             Some(Peer::Fetcher) => {
                 fetch::hear_fetcher(frame, &mut FetcherLink { worker: self, now, link, out })
@@ -330,7 +331,7 @@
                 out.ring(now + DIAL, key(Timer::List, 0));
             }
             // What is held for a connection ends with it.
-            Some(Peer::Router) => {
+            Some(Peer::Router(_)) => {
                 self.reading.router_lost(now, link, &mut self.bench, out);
                 self.with_writing(|w, worker| w.router_lost(now, link, worker, out));
             }
@@ -397,6 +398,7 @@
     worker: &'a mut Worker,
     now: Micros,
     link: Link,
+    origin: Origin,
     out: &'a mut Outbox,
 }
 
@@ -413,9 +415,10 @@
         _left: Micros,
         prompt: Bytes,
     ) -> Result<(), Malformed> {
-        let RouterLink { worker, now, link, out } = self;
+        let id = (self.origin, id);
+        let RouterLink { worker, now, link, out, .. } = self;
         if worker.bench.terms.does == Does::Write {
-            out.send(*link, worker::ended(id, shot, worker::How::Fault));
+            out.send(*link, worker::ended(id.1, shot, worker::How::Fault));
             return Ok(());
         }
         worker.bench.press(*now, f64::from(prompt_tokens));
@@ -432,7 +435,7 @@
             out,
         );
         if taken {
-            let early = |(_, _, wanted): &(u64, Link, u64)| *wanted == id;
+            let early = |(_, _, wanted): &(u64, Link, Whose)| *wanted == id;
             if let Some(at) = worker.early.iter().position(early) {
                 if let Some((_, fetcher, _)) = worker.early.remove(at) {
                     worker.reading.fetch(fetcher, id, &worker.bench, out);
@@ -449,7 +452,7 @@
         most_tokens: u32,
         reader: Address,
     ) -> Result<(), Malformed> {
-        let (now, link) = (self.now, self.link);
+        let (now, link, id) = (self.now, self.link, (self.origin, id));
         self.worker.with_writing(|w, worker| w.hold(now, link, id, most_tokens, reader, worker, self.out));
         Ok(())
     }
@@ -470,7 +473,7 @@
         _prefix_tokens: u32,
         prompt: Bytes,
     ) -> Result<(), Malformed> {
-        let (now, link, out) = (self.now, self.link, &mut *self.out);
+        let (now, link, id, out) = (self.now, self.link, (self.origin, id), &mut *self.out);
         self.worker.bench.press(now, f64::from(most_tokens));
         self.worker.with_writing(|w, worker| {
             w.write(now, link, id, shot, prompt_tokens, most_tokens, reader, window, &prompt, worker, out);
@@ -479,14 +482,14 @@
     }
 
     fn let_go(&mut self, id: u64) -> Result<(), Malformed> {
-        let (now, out) = (self.now, &mut *self.out);
+        let (now, id, out) = (self.now, (self.origin, id), &mut *self.out);
         self.worker.reading.let_go(id);
         self.worker.with_writing(|w, worker| w.let_go(now, id, worker, out));
         Ok(())
     }
 
     fn withdraw(&mut self, id: u64, shot: u16) -> Result<(), Malformed> {
-        let (now, out) = (self.now, &mut *self.out);
+        let (now, id, out) = (self.now, (self.origin, id), &mut *self.out);
         self.worker.reading.withdraw(now, id, shot, &mut self.worker.bench, out);
         self.worker.with_writing(|w, worker| w.withdraw(now, id, shot, worker, out));
         Ok(())
@@ -500,7 +503,7 @@
     }
 
     fn more(&mut self, id: u64, shot: u16, tokens: u32) -> Result<(), Malformed> {
-        let (now, out) = (self.now, &mut *self.out);
+        let (now, id, out) = (self.now, (self.origin, id), &mut *self.out);
         self.worker.with_writing(|w, worker| w.more(now, id, shot, tokens, worker, out));
         Ok(())
     }
@@ -514,17 +517,17 @@
 }
 
 impl fetch::Reader for FetcherLink<'_> {
-    fn fetch(&mut self, id: u64) -> Result<(), Malformed> {
+    fn fetch(&mut self, id: Whose) -> Result<(), Malformed> {
         self.worker.fetch(self.now, self.link, id, self.out);
         Ok(())
     }
 
-    fn fetched(&mut self, id: u64) -> Result<(), Malformed> {
+    fn fetched(&mut self, id: Whose) -> Result<(), Malformed> {
         self.worker.reading.let_go(id);
         Ok(())
     }
 
-    fn unfetch(&mut self, id: u64) -> Result<(), Malformed> {
+    fn unfetch(&mut self, id: Whose) -> Result<(), Malformed> {
         self.worker.reading.unfetch(self.link, id);
         Ok(())
     }
@@ -537,19 +540,19 @@
 }
 
 impl fetch::Fetcher for ReaderLink<'_> {
-    fn chunk(&mut self, id: u64, offset: u64, part: Bytes, crc: u32) -> Result<(), Malformed> {
+    fn chunk(&mut self, id: Whose, offset: u64, part: Bytes, crc: u32) -> Result<(), Malformed> {
         let (now, out) = (self.now, &mut *self.out);
         self.worker.with_writing(|w, worker| w.chunk(now, id, offset, &part, crc, worker, out));
         Ok(())
     }
 
-    fn whole(&mut self, id: u64, state_bytes: u64, crc: u32) -> Result<(), Malformed> {
+    fn whole(&mut self, id: Whose, state_bytes: u64, crc: u32) -> Result<(), Malformed> {
         let (now, out) = (self.now, &mut *self.out);
         self.worker.with_writing(|w, worker| w.whole(now, id, state_bytes, crc, worker, out));
         Ok(())
     }
 
-    fn missing(&mut self, id: u64) -> Result<(), Malformed> {
+    fn missing(&mut self, id: Whose) -> Result<(), Malformed> {
         let (now, out) = (self.now, &mut *self.out);
         self.worker.with_writing(|w, worker| w.missing(now, id, worker, out));
         Ok(())
--- a/crates/standins/src/writing.rs
+++ b/crates/standins/src/writing.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use tideroute_wire::link::{Link, Outbox};
-use tideroute_wire::{fetch, worker, Address, Micros};
+use tideroute_wire::{fetch, worker, Address, Micros, Whose};
 
 use crate::state;
 use crate::worker::{key, Does, Timer, Worker};
@@ -41,9 +41,9 @@
 
 #[derive(Default)]
 pub struct Writing {
-    writes: BTreeMap<u64, Write>,
-    by_serial: BTreeMap<u64, u64>,
-    waiting: VecDeque<u64>,
+    writes: BTreeMap<Whose, Write>,
+    by_serial: BTreeMap<u64, Whose>,
+    waiting: VecDeque<Whose>,
 }
 
 impl Writing {
@@ -65,7 +65,7 @@
         &mut self,
         now: Micros,
         router: Link,
-        id: u64,
+        id: Whose,
         most_tokens: u32,
         reader: Address,
         worker: &mut Worker,
@@ -75,7 +75,7 @@
         let free = self.taken() < terms.streams_at_once && self.waiting.is_empty();
         let held =
             free && terms.does != Does::Read && worker.bench.takes_new() && !self.writes.contains_key(&id);
-        out.send(router, worker::hold_answer(id, held));
+        out.send(router, worker::hold_answer(id.1, held));
         if held {
             self.insert(router, id, None, 0, most_tokens, Some(reader), 0, worker);
             self.fetch(now, id, worker, out);
@@ -86,7 +86,7 @@
         &mut self,
         now: Micros,
         router: Link,
-        id: u64,
+        id: Whose,
         shot: u16,
         prompt_tokens: u32,
         most_tokens: u32,
@@ -97,7 +97,7 @@
         out: &mut Outbox,
     ) {
         let terms = &worker.bench.terms;
-        let mut end = |how| out.send(router, worker::ended(id, shot, how));
+        let mut end = |how| out.send(router, worker::ended(id.1, shot, how));
         if worker.bench.faults || terms.does == Does::Read {
             self.remove(id);
             return end(worker::How::Fault);
@@ -128,7 +128,7 @@
     fn insert(
         &mut self,
         router: Link,
-        id: u64,
+        id: Whose,
         shot: Option<u16>,
         prompt_tokens: u32,
         most_tokens: u32,
@@ -172,7 +172,7 @@
         }
     }
 
-    fn fetch(&mut self, _now: Micros, id: u64, worker: &mut Worker, out: &mut Outbox) {
+    fn fetch(&mut self, _now: Micros, id: Whose, worker: &mut Worker, out: &mut Outbox) {
         let Some(write) = self.writes.get_mut(&id) else { return };
         let Some(reader) = write.reader else { return };
         write.state = State::Coming(BytesMut::new());
@@ -193,7 +193,7 @@
     pub fn chunk(
         &mut self,
         now: Micros,
-        id: u64,
+        id: Whose,
         offset: u64,
         part: &Bytes,
         crc: u32,
@@ -204,7 +204,7 @@
         if offset == got.len() as u64 && crc32fast::hash(part) == crc {
             got.extend_from_slice(part);
         } else {
-            tracing::debug!(id, offset, "a chunk of a state is broken; the state is not used");
+            tracing::debug!(id = id.1, offset, "a chunk of a state is broken; the state is not used");
             self.missing(now, id, worker, out);
         }
     }
@@ -212,7 +212,7 @@
     pub fn whole(
         &mut self,
         now: Micros,
-        id: u64,
+        id: Whose,
         state_bytes: u64,
         crc: u32,
         worker: &mut Worker,
@@ -232,7 +232,7 @@
     }
 
     /// The state will not come.
-    pub fn missing(&mut self, now: Micros, id: u64, worker: &mut Worker, out: &mut Outbox) {
+    pub fn missing(&mut self, now: Micros, id: Whose, worker: &mut Worker, out: &mut Outbox) {
         let Some(write) = self.writes.get_mut(&id) else { return };
         if matches!(write.state, State::Coming(_)) {
             write.state = State::Lost;
@@ -241,12 +241,12 @@
     }
 
     /// Takes the next step of an answer whose send and state are both here.
-    fn go_on(&mut self, now: Micros, id: u64, worker: &mut Worker, out: &mut Outbox) {
+    fn go_on(&mut self, now: Micros, id: Whose, worker: &mut Worker, out: &mut Outbox) {
         let Some(write) = self.writes.get_mut(&id) else { return };
         let Some(shot) = write.shot else { return };
         match write.state {
             State::Lost => {
-                out.send(write.router, worker::ended(id, shot, worker::How::Stateless));
+                out.send(write.router, worker::ended(id.1, shot, worker::How::Stateless));
                 self.remove(id);
                 self.start(now, worker, out);
             }
@@ -268,10 +268,10 @@
             return;
         }
         let text = Bytes::copy_from_slice(&state::text(*crc, write.sent));
-        out.send(write.router, worker::token(id, shot, write.sent, text));
+        out.send(write.router, worker::token(id.1, shot, write.sent, text));
         (write.sent, write.under_way) = (write.sent + 1, write.under_way + 1);
         if write.sent == state::answer_tokens(*crc, write.most_tokens) {
-            out.send(write.router, worker::finished(id, shot, write.sent));
+            out.send(write.router, worker::finished(id.1, shot, write.sent));
             self.remove(id);
             return self.start(now, worker, out);
         }
@@ -283,7 +283,7 @@
     pub fn more(
         &mut self,
         now: Micros,
-        id: u64,
+        id: Whose,
         shot: u16,
         tokens: u32,
         worker: &mut Worker,
@@ -298,13 +298,13 @@
     }
 
     /// Lets go of a place that no send has taken.
-    pub fn let_go(&mut self, now: Micros, id: u64, worker: &mut Worker, out: &mut Outbox) {
+    pub fn let_go(&mut self, now: Micros, id: Whose, worker: &mut Worker, out: &mut Outbox) {
         if self.writes.get(&id).is_some_and(|w| w.shot.is_none()) {
             self.give_up(now, id, worker, out);
         }
     }
 
-    pub fn withdraw(&mut self, now: Micros, id: u64, shot: u16, worker: &mut Worker, out: &mut Outbox) {
+    pub fn withdraw(&mut self, now: Micros, id: Whose, shot: u16, worker: &mut Worker, out: &mut Outbox) {
         if self.writes.get(&id).is_some_and(|w| w.shot == Some(shot)) {
             self.give_up(now, id, worker, out);
         }
@@ -321,7 +321,7 @@
         ids.into_iter().for_each(|id| self.missing(now, id, worker, out));
     }
 
-    fn give_up(&mut self, now: Micros, id: u64, worker: &mut Worker, out: &mut Outbox) {
+    fn give_up(&mut self, now: Micros, id: Whose, worker: &mut Worker, out: &mut Outbox) {
         let Some(write) = self.remove(id) else { return };
         if let (State::Coming(_), Some(reader)) = (&write.state, write.reader) {
             let link = worker.reader(reader, out);
@@ -330,7 +330,7 @@
         self.start(now, worker, out);
     }
 
-    fn remove(&mut self, id: u64) -> Option<Write> {
+    fn remove(&mut self, id: Whose) -> Option<Write> {
         let write = self.writes.remove(&id)?;
         self.by_serial.remove(&write.serial);
         if write.waits {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -26,7 +26,7 @@
 }
 
 /// The version of the protocol that Hello names.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 
 /// Microseconds: a moment since 1970, or a length of time.
 pub type Micros = u64;
@@ -34,6 +34,14 @@
 /// Four bytes of IPv4 and two of port, most significant first; as the decision module's worker ids.
 pub type Address = [u8; 6];
 
+/// What tells one start of one router's core from every other, ever: 128 bits drawn by the machine. Nobody is
+/// asked and no clock is read. Of a billion starts two agree with a chance of 1e-21, where 24 bits of time and
+/// process number were seen to agree within one fleet.
+pub type Origin = u128;
+
+/// A submission wherever those of several routers meet: whose it is, and its router's own id of it.
+pub type Whose = (Origin, u64);
+
 /// Who opened a connection, as its Hello says.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Party {
@@ -88,14 +96,23 @@
     T::try_from(value).map_err(|_| Malformed::Range(field))
 }
 
-fn hello(party: Party, name: &str, key: &[u8]) -> made::Hello {
+fn origin(bytes: &[u8]) -> Result<Origin, Malformed> {
+    bytes.try_into().map(Origin::from_be_bytes).map_err(|_| Malformed::Range("origin"))
+}
+
+fn bytes_of_origin(origin: Origin) -> Bytes {
+    Bytes::copy_from_slice(&origin.to_be_bytes())
+}
+
+fn hello(party: Party, name: &str, key: &[u8], origin: Option<Origin>) -> made::Hello {
     let party = match party {
         Party::Client => made::hello::Party::Client,
         Party::Router => made::hello::Party::Router,
         Party::Worker => made::hello::Party::Worker,
     };
     let key = Bytes::copy_from_slice(key);
-    made::Hello { party: party.into(), name: name.to_string(), version: VERSION, key }
+    let origin = origin.map_or_else(Bytes::new, bytes_of_origin);
+    made::Hello { party: party.into(), name: name.to_string(), version: VERSION, key, origin }
 }
 
 fn party(hello: &made::Hello) -> Result<Party, Malformed> {
@@ -128,6 +145,22 @@
 
 /// A client's Hello with its tenant's key.
 pub fn say_hello_with(who: Party, name: &str, key: &[u8]) -> Bytes {
-    let said = made::from_fetcher::Said::Hello(hello(who, name, key));
-    made::FromFetcher { said: Some(said) }.encode_to_vec().into()
+    framed(hello(who, name, key, None))
+}
+
+/// A router's Hello, which says whose the ids are that follow.
+pub fn say_router(name: &str, origin: Origin) -> Bytes {
+    framed(hello(Party::Router, name, &[], Some(origin)))
+}
+
+fn framed(hello: made::Hello) -> Bytes {
+    made::FromFetcher { said: Some(made::from_fetcher::Said::Hello(hello)) }.encode_to_vec().into()
+}
+
+/// Whose the ids on a connection are, by the Hello with which its router began.
+pub fn origin_of(frame: &[u8]) -> Result<Origin, Malformed> {
+    match made::FromFetcher::decode(frame)?.said {
+        Some(made::from_fetcher::Said::Hello(h)) => origin(&h.origin),
+        _ => Err(Malformed::Hello),
+    }
 }
--- a/crates/wire/src/tap.rs
+++ b/crates/wire/src/tap.rs
@@ -38,6 +38,9 @@
     Left,
     /// It was killed from outside.
     Killed,
+    /// A relay has joined two connections: the frame holds where the first was taken and where it comes from,
+    /// then where the second went and where it goes out.
+    Joined,
 }
 
 /// One thing that passed.
@@ -85,6 +88,7 @@
         What::Began => event::What::Began,
         What::Left => event::What::Left,
         What::Killed => event::What::Killed,
+        What::Joined => event::What::Joined,
     };
     let event = Event {
         at_us: passed.at,
@@ -103,6 +107,33 @@
     to.write_all(&framed)
 }
 
+/// Bytes: longer frames of a worker are cut, as chunks of states are long and many. What has a meaning for the
+/// rules is shorter there; a list's page is not, and others keep frames whole.
+const LONGEST: usize = 1024;
+/// Bytes kept of a frame that is cut.
+const START: usize = 16;
+/// Bytes: a longer frame is cut everywhere, or its event would be no frame any more.
+const MOST: usize = frame::LARGEST / 2;
+
+/// What a record keeps of a frame that passed at a process of that role.
+pub fn kept(frame: &Bytes, role: &str) -> Bytes {
+    let longest = if role == "worker" { LONGEST } else { MOST };
+    if frame.len() > longest {
+        frame.slice(..START)
+    } else {
+        frame.clone()
+    }
+}
+
+/// The part of a frame that both ends' records have, whatever each has kept.
+pub fn common(frame: &[u8]) -> &[u8] {
+    if frame.len() > LONGEST {
+        &frame[..START]
+    } else {
+        frame
+    }
+}
+
 /// What a connection's end says: frames sent, frames heard.
 pub fn counts(sent: u64, heard: u64) -> Bytes {
     [sent.to_le_bytes(), heard.to_le_bytes()].concat().into()
@@ -177,9 +208,33 @@
             Ok(event::What::Began) => What::Began,
             Ok(event::What::Left) => What::Left,
             Ok(event::What::Killed) => What::Killed,
+            Ok(event::What::Joined) => What::Joined,
             _ => return Err(self.fault(Malformed::Range("what"))),
         };
         let (at, process, link, place) = (e.at_us, e.process, e.link, e.place);
         Ok(Some(Passed { at, process, link, what, place, frame: e.frame }))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The list of 100 workers was once cut at a router, and the check could not read it.
+    #[test]
+    fn a_list_of_many_workers_is_kept_whole_and_chunks_of_states_are_not() {
+        let mut page = crate::list::Page::new(1, true);
+        (0..200u8).for_each(|n| {
+            page.add([127, 0, 0, n, 1, 1], 0, 1.0, crate::list::Standing::Ready, 0, 0, 1_700_000_000_000_000);
+        });
+        let frame = page.frame();
+        assert!(frame.len() > LONGEST);
+        for role in ["router", "list", "client"] {
+            assert_eq!(kept(&frame, role), frame);
+        }
+        let chunk = crate::fetch::chunk((1, 2), 0, vec![7; 16 << 10].into(), 3);
+        assert_eq!(kept(&chunk, "worker").len(), START);
+        // What one end cut and the other kept is the same to who compares them.
+        assert_eq!(common(&kept(&frame, "worker")), common(&frame));
+    }
+}
