--- a/crates/command/src/day.rs
+++ b/crates/command/src/day.rs
@@ -1,19 +1,28 @@
 //! Scripted days, and the check of their records.
 
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 
 use signal_hook::consts::{SIGINT, SIGTERM};
-use tideroute_lab::day::{self, DayError};
-use tideroute_lab::fleet;
+use tideroute_lab::day::{self, DayError, Played};
+use tideroute_lab::{faults, fleet};
+use tideroute_records::kinds::{Day, File, Trouble};
 use tideroute_rules::{Report, Rule};
 
 use crate::{serve, Ended};
 
-pub fn play(path: &Path, out: Option<PathBuf>) -> Ended {
-    let file = serve::read(path)?;
-    let record = file.day.ok_or_else(|| format!("{}: it has no part `day`", path.display()))?;
+fn read(path: &Path, draw: Option<u64>) -> Result<Day, String> {
+    let mut day = serve::part(path, serve::read(path)?.day, "day")?;
+    if let Some(faults) = day.faults.as_mut() {
+        faults.seed = draw.unwrap_or(faults.seed);
+    }
+    Ok(faults::drawn(&day))
+}
+
+pub fn play(path: &Path, out: Option<PathBuf>, draw: Option<u64>, shrink: Option<usize>) -> Ended {
+    let record = read(path, draw)?;
     let interrupted = Arc::new(AtomicBool::new(false));
     for signal in [SIGINT, SIGTERM] {
         signal_hook::flag::register(signal, interrupted.clone()).map_err(|e| e.to_string())?;
@@ -46,7 +55,11 @@
     for (wanted, seen, held) in &played.expected {
         println!("  {} {wanted}: {seen}", if *held { "yes" } else { " NO" });
     }
+    takes(&record, &played);
     print(&played.report);
+    if let Some(times) = shrink.filter(|_| !played.passed()) {
+        shrunk(&record, &program, &folder, &interrupted, times)?;
+    }
     if keeps || !played.passed() {
         eprintln!("record: {}", played.record.display());
     } else {
@@ -55,10 +68,61 @@
     Ok(played.passed())
 }
 
+/// What the processes of each kind took of the machine.
+fn takes(day: &Day, played: &Played) {
+    let groups = day.fleet.iter().map(|g| (g.name.as_str(), g.count)).chain([("router", day.routers)]);
+    for (group, count) in groups.chain([("list", 1), ("load", 1), ("relay", 1)]) {
+        let of =
+            |name: &String| name.strip_prefix(group).is_some_and(|n| n.bytes().all(|b| b.is_ascii_digit()));
+        let most = |all: &BTreeMap<String, u64>| {
+            all.iter().filter(|(name, _)| of(name)).map(|(_, n)| *n).max().unwrap_or(0)
+        };
+        let cpu: Vec<f64> = played.cpu.iter().filter(|(name, _)| of(name)).map(|(_, s)| *s).collect();
+        if cpu.is_empty() {
+            continue;
+        }
+        println!(
+            "  {count} {group}: {:.1} s of CPU in all, {:.2} at most; {:.1} MiB and {} descriptors at most",
+            cpu.iter().sum::<f64>(),
+            cpu.iter().fold(0.0, |a: f64, b| a.max(*b)),
+            most(&played.memory) as f64 / 1048576.0,
+            most(&played.descriptors)
+        );
+    }
+    println!("  {:.1} s in all, {:.1} of them until all listened", played.took[1], played.took[0]);
+}
+
+/// Plays a day that failed without parts of its troubles, and writes down the fewest with which it still fails.
+fn shrunk(
+    day: &Day,
+    program: &Path,
+    folder: &Path,
+    interrupted: &AtomicBool,
+    times: usize,
+) -> Result<(), String> {
+    let with = |troubles: &[Trouble]| Day { troubles: troubles.to_vec(), faults: None, ..day.clone() };
+    let left = faults::shrink(&day.troubles, times, |some| {
+        let failed = day::play(&with(some), program, &folder.join("smaller"), interrupted);
+        let failed = failed.is_ok_and(|played| !played.passed());
+        eprintln!(
+            "with {} of {} troubles: {}",
+            some.len(),
+            day.troubles.len(),
+            if failed { "fails" } else { "passes" }
+        );
+        failed
+    });
+    let file = File { day: Some(with(&left)), ..File::default() };
+    let path = folder.join("shrunk.cue");
+    let text = tideroute_records::print(&file).map_err(|p| p.to_string())?;
+    std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+    println!("{} of {} troubles matter: {}", left.len(), day.troubles.len(), path.display());
+    Ok(())
+}
+
 /// The same day in virtual time; `out` keeps its record.
-pub fn virtually(path: &Path, out: Option<PathBuf>) -> Ended {
-    let file = serve::read(path)?;
-    let record = file.day.ok_or_else(|| format!("{}: it has no part `day`", path.display()))?;
+pub fn virtually(path: &Path, out: Option<PathBuf>, draw: Option<u64>) -> Ended {
+    let record = read(path, draw)?;
     let began = std::time::Instant::now();
     let played = fleet::play(&record).map_err(|e| e.to_string())?;
     let took = began.elapsed().as_secs_f64();
--- a/crates/command/src/main.rs
+++ b/crates/command/src/main.rs
@@ -12,6 +12,7 @@
 mod platform;
 mod plot;
 mod serve;
+mod spread;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -63,6 +64,13 @@
         #[command(flatten)]
         run: Run,
     },
+    /// Runs a relay between processes of a day.
+    #[command(hide = true)]
+    Relay {
+        file: PathBuf,
+        #[command(flatten)]
+        run: Run,
+    },
     /// Checks files of records and tells all that is wrong with them.
     Check {
         #[arg(required = true)]
@@ -105,9 +113,25 @@
         /// In one process and in virtual time: no sockets, no waiting, the same every time.
         #[arg(long)]
         in_virtual_time: bool,
+        /// Draws the day's random faults from this seed in place of its own.
+        #[arg(long, value_name = "SEED")]
+        draw: Option<u64>,
+        /// If it fails, plays it again without parts of what went wrong, so often at most, and keeps what matters.
+        #[arg(long, value_name = "TIMES", conflicts_with = "in_virtual_time")]
+        shrink: Option<usize>,
     },
     /// Checks the five rules on the record of a day.
     Rules { record: PathBuf },
+    /// Tells from the record of a day how evenly its load was spread over the workers.
+    Spread {
+        record: PathBuf,
+        /// Prints the figures as JSON.
+        #[arg(long)]
+        json: bool,
+        /// Draws the fullest worker over the mean, second by second, as SVG.
+        #[arg(long, value_name = "FILE")]
+        plot: Option<PathBuf>,
+    },
 }
 
 #[derive(Subcommand)]
@@ -153,6 +177,12 @@
     /// When its script begins, microseconds since 1970; without it, when it starts.
     #[arg(long, value_name = "MICROS")]
     script_from: Option<u64>,
+    /// Where some addresses are to be dialled in place of where they are: a line for each, the address and where.
+    #[arg(long, value_name = "PATH", hide = true)]
+    ways: Option<PathBuf>,
+    /// What is wrong with its clock: from, until (microseconds since 1970), rate, microseconds ahead.
+    #[arg(long, value_name = "WARP", hide = true)]
+    clock: Option<String>,
     /// Ends when standard input does.
     #[arg(long)]
     tethered: bool,
@@ -168,6 +198,7 @@
         Command::Router { file, fail_core_after, run } => cores::router(&file, fail_core_after, &run),
         Command::Platform { file } => platform::run(file.as_deref()),
         Command::Worker { file, cold, run } => serve::worker(&file, cold, &run),
+        Command::Relay { file, run } => serve::relay(&file, &run),
         Command::List { file, run } => serve::list(&file, &run),
         Command::Load { file, straight_to: Some(workers), begin_at, table, json, run } => {
             serve::straight(&file, &workers, [json, table], begin_at, &run)
@@ -182,9 +213,10 @@
         Command::Measure { what: Measure::Through { file, rounds } } => measure::through(&file, rounds),
         Command::Admin { what } => admin::run(&what),
         Command::Check { files } => check(&files),
-        Command::Day { file, out, in_virtual_time: true } => day::virtually(&file, out),
-        Command::Day { file, out, .. } => day::play(&file, out),
+        Command::Day { file, out, in_virtual_time: true, draw, .. } => day::virtually(&file, out, draw),
+        Command::Day { file, out, draw, shrink, .. } => day::play(&file, out, draw, shrink),
         Command::Rules { record } => day::rules(&record),
+        Command::Spread { record, json, plot } => spread::run(&record, json, plot.as_deref()),
     };
     match ended {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/command/src/serve.rs
+++ b/crates/command/src/serve.rs
@@ -1,5 +1,6 @@
 //! Commands that run one program on the loop.
 
+use std::collections::HashMap;
 use std::io::IsTerminal;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -10,12 +11,13 @@
 use tideroute_lab::convert;
 use tideroute_lab::load::Load;
 use tideroute_lab::straight::Straight;
-use tideroute_reactor::{Ended as Loop, Reactor, Tap};
+use tideroute_reactor::{Ended as Loop, Reactor, Tap, Warp};
 use tideroute_records::File;
+use tideroute_relay::Relay;
 use tideroute_standins::{List, Worker};
 use tideroute_wire::link::Program;
 use tideroute_wire::tap::Who;
-use tideroute_wire::Micros;
+use tideroute_wire::{Address, Micros};
 
 use crate::{Ended, Run};
 
@@ -71,9 +73,32 @@
         let tap = Tap::begin(path, &who).map_err(|e| format!("{}: {e}", path.display()))?;
         reactor.tap(tap);
     }
+    if let Some(path) = &run.ways {
+        reactor.ways(ways(path)?);
+    }
+    if let Some(clock) = &run.clock {
+        reactor.warp(warp(clock).ok_or_else(|| format!("--clock {clock}: not four numbers"))?);
+    }
     Ok(reactor)
 }
 
+fn ways(path: &Path) -> Result<HashMap<Address, Address>, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let pair = |line: &str| {
+        let (to, by) =
+            line.split_once(' ').ok_or_else(|| format!("{}: {line:?} is no way", path.display()))?;
+        Ok((convert::address(to)?, convert::address(by)?))
+    };
+    text.lines().map(pair).collect()
+}
+
+fn warp(text: &str) -> Option<Warp> {
+    let parts: Vec<_> = text.split(',').collect();
+    let [from, until, rate, ahead] = parts[..] else { return None };
+    let (from, until) = (from.parse().ok()?, until.parse().ok()?);
+    Some(Warp { from, until, rate: rate.parse().ok()?, ahead: ahead.parse().ok()? })
+}
+
 /// Drives the program; false if it ended by a crash of its own or by force.
 fn drive(mut reactor: Reactor, program: &mut impl Program) -> Ended {
     Ok(reactor.run(program).map_err(|e| e.to_string())? == Loop::Done)
@@ -96,6 +121,16 @@
     drive(reactor, &mut List::new(convert::list(&record, run.script_from.unwrap_or(now), now)))
 }
 
+pub fn relay(path: &Path, run: &Run) -> Ended {
+    let record = part(path, read(path)?.relay, "relay")?;
+    let doors = record.doors.iter().map(|d| Ok(convert::socket(&d.listen)?.into()));
+    let doors: Vec<SocketAddr> = doors.collect::<Result<_, String>>()?;
+    let mut reactor = reactor(&doors, run, "relay", "relay")?;
+    reactor.raw(0);
+    let now = reactor.clock().now();
+    drive(reactor, &mut Relay::new(convert::relay(&record, run.script_from.unwrap_or(now), now)?))
+}
+
 /// The load straight to the workers; its few figures go where the day looks for them.
 pub fn straight(
     path: &Path,
--- a/crates/lab/src/convert.rs
+++ b/crates/lab/src/convert.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddrV4;
 
 use tideroute::interface::{self, Group, Repeat};
-use tideroute_records::kinds::{Able, List, Role, Router, Step, Tenant, Terms, Track, Worker};
+use tideroute_records::kinds::{
+    Able, Door, Fault, List, Relay, Role, Router, Step, Tenant, Terms, Track, Worker,
+};
+use tideroute_relay::{How, RelayTerms, Way};
 use tideroute_shares::{Limits, Rate};
 use tideroute_standins::{Does, ListTerms, Trouble, WorkerTerms};
 use tideroute_wire::{Address, Micros, Origin};
@@ -171,6 +174,29 @@
     })
 }
 
+/// A relay whose script began at a time and that starts now.
+pub fn relay(r: &Relay, from: Micros, now: Micros) -> Result<RelayTerms, String> {
+    let door = |d: &Door| Ok(tideroute_relay::Door { to: address(&d.to)?, faults: d.faults.clone() });
+    let since = now.saturating_sub(from);
+    let ahead = from.saturating_sub(now);
+    let fault = |f: &Fault| tideroute_relay::Fault {
+        from: (ahead + f.at).saturating_sub(since),
+        until: (ahead + f.at + f.lasts).saturating_sub(since),
+        way: match f.way.as_str() {
+            "there" => Way::There,
+            "back" => Way::Back,
+            _ => Way::Both,
+        },
+        how: match f.how.as_str() {
+            "silent" => How::Silent,
+            "reset" => How::Reset,
+            _ => How::Late { delay: f.delay, jitter: f.jitter, loss: f.loss },
+        },
+    };
+    let doors = r.doors.iter().map(door).collect::<Result<_, String>>()?;
+    Ok(RelayTerms { doors, faults: r.faults.iter().map(fault).collect(), seed: r.seed })
+}
+
 pub fn list(l: &List, from: Micros, now: Micros) -> ListTerms {
     let late = l.late.iter().flat_map(|late| [(late.at, late.lag), (late.at + late.lasts, l.lag)]);
     ListTerms { lag: l.lag, script: to_come(from, now, late.collect()) }
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -16,15 +16,19 @@
 use tideroute_wire::Micros;
 
 use crate::convert::address;
+use crate::faults;
 use crate::files::{self, Ports};
 use crate::legs::{legs, Legs};
 use crate::parts;
 use crate::processes::{Processes, Recipe};
+use crate::relays::Relays;
 
 /// Ports from here on are tried; below those that a machine gives to outgoing connections.
 const FIRST_PORT: u16 = 20_000;
 /// Microseconds: how long everybody has to start before the load begins, beyond the list's lag.
 const START: Micros = 1_500_000;
+/// Microseconds more for each of them.
+const START_EACH: Micros = 15_000;
 /// How often the player looks for what is to be done.
 const STEP: Duration = Duration::from_millis(5);
 /// Microseconds from the end of a silence or a drain to the new start.
@@ -67,6 +71,10 @@
     pub memory: BTreeMap<String, u64>,
     /// Seconds of CPU of each process.
     pub cpu: BTreeMap<String, f64>,
+    /// The most descriptors of each process.
+    pub descriptors: BTreeMap<String, u64>,
+    /// Seconds until all listened, and in all.
+    pub took: [f64; 2],
     pub record: PathBuf,
 }
 
@@ -81,6 +89,7 @@
     if day.troubles.iter().any(|t| t.act == "remove") {
         return Err(DayError::VirtualOnly);
     }
+    let day = &faults::drawn(day);
     let (player, ports) = pass(day, program, folder, interrupted, false)?;
     let (table, exits, fallen) = (player.table.clone(), player.exits.clone(), player.fallen.clone());
     let (memory, all) = (player.processes.memory.clone(), &player.processes.parts);
@@ -91,8 +100,9 @@
     let figures = std::fs::read(folder.join("load.json")).map_err(|_| DayError::NoFigures)?;
     let figures = serde_json::from_slice(&figures).map_err(|_| DayError::NoFigures)?;
     let expected = expectations(day, &figures, &memory, &exits, &fallen, &report);
-    let cpu = player.processes.cpu.clone();
-    Ok(Played { report, figures, table, expected, memory, cpu, record })
+    let (cpu, descriptors) = (player.processes.cpu.clone(), player.processes.descriptors.clone());
+    let took = [player.listened, player.processes.now()].map(|at| (at - player.started) as f64 / 1e6);
+    Ok(Played { report, figures, table, expected, memory, cpu, descriptors, took, record })
 }
 
 /// Plays the day only to see what the ways take, through its routers or straight to the workers.
@@ -120,13 +130,16 @@
     straight: bool,
 ) -> Result<(Player<'a>, Ports), DayError> {
     std::fs::create_dir_all(folder).map_err(|e| DayError::File(folder.display().to_string(), e))?;
-    let ports = free_ports(day).map_err(DayError::Start)?;
+    let relays = Relays::plan(day);
+    let ports = free_ports(day, relays.doors()).map_err(DayError::Start)?;
     let clock = Clock::start();
-    let begins = clock.now() + START + day.lag;
+    let begins = clock.now() + START + START_EACH * processes(day) as u64 + day.lag;
     let mut player = Player {
         day,
         folder,
         begins,
+        started: clock.now(),
+        listened: 0,
         processes: Processes::new(program, folder, clock),
         recipes: BTreeMap::new(),
         fallen: vec![],
@@ -135,8 +148,9 @@
         straight,
         interrupted,
     };
-    player.write_files(&ports)?;
+    player.write_files(&ports, &relays)?;
     player.start_all()?;
+    player.listened = player.processes.now();
     player.run()?;
     player.stop_all()?;
     Ok((player, ports))
@@ -150,12 +164,17 @@
     Ok(tideroute_rules::check(reader)?)
 }
 
+/// How many processes a day has.
+fn processes(day: &Day) -> usize {
+    day.routers + day.workers().count() + 2
+}
+
 /// Addresses for everybody, on a loopback address of this process's own: a worker that was killed finds its port
 /// free when it comes back, as no connection and no other day can have taken it meanwhile.
-fn free_ports(day: &Day) -> io::Result<Ports> {
+fn free_ports(day: &Day, doors: usize) -> io::Result<Ports> {
     let (workers, process) = (day.workers().count(), std::process::id());
     let own = Ipv4Addr::new(127, 1 + (process >> 8) as u8 % 250, 1 + process as u8 % 250, 1);
-    let count = 1 + day.routers + workers;
+    let count = 1 + day.routers + workers + doors;
     let mut names = Vec::new();
     for port in FIRST_PORT..u16::MAX {
         let at = SocketAddrV4::new(own, port);
@@ -169,15 +188,18 @@
     if names.len() < count {
         return Err(io::ErrorKind::AddrNotAvailable.into());
     }
+    let doors = names.split_off(1 + day.routers + workers);
     let workers = names.split_off(1 + day.routers);
     let routers = names.split_off(1);
-    Ok(Ports { list: names.remove(0), routers, workers })
+    Ok(Ports { list: names.remove(0), routers, workers, doors })
 }
 
 struct Player<'a> {
     day: &'a Day,
     folder: &'a Path,
     begins: Micros,
+    started: Micros,
+    listened: Micros,
     processes: Processes,
     recipes: BTreeMap<String, Recipe>,
     /// Workers that ended without being killed.
@@ -194,7 +216,8 @@
 /// Something to be done at a time of the day.
 pub(crate) enum Deed<'a> {
     Kill(&'a str),
-    Start(&'a str),
+    /// Started again, with or without what it kept.
+    Start(&'a str, bool),
     Halt(&'a str),
     GoOn(&'a str),
     Remove(&'a str),
@@ -220,7 +243,7 @@
         self.recipes.insert(name.to_string(), recipe);
     }
 
-    fn write_files(&mut self, ports: &Ports) -> Result<(), DayError> {
+    fn write_files(&mut self, ports: &Ports, relays: &Relays) -> Result<(), DayError> {
         let (day, folder, begins) = (self.day, self.folder, self.begins.to_string());
         let path = write(folder, "list", &files::list(day, ports))?;
         self.add("list", "list", Some(&ports.list), &["list", &path, "--script-from", &begins]);
@@ -245,6 +268,23 @@
             arguments.extend(["--straight-to", &straight]);
         }
         self.add("load", "client", None, &arguments);
+        if let Some(file) = relays.file(day, ports) {
+            let path = write(folder, "relay", &file)?;
+            self.add("relay", "relay", ports.doors.first(), &["relay", &path, "--script-from", &begins]);
+        }
+        for (name, recipe) in &mut self.recipes {
+            if let Some(ways) = relays.ways(day, ports, name) {
+                let path = folder.join(format!("{name}.ways"));
+                std::fs::write(&path, ways).map_err(|e| DayError::File(path.display().to_string(), e))?;
+                recipe.arguments.extend(["--ways".into(), path.display().to_string()]);
+            }
+            if let Some(t) = day.troubles.iter().find(|t| t.act == "clock" && t.who.contains(name)) {
+                let from = self.begins + t.at;
+                let (until, rate) = (from + t.lasts.unwrap_or(0), t.rate.unwrap_or(1.0));
+                let ahead = t.ahead.unwrap_or(0) as i64 - t.behind.unwrap_or(0) as i64;
+                recipe.arguments.push(format!("--clock={from},{until},{rate},{ahead}"));
+            }
+        }
         Ok(())
     }
 
@@ -259,7 +299,7 @@
     fn start_all(&mut self) -> Result<(), DayError> {
         let mut names: Vec<_> = self.recipes.keys().cloned().collect();
         // The list first, then those that call it, then those that call them.
-        let order = ["list", "worker", "router", "client"];
+        let order = ["list", "relay", "worker", "router", "client"];
         names.sort_by_key(|n| order.iter().position(|r| *r == self.recipes[n].role));
         for name in &names {
             self.start(name, false)?;
@@ -299,8 +339,13 @@
             while let Some((_, deed)) = deeds.next_if(|(at, _)| self.begins + at <= now) {
                 match deed {
                     Deed::Kill(who) => self.processes.kill(who),
-                    Deed::Start(who) if !self.processes.runs(who) => self.start(who, true)?,
-                    Deed::Start(_) => {}
+                    Deed::Start(who, keeps) if !self.processes.runs(who) => {
+                        if !keeps {
+                            let _ = std::fs::remove_file(self.folder.join(format!("{who}.list")));
+                        }
+                        self.start(who, true)?;
+                    }
+                    Deed::Start(..) => {}
                     Deed::Halt(who) => self.processes.signal(who, Signal::STOP),
                     Deed::GoOn(who) => self.processes.signal(who, Signal::CONT),
                     Deed::Remove(_) => return Err(DayError::VirtualOnly),
@@ -368,7 +413,7 @@
             match t.act.as_str() {
                 "kill" => {
                     deeds.push((t.at, Deed::Kill(who)));
-                    deeds.extend(t.back.map(|back| (t.at + back, Deed::Start(who))));
+                    deeds.extend(t.back.map(|back| (t.at + back, Deed::Start(who, t.keeps.unwrap_or(true)))));
                 }
                 "halt" => {
                     deeds.push((t.at, Deed::Halt(who)));
@@ -379,7 +424,7 @@
                 "silent" | "drain" => {
                     let Some(lasts) = t.lasts else { continue };
                     deeds.push((t.at + lasts, Deed::Kill(who)));
-                    deeds.push((t.at + lasts + STARTS_AGAIN, Deed::Start(who)));
+                    deeds.push((t.at + lasts + STARTS_AGAIN, Deed::Start(who, true)));
                 }
                 _ => {}
             }
--- a/crates/lab/src/files.rs
+++ b/crates/lab/src/files.rs
@@ -14,8 +14,13 @@
     pub list: String,
     pub routers: Vec<String>,
     pub workers: Vec<String>,
+    /// A relay's, where one stands between some of them.
+    pub doors: Vec<String>,
 }
 
+/// What the player does to a process, and not the process to itself.
+const OUTSIDE: [&str; 3] = ["kill", "halt", "clock"];
+
 pub fn terms(day: &Day) -> Terms {
     Terms { routers: day.routers as u32, ..day.terms.clone() }
 }
@@ -68,7 +73,7 @@
 pub fn worker(day: &Day, ports: &Ports, place: usize, name: &str, group: &Group, n: usize) -> File {
     let cell = (n % usize::from(day.cells)) as u16;
     let mine = |t: &&tideroute_records::kinds::Trouble| t.who.iter().any(|w| w == name);
-    let scripted = day.troubles.iter().filter(mine).filter(|t| t.act != "kill" && t.act != "halt");
+    let scripted = day.troubles.iter().filter(mine).filter(|t| !OUTSIDE.contains(&t.act.as_str()));
     let script = scripted.map(|t| Step { at: t.at, act: t.act.clone(), lasts: t.lasts, times: t.times });
     let worker = Worker {
         name: name.to_string(),
@@ -103,6 +108,7 @@
         clients: day.load.clients,
         tracks: day.tracks.clone(),
         traffic: day.load.traffic.clone(),
+        uneven: day.load.uneven,
         retries: day.load.retries,
         retry_wait: day.load.retry_wait,
         leaves: day.load.leaves,
@@ -139,6 +145,8 @@
             _ => Among::All,
         },
         window: t.window,
+        contract: t.contract,
+        per_thousand: t.per_thousand,
     });
     let workers: BTreeMap<_, _> = day
         .workers()
@@ -151,7 +159,9 @@
                 _ => does.streams_at_once as f64 * 1e6 / does.token_gap as f64,
             };
             let reader = does.role == Role::Reader;
-            (ports.workers[place].clone(), WorkerTerms { rate, reader, cell, zone: zone(day, cell) })
+            let at_once = if reader { does.reads_at_once } else { does.streams_at_once } as u32;
+            let zone = zone(day, cell);
+            (ports.workers[place].clone(), WorkerTerms { rate, reader, cell, zone, at_once })
         })
         .collect();
     tideroute_rules::Terms {
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -14,6 +14,7 @@
 
 use crate::convert;
 use crate::day::{deeds, Deed};
+use crate::faults;
 use crate::files::{self, Ports};
 use crate::load::Load;
 use crate::tally::Tally;
@@ -54,7 +55,12 @@
 
 /// Plays a day. The same day gives the same record, byte for byte.
 pub fn play(day: &Day) -> Result<Virtual, FleetError> {
-    Fleet::new(day)?.run()
+    let day = faults::drawn(day);
+    let real = day.troubles.iter().find(|t| ["cut", "delay", "clock"].contains(&t.act.as_str()));
+    if let Some(t) = real {
+        return Err(FleetError::Terms(format!("a {} is played on real processes only", t.act)));
+    }
+    Fleet::new(&day)?.run()
 }
 
 struct Fleet<'a> {
@@ -75,6 +81,7 @@
             list: at(0, 0),
             routers: (0..day.routers).map(|n| at(1, n)).collect(),
             workers: (0..workers).map(|n| at(2, n)).collect(),
+            doors: vec![],
         };
         let begins = DAWN + START + day.lag;
         let record = files::load(day, &ports).load.ok_or_else(|| FleetError::Terms("no load".into()))?;
@@ -108,8 +115,13 @@
             self.world.run_until(self.begins + at);
             match deed {
                 Deed::Kill(who) => self.world.kill(self.places[who]),
-                Deed::Start(who) if !self.world.runs(self.places[who]) => self.start(who, true)?,
-                Deed::Start(_) => {}
+                Deed::Start(who, keeps) if !self.world.runs(self.places[who]) => {
+                    if !keeps {
+                        self.world.forget(self.places[who]);
+                    }
+                    self.start(who, true)?;
+                }
+                Deed::Start(..) => {}
                 Deed::Halt(who) => self.world.halt(self.places[who]),
                 Deed::GoOn(who) => self.world.go_on(self.places[who]),
                 Deed::Remove(tenant) => {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,12 +8,14 @@
 
 pub mod convert;
 pub mod day;
+pub mod faults;
 mod files;
 pub mod fleet;
 pub mod legs;
 pub mod load;
 mod parts;
 pub mod processes;
+mod relays;
 pub mod straight;
 pub mod tally;
 pub mod traffic;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -13,7 +13,7 @@
 use tideroute_wire::{client, say_hello_with, Address, Malformed, Micros, Party};
 
 use crate::tally::{Progress, Tally};
-use crate::traffic::{plan, Planned};
+use crate::traffic::{plan, routers_of, Planned};
 
 /// Microseconds: how long a dial may take, and how long after a loss a client tries the next router.
 const DIAL: Micros = 500_000;
@@ -85,8 +85,9 @@
     /// A load that begins when it is run; `routers` are the record's, as addresses.
     pub fn new(terms: Record, routers: Vec<Address>) -> Load {
         let planned = plan(&terms);
+        let at = routers_of(&terms, routers.len());
         let client = |n: usize| Client {
-            router: n % routers.len(),
+            router: at[n],
             link: None,
             numbers: 0,
             out: HashMap::new(),
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -49,6 +49,8 @@
     started: u32,
     /// The most memory that each process was seen to hold, bytes.
     pub memory: BTreeMap<String, u64>,
+    /// The most descriptors that each was seen to hold.
+    pub descriptors: BTreeMap<String, u64>,
     /// Seconds of CPU that each had used when it was last looked at.
     pub cpu: BTreeMap<String, f64>,
 }
@@ -57,7 +59,8 @@
     pub fn new(program: &Path, folder: &Path, clock: Clock) -> Processes {
         let (running, parts, memory) = (BTreeMap::new(), vec![], BTreeMap::new());
         let (program, folder) = (program.into(), folder.into());
-        Processes { program, folder, clock, running, parts, started: 0, memory, cpu: BTreeMap::new() }
+        let (descriptors, cpu) = (BTreeMap::new(), BTreeMap::new());
+        Processes { program, folder, clock, running, parts, started: 0, memory, descriptors, cpu }
     }
 
     /// Starts a process that writes its own part of the record.
@@ -138,6 +141,9 @@
         let fields: Vec<_> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
         let ticks = |n: usize| fields.get(n).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
         self.cpu.insert(name.to_string(), (ticks(11) + ticks(12)) / TICKS);
+        let open = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, |fds| fds.count() as u64);
+        let most = self.descriptors.entry(name.to_string()).or_default();
+        *most = (*most).max(open);
         let most = self.memory.entry(name.to_string()).or_default();
         *most = (*most).max(kib * 1024);
     }
--- a/crates/lab/src/traffic.rs
+++ b/crates/lab/src/traffic.rs
@@ -32,6 +32,8 @@
 
 /// Microseconds between two turns of a session on average: a person reads the answer and asks on.
 const THINKS: f64 = 2e6;
+/// Sets the draw of busy routers apart from that of the traffic.
+const UNEVEN: u64 = 0x756e_6576_656e;
 /// Bytes of a prompt's own text; its length in tokens is told beside it.
 const TEXT: usize = 48;
 
@@ -63,6 +65,33 @@
     planned
 }
 
+/// Which router each client calls first. Clients are alike, so that a router's traffic follows from how many
+/// call it: all the same, or some of them so many times as many as the rest.
+pub fn routers_of(load: &Load, routers: usize) -> Vec<usize> {
+    let Some(uneven) = load.uneven else { return (0..load.clients).map(|n| n % routers).collect() };
+    let mut chance = Pcg64::seed_from_u64(load.seed ^ UNEVEN);
+    let busy = ((routers as f64 * uneven.part).round() as usize).clamp(1, routers);
+    let mut order: Vec<usize> = (0..routers).collect();
+    for n in 0..busy {
+        let other = chance.random_range(n..routers);
+        order.swap(n, other);
+    }
+    let mut weights = vec![1.0; routers];
+    order[..busy].iter().for_each(|&n| weights[n] = uneven.times);
+    // Each client goes where most is missing of what its weight wants.
+    let mut called = vec![0.0; routers];
+    let next = |called: &[f64]| {
+        let missing = |n: &usize| (called[*n] + 1.0) / weights[*n];
+        (0..routers).min_by(|a, b| missing(a).total_cmp(&missing(b))).unwrap_or(0)
+    };
+    let one = |_| {
+        let n = next(&called);
+        called[n] += 1.0;
+        n
+    };
+    (0..load.clients).map(one).collect()
+}
+
 /// How many times the usual traffic comes at a moment.
 fn surge(bursts: &[Burst], traffic: &Traffic, at: f64) -> f64 {
     let its = |b: &&Burst| b.tenant.is_none() || b.tenant == traffic.tenant;
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -146,6 +146,11 @@
     }
 
     /// What the program that ran there last has kept.
+    /// What was kept there is gone.
+    pub fn forget(&mut self, id: NodeId) {
+        self.nodes[id.0].kept = None;
+    }
+
     pub fn kept(&self, id: NodeId) -> Option<Bytes> {
         self.nodes[id.0].kept.clone()
     }
@@ -375,12 +380,14 @@
                 }
             }
             // Here all that was sent is under way at once, so both ends are the same.
-            Act::Close { link, .. } | Act::Cut { link } => {
+            Act::Close { link, .. } | Act::Cut { link } | Act::Reset { link } => {
                 if self.ends.get(&(id, link)).is_some_and(|e| e.open) {
                     self.note_end(id, link);
                     self.sever(id, link);
                 }
             }
+            // Relays run as processes only.
+            Act::Door { .. } | Act::Joined { .. } => {}
             Act::Ring { at, key } => self.later(at.max(self.now), id, life, Event::Ring(key)),
             Act::Hush { link, hush } => {
                 let Some(end) = self.ends.get_mut(&(id, link)) else { return };
--- /dev/null
+++ b/crates/lab/tests/drawn.rs
@@ -0,0 +1,86 @@
+//! Faults and busy routers drawn from a seed.
+
+use std::collections::BTreeSet;
+
+use tideroute_lab::faults::drawn;
+use tideroute_lab::traffic::routers_of;
+use tideroute_records::kinds::Day;
+
+fn day(more: &str) -> Day {
+    let text = format!(
+        r#"
+day: {{
+	routers: 12, cells: 2, zones: 2
+	kinds: [{{name: "readers", role: "reader"}}, {{name: "writers", role: "writer"}}]
+	fleet: [
+		{{name: "reader", kind: "readers", count: 3, does: {{role: "reader"}}}},
+		{{name: "writer", kind: "writers", count: 5, does: {{role: "writer"}}}},
+	]
+	tracks: [{{name: "query", contract: 1s, cut_off: 4s}}]
+	terms: {{}}
+	load: {{rate: 10, for: 20s, traffic: [{{track: "query"}}]}}
+	expect: {{}}
+	{more}
+}}
+"#
+    );
+    tideroute_records::read("a test's day", &text).unwrap_or_else(|p| panic!("{p}")).day.expect("a day")
+}
+
+#[test]
+fn drawn_faults_are_the_same_by_seed_and_concern_processes_that_there_are() {
+    let mut kinds = BTreeSet::new();
+    for seed in 1..=300 {
+        let day = day(&format!("faults: {{draw: 8, seed: {seed}, from: 2s, until: 15s, longest: 3s}}"));
+        let (one, two) = (drawn(&day), drawn(&day));
+        let text = |d: &Day| serde_json::to_string(&d.troubles).expect("plain data");
+        assert_eq!(text(&one), text(&two));
+        assert!(!one.troubles.is_empty() && one.faults.is_none());
+        let known: BTreeSet<String> =
+            day.workers().map(|(name, ..)| name).chain(day.router_names()).collect();
+        // Written down, as when a failed day was shrunk, it is the same day.
+        let file = tideroute_records::kinds::File { day: Some(one.clone()), ..Default::default() };
+        let printed = tideroute_records::print(&file).unwrap_or_else(|p| panic!("{p}"));
+        let again = tideroute_records::read("printed", &printed).unwrap_or_else(|p| panic!("{p}"));
+        assert_eq!(text(&again.day.expect("a day")), text(&one));
+        let mut clocks = BTreeSet::new();
+        for t in &one.troubles {
+            kinds.insert(t.act.clone());
+            assert!((2_000_000..=15_000_000).contains(&t.at));
+            assert!(t.lasts.or(t.back).is_some_and(|l| (200_000..=3_000_000).contains(&l)), "{t:?}");
+            assert!(t.who.iter().all(|who| known.contains(who)), "{t:?}");
+            assert!(t.between.iter().chain(&t.and).all(|name| !day.named(name).is_empty()), "{t:?}");
+            assert!(t.act != "clock" || t.who.iter().all(|who| clocks.insert(who.clone())), "{t:?}");
+        }
+    }
+    assert_eq!(kinds.into_iter().collect::<Vec<_>>(), ["clock", "cut", "delay", "halt", "kill"]);
+}
+
+#[test]
+fn busy_routers_get_so_many_times_as_many_clients() {
+    let mut load = tideroute_records::read(
+        "a load",
+        r#"load: {
+	routers: ["127.0.0.1:1"], clients: 920, uneven: {part: 10%, times: 6}
+	tracks: [{name: "query", contract: 1s, cut_off: 4s}], traffic: [{track: "query"}]
+}"#,
+    )
+    .unwrap_or_else(|p| panic!("{p}"))
+    .load
+    .expect("a load");
+    let of = |load: &tideroute_records::kinds::Load| {
+        let mut counts = vec![0; 60];
+        routers_of(load, 60).into_iter().for_each(|n| counts[n] += 1);
+        counts
+    };
+    let counts = of(&load);
+    let busy: Vec<_> = counts.iter().filter(|c| **c > 20).collect();
+    // 6 x 6 + 54 = 90 parts of 920 clients.
+    assert_eq!(busy.len(), 6, "{counts:?}");
+    assert!(busy.iter().all(|c| (60..=65).contains(*c)), "{counts:?}");
+    assert!(counts.iter().filter(|c| **c <= 20).all(|c| (9..=11).contains(c)), "{counts:?}");
+    load.seed += 1;
+    assert_ne!(of(&load), counts, "another seed has others busy");
+    load.uneven = None;
+    assert!(of(&load).iter().all(|c| (15..=16).contains(c)));
+}
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -10,12 +10,14 @@
 
 pub mod clock;
 pub mod conn;
+mod door;
 mod mailbox;
 mod reactor;
 mod signals;
 mod tap;
 pub mod wheel;
 
+pub use clock::Warp;
 pub use mailbox::Mailbox;
 pub use reactor::{Ended, Reactor, ReactorError};
 pub use tap::Tap;
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -12,13 +12,14 @@
 use metrics::{counter, gauge};
 use polling::{Event, Events, PollMode, Poller};
 use slab::Slab;
-use socket2::{Domain, Protocol, Socket, Type};
-use tideroute_wire::link::{Act, Link, Loss, Outbox, Program};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use tideroute_wire::link::{Act, Link, Loss, Outbox, Program, Shut};
 use tideroute_wire::tap::{counts, What};
-use tideroute_wire::Micros;
+use tideroute_wire::{Address, Micros};
 
-use crate::clock::Clock;
+use crate::clock::{Clock, Warp};
 use crate::conn::{Conn, Got, Stage, MOST, PIECE};
+use crate::door::{Door, BACKLOG};
 use crate::mailbox::{mailbox, Letters, Mailbox};
 use crate::signals::Signals;
 use crate::tap::Tap;
@@ -26,8 +27,6 @@
 
 /// Connections taken at a door in one turn, so that a flood of them leaves time for those that are there.
 const ACCEPTS: usize = 64;
-/// Connections that may wait at a door to be taken; the standard library's own number.
-const BACKLOG: i32 = 4096;
 /// Microseconds: how long a closed connection may take to send its last words.
 const LAST_WORDS: Micros = 500_000;
 /// Microseconds a tick of the wheel: as fine as the decisions' own clock.
@@ -74,7 +73,9 @@
 pub struct Reactor {
     poller: Arc<Poller>,
     clock: Clock,
-    doors: Vec<TcpListener>,
+    doors: Vec<Door>,
+    /// Where some are to be dialled in place of where they are.
+    ways: HashMap<Address, Address>,
     conns: Slab<Conn>,
     places: HashMap<Link, usize>,
     dirty: Vec<usize>,
@@ -137,12 +138,13 @@
             let door = bind(address).map_err(listen)?;
             door.set_nonblocking(true).map_err(listen)?;
             add(&poller, &door, Event::readable(doors.len()))?;
-            doors.push(door);
+            doors.push(Door::new(door).map_err(listen)?);
         }
         Ok(Reactor {
             poller,
             clock,
             doors,
+            ways: HashMap::new(),
             conns: Slab::new(),
             places: HashMap::new(),
             dirty: vec![],
@@ -199,7 +201,7 @@
 
     /// Where the doors are, in order.
     pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.doors.iter().filter_map(|d| d.local_addr().ok()).collect()
+        self.doors.iter().map(Door::address).collect()
     }
 
     pub fn clock(&self) -> Clock {
@@ -211,6 +213,18 @@
         self.tap = Some(tap);
     }
 
+    /// Where some addresses are to be dialled in place of where they are: at a relay that leads there.
+    pub fn ways(&mut self, ways: HashMap<Address, Address>) {
+        self.ways = ways;
+    }
+
+    /// Has the program see a clock that is wrong; a record that has begun goes on by the true one.
+    pub fn warp(&mut self, warp: Warp) {
+        self.clock = self.clock.warped(warp);
+        self.wheel = Wheel::new(self.clock.now() / TICK);
+        self.tap.iter_mut().for_each(|tap| tap.clock = Some(self.clock));
+    }
+
     /// Panics after so long, to test what the end of one loop means for others in the process.
     pub fn fail_after(&mut self, after: Micros) {
         self.wheel.set((self.now() + after) / TICK, Ring::Fail);
@@ -298,7 +312,9 @@
         self.stopping = true;
         if !self.patient {
             for door in std::mem::take(&mut self.doors) {
-                self.poller.delete(&door)?;
+                if let Some(listener) = door.listener.as_ref().filter(|_| door.is_open()) {
+                    self.poller.delete(listener)?;
+                }
             }
         }
         program.stop(self.clock.now(), out);
@@ -398,6 +414,7 @@
                 Act::Dial { link, to, within } => {
                     let until = self.now() + within;
                     self.note(link, What::Dialled, &Bytes::copy_from_slice(&to));
+                    let to = self.ways.get(&to).copied().unwrap_or(to);
                     match Conn::dial(link, to, until) {
                         Ok(mut conn) => {
                             conn.raw = self.raw;
@@ -417,6 +434,14 @@
                         self.bury(place);
                     }
                 }
+                Act::Reset { link } => {
+                    if let Some(&place) = self.places.get(&link) {
+                        let _ = SockRef::from(&self.conns[place].stream).set_linger(Some(Duration::ZERO));
+                        self.give_up(place);
+                    }
+                }
+                Act::Door { door, shut } => self.shut(door, shut),
+                Act::Joined { links } => self.note_joined(links),
                 Act::Ring { at, key } => self.wheel.set(at.div_ceil(TICK), Ring::Program(key)),
                 Act::Hush { link, hush } => {
                     let Some(&place) = self.places.get(&link) else { continue };
@@ -588,16 +613,49 @@
     }
 
     fn bury(&mut self, place: usize) {
+        if self.conns[place].stage != Stage::Dead {
+            self.give_up(place);
+            let _ = self.conns[place].stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    /// Has nothing more to do with a connection; its socket ends with this turn.
+    fn give_up(&mut self, place: usize) {
         let conn = &mut self.conns[place];
         if conn.stage != Stage::Dead {
             self.lingering -= usize::from(matches!(conn.stage, Stage::Lingering { .. }));
             conn.stage = Stage::Dead;
             let _ = self.poller.delete(&conn.stream);
-            let _ = conn.stream.shutdown(std::net::Shutdown::Both);
             self.dead.push(place);
         }
     }
 
+    /// Opens or shuts a door; what cannot be done leaves it as it is, told aloud.
+    fn shut(&mut self, place: usize, shut: Shut) {
+        let Some(door) = self.doors.get_mut(place) else { return };
+        if let Some(listener) = door.listener.as_ref().filter(|_| door.is_open() && shut != Shut::Open) {
+            let _ = self.poller.delete(listener);
+        }
+        let was_open = door.is_open();
+        if let Err(problem) = door.set(shut) {
+            tracing::error!(%problem, address = %door.address(), "a door could not be opened or shut");
+        }
+        if let Some(listener) = door.listener.as_ref().filter(|_| !was_open && door.is_open()) {
+            if let Err(problem) = add(&self.poller, listener, Event::readable(place)) {
+                tracing::error!(%problem, "a door could not be watched");
+            }
+        }
+    }
+
+    fn note_joined(&mut self, links: [Link; 2]) {
+        let conns = links.map(|link| self.places.get(&link).map(|&place| &self.conns[place].stream));
+        let [Some(one), Some(two)] = conns else { return };
+        let ends = [one.local_addr().ok(), one.peer_addr().ok(), two.peer_addr().ok(), two.local_addr().ok()];
+        if let Some(tap) = self.tap.as_mut() {
+            tap.joined(self.clock.now(), ends);
+        }
+    }
+
     fn out_of_patience(&mut self, link: Link) {
         let Some(&place) = self.places.get(&link) else { return };
         match self.conns[place].stage {
@@ -613,7 +671,7 @@
 
     fn accept(&mut self, door: usize, program: &mut impl Program, out: &mut Outbox) {
         for _ in 0..ACCEPTS {
-            let Some(listener) = self.doors.get(door) else { return };
+            let Some(listener) = self.doors.get(door).and_then(|d| d.listener.as_ref()) else { return };
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
@@ -719,8 +777,8 @@
         for (_, conn) in &self.conns {
             let _ = self.poller.delete(&conn.stream);
         }
-        for door in &self.doors {
-            let _ = self.poller.delete(door);
+        for door in self.doors.iter().filter(|d| d.is_open()) {
+            door.listener.iter().for_each(|listener| drop(self.poller.delete(listener)));
         }
         for signals in self.signals.iter().chain(self.rereads.iter().map(|(signals, _)| signals)) {
             let _ = self.poller.delete(&signals.heard);
--- a/crates/reactor/src/tap.rs
+++ b/crates/reactor/src/tap.rs
@@ -11,10 +11,14 @@
 use tideroute_wire::tap::{self, Passed, What, Who};
 use tideroute_wire::{Address, Micros};
 
+use crate::clock::Clock;
+
 pub struct Tap {
     file: BufWriter<File>,
     process: u32,
     role: String,
+    /// The process's clock, where the program sees a wrong one.
+    pub(crate) clock: Option<Clock>,
 }
 
 impl Tap {
@@ -22,15 +26,26 @@
     pub fn begin(path: &Path, who: &Who) -> io::Result<Tap> {
         let mut file = BufWriter::with_capacity(1 << 18, File::create(path)?);
         tap::write_head(&mut file, std::slice::from_ref(who), "")?;
-        Ok(Tap { file, process: who.number, role: who.role.clone() })
+        Ok(Tap { file, process: who.number, role: who.role.clone(), clock: None })
     }
 
     pub(crate) fn note(&mut self, at: Micros, link: Link, what: What, place: u64, frame: &Bytes) {
+        // What a relay passes on is written down by those who speak.
+        if self.role == "relay" && !matches!(what, What::Joined | What::Began | What::Left | What::Killed) {
+            return;
+        }
         let frame = tap::kept(frame, &self.role);
+        let at = self.clock.map_or(at, |clock| clock.true_now());
         let passed = Passed { at, process: self.process, link: link.0, what, place, frame };
         self.write(&passed);
     }
 
+    /// A relay has joined two connections: each one's ends, where it was taken or went to first.
+    pub(crate) fn joined(&mut self, at: Micros, ends: [Option<SocketAddr>; 4]) {
+        let ends: Vec<u8> = ends.into_iter().flat_map(|end| end.map_or([0; 6], bytes_of)).collect();
+        self.note(at, Link(0), What::Joined, 0, &ends.into());
+    }
+
     /// Two ends of one connection are known to belong together by both ends' addresses.
     pub(crate) fn met(&mut self, at: Micros, link: Link, what: What, ends: [Option<SocketAddr>; 2]) {
         let ends: Vec<u8> = ends.into_iter().flat_map(|end| end.map_or([0; 6], bytes_of)).collect();
--- a/crates/records/src/kinds.rs
+++ b/crates/records/src/kinds.rs
@@ -13,6 +13,7 @@
     pub router: Option<Router>,
     pub worker: Option<Worker>,
     pub list: Option<List>,
+    pub relay: Option<Relay>,
     pub load: Option<Load>,
     pub day: Option<Day>,
 }
@@ -163,6 +164,38 @@
     pub late: Vec<Late>,
 }
 
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Relay {
+    pub doors: Vec<Door>,
+    pub faults: Vec<Fault>,
+    pub seed: u64,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Door {
+    pub listen: String,
+    pub to: String,
+    pub faults: Vec<usize>,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Fault {
+    pub at: u64,
+    #[serde(rename = "for")]
+    pub lasts: u64,
+    pub way: String,
+    pub how: String,
+    pub delay: u64,
+    pub jitter: u64,
+    pub loss: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct Uneven {
+    pub part: f64,
+    pub times: f64,
+}
+
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Late {
     pub at: u64,
@@ -186,6 +219,7 @@
     pub leaves: f64,
     pub sluggish: usize,
     pub bursts: Vec<Burst>,
+    pub uneven: Option<Uneven>,
     pub keys: Vec<Key>,
     pub state_bytes_a_token: u32,
 }
@@ -236,6 +270,7 @@
     pub lag: u64,
     pub load: DayLoad,
     pub troubles: Vec<Trouble>,
+    pub faults: Option<Drawn>,
     pub expect: Expect,
 }
 
@@ -250,6 +285,7 @@
     pub retry_wait: u64,
     pub leaves: f64,
     pub sluggish: usize,
+    pub uneven: Option<Uneven>,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -260,27 +296,57 @@
     pub does: Able,
 }
 
-/// What goes wrong; which fields it has follows from what it does.
 #[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Drawn {
+    pub draw: usize,
+    pub seed: u64,
+    pub from: u64,
+    pub until: Option<u64>,
+    pub longest: u64,
+}
+
+/// What goes wrong; which fields it has follows from what it does.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Trouble {
     pub at: u64,
     #[serde(rename = "do")]
     pub act: String,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub who: Vec<String>,
     pub back: Option<u64>,
     #[serde(rename = "for")]
     pub lasts: Option<u64>,
     pub lag: Option<u64>,
-    #[serde(default = "once")]
+    #[serde(default = "once", skip_serializing_if = "is_once")]
     pub times: f64,
     pub tenant: Option<String>,
+    /// Of a kill: whether it finds what it kept.
+    pub keeps: Option<bool>,
+    /// Of what happens between two sets of processes.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub between: Vec<String>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub and: Vec<String>,
+    pub way: Option<String>,
+    pub how: Option<String>,
+    pub delay: Option<u64>,
+    pub jitter: Option<u64>,
+    pub loss: Option<f64>,
+    /// Of a clock.
+    pub rate: Option<f64>,
+    pub ahead: Option<u64>,
+    pub behind: Option<u64>,
 }
 
 fn once() -> f64 {
     1.0
 }
 
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "serde calls it so")]
+fn is_once(times: &f64) -> bool {
+    *times == once()
+}
+
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Expect {
     pub service: f64,
@@ -288,12 +354,46 @@
     pub memory: u64,
 }
 
+/// What is done to processes from outside, and to some of a group at once.
+const OUTSIDE: [&str; 3] = ["kill", "halt", "clock"];
+
 impl Day {
     /// The names of all workers, group by group.
     pub fn workers(&self) -> impl Iterator<Item = (String, &Group, usize)> {
         self.fleet.iter().flat_map(|g| (0..g.count).map(move |n| (format!("{}{n}", g.name), g, n)))
     }
 
+    /// The processes that a name stands for: one, all of a group (`router`, or a worker group's name), or some of
+    /// one (`router10-19`). Empty for a name that stands for nobody.
+    pub fn named(&self, name: &str) -> Vec<String> {
+        let groups = self.fleet.iter().map(|g| (g.name.as_str(), g.count));
+        for (group, count) in groups.chain([("router", self.routers)]) {
+            let Some(rest) = name.strip_prefix(group) else { continue };
+            let (first, last) = rest.split_once('-').unwrap_or((rest, rest));
+            let range = match rest {
+                "" => Some((0, count.saturating_sub(1))),
+                _ => first.parse().ok().zip(last.parse().ok()),
+            };
+            if let Some((first, last)) = range.filter(|(first, last)| first <= last && *last < count) {
+                return (first..=last).map(|n| format!("{group}{n}")).collect();
+            }
+        }
+        if ["list", "load"].contains(&name) {
+            vec![name.to_string()]
+        } else {
+            vec![]
+        }
+    }
+
+    /// The same day with each process named that something is done to.
+    pub fn with_names(&self) -> Day {
+        let mut day = self.clone();
+        for t in day.troubles.iter_mut().filter(|t| OUTSIDE.contains(&t.act.as_str())) {
+            t.who = t.who.iter().flat_map(|name| self.named(name)).collect();
+        }
+        day
+    }
+
     /// The names of the routers.
     pub fn router_names(&self) -> impl Iterator<Item = String> {
         (0..self.routers).map(|n| format!("router{n}"))
@@ -446,14 +546,27 @@
             }
         }
         let workers: BTreeSet<_> = d.workers().map(|(name, ..)| name).collect();
-        let routers: BTreeSet<_> = d.router_names().collect();
+        let mut clocks = BTreeSet::new();
         for (n, t) in d.troubles.iter().enumerate() {
-            let killed = t.act == "kill" || t.act == "halt";
+            for who in t.who.iter().filter(|_| t.act == "clock").flat_map(|name| d.named(name)) {
+                if !clocks.insert(who.clone()) {
+                    let what = format!("the clock of {who:?} is wrong twice");
+                    self.fault(&format!("day.troubles[{n}].who"), what, "once for each process");
+                }
+            }
+            let killed = OUTSIDE.contains(&t.act.as_str());
+            for (field, names) in [("between", &t.between), ("and", &t.and)] {
+                for (m, name) in names.iter().enumerate().filter(|(_, name)| d.named(name).is_empty()) {
+                    let what = format!("{name:?} stands for no process");
+                    let expected = "a process, a group, some of one as router0-9, list or load";
+                    self.fault(&format!("day.troubles[{n}].{field}[{m}]"), what, expected);
+                }
+            }
             for (m, who) in t.who.iter().enumerate() {
                 let removed = t.act == "remove";
                 let known = match removed {
                     true => tenants.contains(&who),
-                    false => workers.contains(who) || killed && (routers.contains(who) || who == "list"),
+                    false => workers.contains(who) || killed && who != "load" && !d.named(who).is_empty(),
                 };
                 if !known {
                     let what = format!("{who:?} is nobody to whom this can happen");
--- a/crates/records/src/schema.cue
+++ b/crates/records/src/schema.cue
@@ -3,6 +3,7 @@
 	router?: #Router
 	worker?: #Worker
 	list?:   #List
+	relay?:  #Relay
 	load?:   #Load
 	day?:    #Day
 }
@@ -161,6 +162,31 @@
 	lag: duration & >=0s
 }
 
+// A relay between processes of a day, made by its player.
+#Relay: {
+	doors: [#Door, ...#Door]
+	faults: [...#Fault] | *[]
+	seed:   int & >=0 | *7
+}
+
+// Where it is dialled, where that leads, and which of the faults meet it, by their places.
+#Door: {
+	listen: string
+	to:     string
+	faults: [...int & >=0] | *[]
+}
+
+// From whom it works, seen from who dials: both ways, there or back.
+#Fault: {
+	at:  duration & >=0s
+	for: duration & >0s
+	way: *"both" | "there" | "back"
+	how: "silent" | "reset" | "late"
+	delay:  duration & >=0s | *0s
+	jitter: duration & >=0s | *0s
+	loss:   number & >=0 & <=0.9 | *0
+}
+
 // Clients.
 #Load: {
 	routers: [string, ...string]
@@ -176,12 +202,19 @@
 	leaves:   number & >=0 & <=1 | *0
 	sluggish: int & >=0 & <=1000 | *0
 	bursts: [...#Burst] | *[]
+	uneven?: #Uneven
 	// Clients speak for these in turn.
 	keys: [...#Key] | *[]
 	// Must agree with the workers'.
 	state_bytes_a_token: int & >=1 & <=4096 | *16
 }
 
+// A part of the routers, drawn from the seed, gets so many times as much as each of the others.
+#Uneven: {
+	part:  number & >0 & <1
+	times: number & >=1 & <=10000
+}
+
 #Key: {
 	tenant: string
 	key:    string
@@ -236,9 +269,20 @@
 	lag:   duration & >=0s | *200ms
 	load:  #DayLoad
 	troubles: [...#Trouble] | *[]
+	// Further ones drawn at random.
+	faults?: #Drawn
 	expect: #Expect
 }
 
+// So many faults drawn from a seed: cuts, delays, kills, halts and wrong clocks, each of part of the processes.
+#Drawn: {
+	draw:    int & >=1 & <=1000
+	seed:    int & >=0 | *1
+	from:    duration & >=0s | *1s
+	until?:  duration & >0s
+	longest: duration & >=200ms & <=10m | *3s
+}
+
 #DayLoad: {
 	rate:       number & >0 & <=100000 | *50
 	for:        duration & >0s & <=24h | *10s
@@ -248,6 +292,7 @@
 	retry_wait: duration & >=0s | *200ms
 	leaves:     number & >=0 & <=1 | *0
 	sluggish:   int & >=0 & <=1000 | *0
+	uneven?:    #Uneven
 }
 
 // So many workers of one kind, named by the group and a number, spread over the cells in turn.
@@ -258,14 +303,52 @@
 	does:  #Able
 }
 
-#Trouble: #Kill | #Scripted | #Halt | #ListLate | #DayBurst | #Remove
+#Trouble: #Kill | #Scripted | #Halt | #ListLate | #DayBurst | #Remove | #Cut | #Delay | #Clock
 
-// Killed outright; with `back`, it starts again so long after, cold and under its old name.
+// Killed outright; with `back`, it starts again so long after, cold and under its old name; a router finds the
+// list that it kept, unless it keeps nothing.
 #Kill: {
 	at: duration & >=0s
 	do: "kill"
 	who: [string, ...string]
 	back?: duration & >0s
+	keeps: bool | *true
+}
+
+// Nothing passes between two sets of processes, or only from `between` to `and` where `way` is there, and only
+// back where it is back. Silent: connections stay and say nothing; reset: they break and dials are refused.
+#Cut: {
+	at: duration & >=0s
+	do: "cut"
+	between: [string, ...string]
+	and: [string, ...string]
+	for: duration & >0s
+	way: *"both" | "there" | "back"
+	how: *"silent" | "reset"
+}
+
+// What passes between two sets takes longer; of its parts so many are lost and sent again.
+#Delay: {
+	at: duration & >=0s
+	do: "delay"
+	between: [string, ...string]
+	and: [string, ...string]
+	for: duration & >0s
+	way: *"both" | "there" | "back"
+	delay:  duration & >=0s | *0s
+	jitter: duration & >=0s | *0s
+	loss:   number & >=0 & <=0.9 | *0
+}
+
+// A process's clock runs so many times as fast; one that starts meanwhile finds it set ahead, or back.
+#Clock: {
+	at: duration & >=0s
+	do: "clock"
+	who: [string, ...string]
+	for: duration & >0s
+	rate:   number & >=0.5 & <=2 | *1
+	ahead:  duration & >=0s | *0s
+	behind: duration & >=0s | *0s
 }
 
 #Scripted: {
--- /dev/null
+++ b/crates/relay/src/relay.rs
@@ -0,0 +1,249 @@
+//! The relay itself: its doors, its script, and the connections that pass.
+
+use std::collections::{BTreeMap, HashMap};
+
+use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use tideroute_wire::link::{Link, Loss, Outbox, Program, Shut};
+use tideroute_wire::{Address, Micros};
+
+use crate::flow::{Flow, Stream};
+
+/// Microseconds: how long the way on may take to come up; who dials through gives up by its own time.
+const DIAL: Micros = 60_000_000;
+/// Microseconds after which a part that was lost is there all the same: the least that Linux waits before it
+/// sends again.
+const SENT_AGAIN: Micros = 200_000;
+/// Kinds of timers, in the top bit of their keys: a fault's beginning or end, or a part that is due.
+const DUE: u64 = 1 << 62;
+
+/// Which way a fault works, seen from who dials.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Way {
+    Both,
+    There,
+    Back,
+}
+
+impl Way {
+    fn takes(self, direction: usize) -> bool {
+        match self {
+            Way::Both => true,
+            Way::There => direction == 0,
+            Way::Back => direction == 1,
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum How {
+    /// Connections stay and say nothing; a dial is not answered. What was said comes when it is over.
+    Silent,
+    /// Connections break and dials are refused.
+    Reset,
+    /// All takes so much longer, with up to `jitter` more; of parts so many are lost, and sent again.
+    Late { delay: Micros, jitter: Micros, loss: f64 },
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Fault {
+    /// After the relay's start.
+    pub from: Micros,
+    pub until: Micros,
+    pub way: Way,
+    pub how: How,
+}
+
+/// Where it is dialled, where that leads, and by which faults it is met.
+#[derive(Clone, Debug)]
+pub struct Door {
+    pub to: Address,
+    pub faults: Vec<usize>,
+}
+
+#[derive(Clone, Debug)]
+pub struct RelayTerms {
+    /// In the order of the loop's doors.
+    pub doors: Vec<Door>,
+    pub faults: Vec<Fault>,
+    pub seed: u64,
+}
+
+pub struct Relay {
+    terms: RelayTerms,
+    began: Micros,
+    flows: BTreeMap<u64, Flow>,
+    /// Which flow a link belongs to, and which of its two it is.
+    by_link: HashMap<Link, (u64, usize)>,
+    count: u64,
+    chance: Pcg64,
+    stopping: bool,
+}
+
+impl Relay {
+    pub fn new(terms: RelayTerms) -> Relay {
+        let chance = Pcg64::seed_from_u64(terms.seed);
+        let (flows, by_link) = (BTreeMap::new(), HashMap::new());
+        Relay { terms, began: 0, flows, by_link, count: 0, chance, stopping: false }
+    }
+
+    /// The faults that meet a door now.
+    fn now_at(&self, door: usize, now: Micros) -> impl Iterator<Item = &Fault> {
+        let since = now.saturating_sub(self.began);
+        let faults = self.terms.doors[door].faults.iter().filter_map(|&n| self.terms.faults.get(n));
+        faults.filter(move |f| f.from <= since && since < f.until)
+    }
+
+    fn cut(&self, door: usize, direction: usize, now: Micros) -> bool {
+        self.now_at(door, now).any(|f| f.how == How::Silent && f.way.takes(direction))
+    }
+
+    /// When a part that comes now goes on.
+    fn due(&mut self, door: usize, direction: usize, now: Micros) -> Micros {
+        let late = self.now_at(door, now).filter(|f| f.way.takes(direction)).filter_map(|f| match f.how {
+            How::Late { delay, jitter, loss } => Some((delay, jitter, loss)),
+            _ => None,
+        });
+        let late: Vec<_> = late.collect();
+        let mut at = now;
+        for (delay, jitter, loss) in late {
+            at += delay + self.chance.random_range(0..=jitter);
+            while loss > 0.0 && self.chance.random::<f64>() < loss {
+                at += SENT_AGAIN;
+            }
+        }
+        at
+    }
+
+    /// Moves what may move in a flow, and ends what has ended.
+    fn pump(&mut self, n: u64, now: Micros, out: &mut Outbox) {
+        let Some(door) = self.flows.get(&n).map(|f| f.door) else { return };
+        let cut = [0, 1].map(|direction| self.cut(door, direction, now));
+        let Some(flow) = self.flows.get_mut(&n) else { return };
+        for direction in [0, 1] {
+            let (from, to) = (flow.links[direction], flow.links[1 - direction]);
+            let stream: &mut Stream = &mut flow.streams[direction];
+            if !cut[direction] {
+                if let Some(next) = stream.pump(now, to, out) {
+                    out.ring(next, DUE | n);
+                }
+            }
+            if stream.ended && stream.is_empty() && !cut[direction] {
+                // All that was said has gone: the other side hears of the end.
+                out.close(to, "the other side has ended");
+                return self.forget(n);
+            }
+            if !stream.ended {
+                stream.hush(from, cut[direction], out);
+            }
+        }
+    }
+
+    fn forget(&mut self, n: u64) {
+        if let Some(flow) = self.flows.remove(&n) {
+            flow.links.iter().for_each(|link| {
+                self.by_link.remove(link);
+            });
+        }
+    }
+
+    /// A fault begins or ends: doors and connections are as they now have to be.
+    fn turn_of(&mut self, fault: usize, now: Micros, out: &mut Outbox) {
+        for door in 0..self.terms.doors.len() {
+            if !self.terms.doors[door].faults.contains(&fault) {
+                continue;
+            }
+            let shut = self.now_at(door, now).fold(Shut::Open, |shut, f| match (f.how, shut) {
+                (How::Reset, _) | (_, Shut::Gone) => Shut::Gone,
+                (How::Silent, _) | (_, Shut::Deaf) => Shut::Deaf,
+                _ => Shut::Open,
+            });
+            out.door(door, shut);
+            let mine: Vec<_> = self.flows.iter().filter(|(_, f)| f.door == door).map(|(n, _)| *n).collect();
+            for n in mine {
+                if shut == Shut::Gone {
+                    let links = self.flows.get(&n).map(|f| f.links);
+                    links.into_iter().flatten().for_each(|link| out.reset(link));
+                    self.forget(n);
+                } else {
+                    self.pump(n, now, out);
+                }
+            }
+        }
+    }
+}
+
+impl Program for Relay {
+    fn begin(&mut self, now: Micros, out: &mut Outbox) {
+        self.began = now;
+        for (n, fault) in self.terms.faults.iter().enumerate() {
+            out.ring(now + fault.from, n as u64);
+            out.ring(now + fault.until, n as u64);
+        }
+    }
+
+    fn accepted(&mut self, now: Micros, link: Link, door: usize, out: &mut Outbox) {
+        let Some(to) = self.terms.doors.get(door).map(|d| d.to) else { return out.reset(link) };
+        let on = out.dial(to, DIAL);
+        self.count += 1;
+        self.by_link.extend([(link, (self.count, 0)), (on, (self.count, 1))]);
+        let flow = Flow { door, links: [link, on], streams: Default::default() };
+        self.flows.insert(self.count, flow);
+        self.pump(self.count, now, out);
+    }
+
+    fn opened(&mut self, _now: Micros, link: Link, out: &mut Outbox) {
+        if let Some(flow) = self.by_link.get(&link).and_then(|(n, _)| self.flows.get(n)) {
+            out.joined(flow.links[0], flow.links[1]);
+        }
+    }
+
+    fn heard(&mut self, now: Micros, link: Link, part: &Bytes, out: &mut Outbox) {
+        let Some(&(n, direction)) = self.by_link.get(&link) else { return };
+        let Some(door) = self.flows.get(&n).map(|f| f.door) else { return };
+        let due = self.due(door, direction, now);
+        if let Some(flow) = self.flows.get_mut(&n) {
+            flow.streams[direction].push(due, part);
+        }
+        self.pump(n, now, out);
+    }
+
+    fn lost(&mut self, now: Micros, link: Link, loss: Loss, out: &mut Outbox) {
+        let Some(&(n, direction)) = self.by_link.get(&link) else { return };
+        let Some(flow) = self.flows.get_mut(&n) else { return };
+        if loss == Loss::Unreached {
+            // Nobody is behind the door: who came in is sent away as nobody would.
+            out.reset(flow.links[1 - direction]);
+            return self.forget(n);
+        }
+        flow.streams[direction].ended = true;
+        self.pump(n, now, out);
+    }
+
+    fn crowded(&mut self, now: Micros, link: Link, crowded: bool, out: &mut Outbox) {
+        let Some(&(n, side)) = self.by_link.get(&link) else { return };
+        if let Some(flow) = self.flows.get_mut(&n) {
+            flow.streams[1 - side].crowded(crowded);
+        }
+        self.pump(n, now, out);
+    }
+
+    fn rang(&mut self, now: Micros, key: u64, out: &mut Outbox) {
+        if key & DUE != 0 {
+            self.pump(key & !DUE, now, out);
+        } else {
+            self.turn_of(key as usize, now, out);
+        }
+    }
+
+    fn turn(&mut self, _now: Micros, _out: &mut Outbox) {}
+
+    fn stop(&mut self, _now: Micros, _out: &mut Outbox) {
+        self.stopping = true;
+    }
+
+    fn done(&self) -> bool {
+        self.stopping
+    }
+}
--- a/crates/rules/src/terms.rs
+++ b/crates/rules/src/terms.rs
@@ -26,6 +26,11 @@
     /// What must hold between a shot that may have run and a later one, of a referenced track.
     pub group: Group,
     pub window: Micros,
+    /// When the first token is wanted, and what 1,000 prompt tokens add: no rule, but what service is read by.
+    #[serde(default)]
+    pub contract: Micros,
+    #[serde(default)]
+    pub per_thousand: Micros,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -52,4 +57,7 @@
     pub reader: bool,
     pub cell: u16,
     pub zone: u8,
+    /// Shots that it works on at once; no rule needs it.
+    #[serde(default)]
+    pub at_once: u32,
 }
--- a/crates/rules/tests/broken.rs
+++ b/crates/rules/tests/broken.rs
@@ -26,9 +26,15 @@
 }
 
 fn terms() -> Terms {
-    let track =
-        |name: &str, repeat, group| TrackTerms { name: name.into(), repeat, group, window: 3000 * MS };
-    let worker = |reader, cell| WorkerTerms { rate: 1000.0, reader, cell, zone: 0 };
+    let track = |name: &str, repeat, group| TrackTerms {
+        name: name.into(),
+        repeat,
+        group,
+        window: 3000 * MS,
+        contract: 0,
+        per_thousand: 0,
+    };
+    let worker = |reader, cell| WorkerTerms { rate: 1000.0, reader, cell, zone: 0, at_once: 8 };
     let at = |process: u32| format!("127.0.0.1:{process}");
     Terms {
         tracks: vec![
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -37,6 +37,16 @@
     Broken,
 }
 
+/// How a door treats those who dial it.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Shut {
+    Open,
+    /// Dials are not answered, as where nothing passes on the way.
+    Deaf,
+    /// Dials are refused.
+    Gone,
+}
+
 /// What a program asks of the loop that drives it.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Act {
@@ -59,6 +69,19 @@
     Cut {
         link: Link,
     },
+    /// Ends the link at once with a reset. No `lost` follows.
+    Reset {
+        link: Link,
+    },
+    /// Opens or shuts a door, by its place among those that the program was given.
+    Door {
+        door: usize,
+        shut: Shut,
+    },
+    /// Notes that what passes on one link passes on the other: the program is a relay.
+    Joined {
+        links: [Link; 2],
+    },
     /// Calls `rang` with the key at that time or soon after. Nothing takes a timer back: ignore it instead.
     Ring {
         at: Micros,
@@ -107,6 +130,18 @@
         self.acts.push(Act::Cut { link });
     }
 
+    pub fn reset(&mut self, link: Link) {
+        self.acts.push(Act::Reset { link });
+    }
+
+    pub fn door(&mut self, door: usize, shut: Shut) {
+        self.acts.push(Act::Door { door, shut });
+    }
+
+    pub fn joined(&mut self, one: Link, two: Link) {
+        self.acts.push(Act::Joined { links: [one, two] });
+    }
+
     pub fn ring(&mut self, at: Micros, key: u64) {
         self.acts.push(Act::Ring { at, key });
     }
