--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -346,8 +346,8 @@
                         self.start(who, true)?;
                     }
                     Deed::Start(..) => {}
-                    Deed::Halt(who) => self.processes.signal(who, Signal::STOP),
-                    Deed::GoOn(who) => self.processes.signal(who, Signal::CONT),
+                    Deed::Halt(who) => self.processes.halt(who, true),
+                    Deed::GoOn(who) => self.processes.halt(who, false),
                     Deed::Remove(_) => return Err(DayError::VirtualOnly),
                 }
             }
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -10,7 +10,7 @@
 
 use rustix::process::{kill_process, Pid, Signal};
 use tideroute_reactor::clock::Clock;
-use tideroute_wire::tap::Who;
+use tideroute_wire::tap::{What, Who};
 use tideroute_wire::{Address, Micros};
 
 use crate::parts::Part;
@@ -83,7 +83,7 @@
             let path = if core > 0 { path.with_extension(format!("part.{core}")) } else { path.clone() };
             let number = number + core * NUMBERS_A_CORE;
             let who = Who { number, name, role: recipe.role.clone(), address: recipe.address };
-            self.parts.push(Part { who, path, killed: None });
+            self.parts.push(Part { who, path, killed: None, halts: vec![] });
         }
         self.running.insert(recipe.name.clone(), Running { child, parts: first..self.parts.len() });
         Ok(())
@@ -110,6 +110,16 @@
         }
     }
 
+    /// Halts a process or lets it go on, and notes it.
+    pub fn halt(&mut self, name: &str, halt: bool) {
+        let (signal, what) = if halt { (Signal::STOP, What::Halted) } else { (Signal::CONT, What::WentOn) };
+        let now = self.clock.now();
+        if let Some(parts) = self.running.get(name).map(|r| r.parts.clone()) {
+            self.parts[parts].iter_mut().for_each(|part| part.halts.push((now, what)));
+        }
+        self.signal(name, signal);
+    }
+
     /// How it ended, if it has.
     pub fn ended(&mut self, name: &str) -> Option<ExitStatus> {
         let running = self.running.get_mut(name)?;
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -187,10 +187,12 @@
     /// Nothing happens at the place until it goes on; what comes meanwhile waits.
     pub fn halt(&mut self, id: NodeId) {
         self.nodes[id.0].halted = true;
+        self.note(id, Link(0), What::Halted, 0, &Bytes::new());
     }
 
     pub fn go_on(&mut self, id: NodeId) {
         self.nodes[id.0].halted = false;
+        self.note(id, Link(0), What::WentOn, 0, &Bytes::new());
         for mut due in std::mem::take(&mut self.nodes[id.0].missed) {
             due.at = self.now;
             self.due.push(due);
--- a/crates/rules/src/cold.rs
+++ b/crates/rules/src/cold.rs
@@ -6,6 +6,7 @@
 use tideroute_wire::tap::Passed;
 use tideroute_wire::{Address, Micros};
 
+use crate::halts::Halts;
 use crate::terms::Terms;
 use crate::{Report, Rule};
 
@@ -92,12 +93,12 @@
     }
 
     /// Something new goes to a worker: rule 3.
-    pub fn new_goes(&self, passed: &Passed, id: u64, worker: Address, report: &mut Report) {
+    pub fn new_goes(&self, passed: &Passed, id: u64, worker: Address, halts: &Halts, report: &mut Report) {
         let told = self.told.get(&(passed.process, worker)).filter(|t| t.standing != Standing::Ready);
         let home = self.homes.get(&passed.process);
         let first = home.and_then(|&home| self.first.get(&(home, worker))).and_then(|(_, first)| *first);
         let Some(since) = told.map(|t| t.since).into_iter().chain(first).min() else { return };
-        let late = passed.at.saturating_sub(since);
+        let late = passed.at.saturating_sub(since + halts.within(passed.process, since, passed.at));
         report.counts.latest_after_drain = report.counts.latest_after_drain.max(late);
         if late > self.terms.drain_grace {
             let what = format!(
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -6,6 +6,7 @@
 //! numbered on each connection, both ends are compared, and a word that answers nothing is a fault too.
 
 mod cold;
+mod halts;
 mod links;
 mod shots;
 mod talk;
@@ -159,6 +160,8 @@
         }
         What::Closed | What::Unreached => shots.closed(passed, talk, report),
         What::Killed | What::Left => shots.process_ended(passed, report),
+        What::Halted => shots.halts.begin(passed.process, passed.at),
+        What::WentOn => shots.halts.end(passed.process, passed.at),
         What::Dialled | What::Met | What::Accepted | What::Began | What::Joined => {}
     }
 }
--- a/crates/rules/src/shots.rs
+++ b/crates/rules/src/shots.rs
@@ -6,6 +6,7 @@
 use tideroute_wire::{Address, Micros};
 
 use crate::cold::{shown, Cold};
+use crate::halts::Halts;
 use crate::links::{Between, Links, Talk};
 use crate::talk::Answer;
 use crate::terms::{Group, Repeat, Terms};
@@ -59,6 +60,7 @@
 pub struct Shots {
     terms: Terms,
     pub cold: Cold,
+    pub halts: Halts,
     asked: BTreeMap<Number, Asked>,
     /// Heard by the router and not yet taken or turned back.
     coming: BTreeMap<Number, (u8, Micros, Micros)>,
@@ -80,6 +82,7 @@
         Shots {
             terms: terms.clone(),
             cold: Cold::new(terms, homes),
+            halts: Halts::default(),
             asked: BTreeMap::new(),
             coming: BTreeMap::new(),
             ids: BTreeMap::new(),
@@ -233,7 +236,8 @@
             return report.note(Rule::Record, passed.at, id, format!("number {n} is answered, never taken"));
         };
         held.over.get_or_insert(passed.at);
-        let late = passed.at.saturating_sub(held.at + held.left);
+        let halted = self.halts.within(passed.process, held.at, passed.at);
+        let late = passed.at.saturating_sub(held.at + held.left + halted);
         if late > 0 && held.relayed.is_none() {
             let what = format!("it was answered {} us after its client's time was up", late);
             report.note(Rule::Lost, passed.at, id, what);
@@ -260,7 +264,7 @@
             report.note(Rule::Record, passed.at, Some(id), "a shot of a submission that was never taken");
             return None;
         };
-        held.look_for_pins(id, passed.at, release, report);
+        held.look_for_pins(id, passed.at, release, &self.halts, report);
         Some(held)
     }
 
@@ -318,7 +322,7 @@
         }
         let (link, worker, sent) = (passed.link, to, passed.at);
         held.out = Some(Out { number: shot, worker, link, sent });
-        self.cold.new_goes(passed, id, to, report);
+        self.cold.new_goes(passed, id, to, &self.halts, report);
         self.cold.works(passed, id, to, tokens, report);
     }
 
@@ -328,7 +332,7 @@
             held.held.insert(at);
             held.since = passed.at;
         }
-        self.cold.new_goes(passed, id, at, report);
+        self.cold.new_goes(passed, id, at, &self.halts, report);
     }
 
     pub fn hold_answered(&mut self, passed: &Passed, id: u64, at: Address, yes: bool, report: &mut Report) {
@@ -420,7 +424,7 @@
                     let mine = |o: &&Out| o.link == passed.link;
                     let Some(out) = held.out.as_ref().filter(mine) else {
                         if held.held.contains(&talk.to) {
-                            held.look_for_pins(*id, passed.at, release, report);
+                            held.look_for_pins(*id, passed.at, release, &self.halts, report);
                             held.held.remove(&talk.to);
                         }
                         continue;
@@ -448,7 +452,7 @@
         let release = self.terms.release;
         let mine = (passed.process, 0)..=(passed.process, u64::MAX);
         for ((_, id), held) in self.held.range_mut(mine) {
-            held.look_for_pins(*id, passed.at, release, report);
+            held.look_for_pins(*id, passed.at, release, &self.halts, report);
             // A router that ended in order owes nothing more; one that was killed is excused.
             if passed.what == What::Left && held.over.is_none() {
                 report.note(Rule::Lost, passed.at, Some(*id), "its router left without an answer");
@@ -489,7 +493,7 @@
         let release = self.terms.release;
         for ((router, id), held) in &mut self.held {
             if !self.ended.contains(router) {
-                held.look_for_pins(*id, last, release, report);
+                held.look_for_pins(*id, last, release, &self.halts, report);
             }
         }
         for (n, asked) in std::mem::take(&mut self.asked) {
@@ -515,7 +519,9 @@
             // A client that reads late has not been answered late.
             let relayed = id.and_then(|key| self.held.get(&key)).and_then(|h| h.relayed);
             let sent = other.and_then(|(p, l)| self.answered.get(&(p, l, n)).copied());
-            if relayed.or(sent).is_some_and(|at| at > asked.until) {
+            // What its router could not do while it was halted is excused, as where it was killed.
+            let halted = |at| other.map_or(0, |(p, _)| self.halts.within(p, asked.sent_at, at));
+            if relayed.or(sent).is_some_and(|at| at > asked.until + halted(at)) {
                 let what = format!("client link {link:x} number {n} was answered after its time");
                 report.note(Rule::Lost, asked.until, id.map(|(_, id)| id), what);
             }
@@ -525,9 +531,10 @@
 
 impl Held {
     /// Rule 5: while no shot is out, what is held is taken or let go within the release time.
-    fn look_for_pins(&mut self, id: u64, now: Micros, release: Micros, report: &mut Report) {
+    fn look_for_pins(&mut self, id: u64, now: Micros, release: Micros, halts: &Halts, report: &mut Report) {
         let Some(&at) = self.held.first().filter(|_| self.out.is_none()) else { return };
-        let pinned = now.saturating_sub(self.since);
+        let halted = halts.within(self.number.0, self.since, now);
+        let pinned = now.saturating_sub(self.since + halted);
         report.counts.longest_pinned = report.counts.longest_pinned.max(pinned);
         if pinned > release {
             let what = format!("{} held for it {} ms with no shot out", shown(at), pinned / 1000);
--- a/crates/rules/tests/broken.rs
+++ b/crates/rules/tests/broken.rs
@@ -403,6 +403,36 @@
     }
 }
 
+/// A router that is halted from outside can answer nobody; what it answers once it goes on is excused by as much,
+/// and no more, and only by its own halts.
+#[test]
+fn what_a_halted_router_could_not_do_is_excused_and_nothing_else() {
+    let late = |halted: Option<(u32, u64)>| {
+        let mut book = Book::new();
+        book.pass(10).submit(1, 0, 1000);
+        book.read(ID, 0);
+        book.pass(5).say(1, false, worker::read_done(ID, 0, 0, 1600));
+        let (process, ms) = halted.unwrap_or((ROUTER, 0));
+        if halted.is_some() {
+            book.note(process, 0, What::Halted, 0, Bytes::new());
+        }
+        book.pass(ms);
+        if halted.is_some() {
+            book.note(process, 0, What::WentOn, 0, Bytes::new());
+        }
+        // Its state waits at the reader for 1,990 ms, and its answer is 995 ms late.
+        book.pass(1990 - ms).say(1, true, worker::let_go(ID));
+        book.say(0, false, client::turned_back(1, 0));
+        book.check()
+    };
+    assert!(late(Some((ROUTER, 1900))).kept(), "{:?}", late(Some((ROUTER, 1900))).broken);
+    for halted in [None, Some((READER, 1900)), Some((ROUTER, 900))] {
+        let report = late(halted);
+        let broken = |rule| report.broken.iter().any(|b| b.rule == rule);
+        assert!(broken(Rule::Lost) && broken(Rule::Pinned), "{halted:?}: {:?}", report.broken);
+    }
+}
+
 /// Ids were once told apart by a time and a process number, and two routers of a fleet had the same ones.
 #[test]
 fn two_processes_with_one_origin_or_one_with_two_are_found() {
--- a/crates/wire/src/tap.rs
+++ b/crates/wire/src/tap.rs
@@ -41,6 +41,10 @@
     /// A relay has joined two connections: the frame holds where the first was taken and where it comes from,
     /// then where the second went and where it goes out.
     Joined,
+    /// The process was halted from outside.
+    Halted,
+    /// It was let go on.
+    WentOn,
 }
 
 /// One thing that passed.
@@ -89,6 +93,8 @@
         What::Left => event::What::Left,
         What::Killed => event::What::Killed,
         What::Joined => event::What::Joined,
+        What::Halted => event::What::Halted,
+        What::WentOn => event::What::WentOn,
     };
     let event = Event {
         at_us: passed.at,
@@ -209,6 +215,8 @@
             Ok(event::What::Left) => What::Left,
             Ok(event::What::Killed) => What::Killed,
             Ok(event::What::Joined) => What::Joined,
+            Ok(event::What::Halted) => What::Halted,
+            Ok(event::What::WentOn) => What::WentOn,
             _ => return Err(self.fault(Malformed::Range("what"))),
         };
         let (at, process, link, place) = (e.at_us, e.process, e.link, e.place);
