The check tells a relay's connections apart by when they were joined, not by their ports alone

Followed both in the record: the relay had gone out to the same worker from the same port half a minute before (JOINED at ..213 s and ..245 s), and the worker's ACCEPTED of the second came before its JOINED, so that links.rs took the first one's addresses. Ruled out: the processes' own records, which have all frames at both ends.

Change: a joining is used once, by the end that is nearest in time; old ones and closed ends of long ago are not taken.

--- a/crates/rules/src/links.rs
+++ b/crates/rules/src/links.rs
@@ -59,6 +59,11 @@
     closed: Option<Micros>,
 }
 
+/// Microseconds for which a connection may wait to be taken: longer than any process is halted.
+const WAITS: Micros = 60_000_000;
+/// Microseconds by which a relay may be late to say what it joined.
+const LATE: Micros = 1_000_000;
+
 type Key = (u32, u64);
 type Ends = (Address, Address);
 
@@ -68,8 +73,9 @@
     ends: BTreeMap<Key, End>,
     /// Those whose other end is not known yet, by their addresses.
     alone: HashMap<Ends, Vec<Key>>,
-    /// Where a relay stands between, the addresses behind it as those before it.
-    joined: HashMap<Ends, Ends>,
+    /// Where a relay stands between, the addresses behind it as those before it, until the end behind is known;
+    /// with when the relay said so, as ports are given out again.
+    joined: HashMap<Ends, (Ends, Micros)>,
     /// What became of clients' connections, whose words are asked for at the end.
     pairs: HashMap<Key, Key>,
     killed: BTreeMap<u32, Micros>,
@@ -123,16 +129,27 @@
                     }
                 }
                 if let Some(ends) = end.ends.filter(|_| !end.unreached) {
-                    self.meet(key, ends, report);
+                    let behind = if end.dialled { None } else { self.joined.remove(&ends) };
+                    let fresh = behind.filter(|(_, at)| passed.at.saturating_sub(*at) < WAITS);
+                    self.meet(key, fresh.map_or(ends, |(before, _)| before), report);
                 }
             }
             What::Joined => {
                 let before = address(0).zip(address(6));
                 if let Some((before, behind)) = before.zip(address(12).zip(address(18))) {
-                    self.joined.insert(behind, before);
-                    for key in self.alone.remove(&behind).unwrap_or_default() {
-                        self.meet(key, before, report);
-                    }
+                    // The end behind may have said so first; one of long ago had the same port.
+                    let fits = |k: &Key| {
+                        let e = self.ends.get(k).filter(|e| !e.dialled)?;
+                        let apart = e.met.abs_diff(passed.at);
+                        (e.closed.is_none() || apart < LATE).then_some((apart, *k))
+                    };
+                    let there = self.alone.get(&behind).and_then(|keys| keys.iter().filter_map(fits).min());
+                    let Some((_, key)) = there else {
+                        self.joined.insert(behind, (before, passed.at));
+                        return None;
+                    };
+                    self.alone.entry(behind).or_default().retain(|k| *k != key);
+                    self.meet(key, before, report);
                 }
                 return None;
             }
@@ -222,7 +239,6 @@
     /// An end whose addresses are known looks for its other one. A machine gives a port out again once it is
     /// free; of ends that look alike, one that is still open is the other, and the rest wait for the end.
     fn meet(&mut self, key: Key, ends: Ends, report: &mut Report) {
-        let ends = self.joined.get(&ends).copied().unwrap_or(ends);
         let Some(dialled) = self.ends.get(&key).map(|e| e.dialled) else { return };
         let alone = self.alone.entry(ends).or_default();
         let fits = |k: &Key| {
--- a/crates/rules/tests/broken.rs
+++ b/crates/rules/tests/broken.rs
@@ -478,7 +478,43 @@
         }
         check_events(&book.passed)
     };
+    // A port that the relay had before: the joining of then is not that of now.
+    let again = |late: bool| {
+        let mut book = Book::new();
+        let old = Bytes::from([[127, 0, 0, 9, 7, 7], [127, 0, 0, 1, 7, 7], address(WRITER), behind].concat());
+        let ends = Bytes::from([behind, address(WRITER)].concat());
+        // One through the relay, of which it told first, and one that it never told of.
+        book.note(LIST, 0, What::Joined, 0, old);
+        for link in [50, 49] {
+            book.note(WRITER, link, What::Accepted, 0, ends.clone());
+            book.note(WRITER, link, What::Closed, 0, counts(0, 0));
+            book.pass(10);
+        }
+        book.pass(10_000);
+        let joined = [before, [127, 0, 0, 1, 9, 9], address(WRITER), behind].concat();
+        if !late {
+            book.note(LIST, 0, What::Joined, 0, joined.clone().into());
+        }
+        let hello = say_router("somebody", u128::from(ROUTER));
+        book.note(ROUTER, 51, What::Dialled, 0, Bytes::copy_from_slice(&address(WRITER)));
+        book.note(ROUTER, 51, What::Met, 0, Bytes::from([before, [127, 0, 0, 1, 9, 9]].concat()));
+        book.note(WRITER, 52, What::Accepted, 0, ends);
+        if late {
+            book.note(LIST, 0, What::Joined, 0, joined.into());
+        }
+        for (place, frame) in [hello, worker::probe(9)].into_iter().enumerate() {
+            book.note(ROUTER, 51, What::Sent, place as u64, frame.clone());
+            book.note(WRITER, 52, What::Heard, place as u64, frame);
+        }
+        book.note(WRITER, 52, What::Sent, 0, worker::probed(9, 0, 0, 0));
+        book.note(ROUTER, 51, What::Heard, 0, worker::probed(9, 0, 0, 0));
+        book.note(ROUTER, 51, What::Closed, 0, counts(2, 1));
+        book.note(WRITER, 52, What::Closed, 0, counts(1, 2));
+        book.check()
+    };
     for late in [false, true] {
+        let report = again(late);
+        assert!(report.kept(), "{:?}", report.broken);
         let report = relayed(false, late, true);
         assert!(report.kept(), "{:?}", report.broken);
         assert!(!relayed(true, late, true).kept());
