--- a/crates/spread/src/measure.rs
+++ b/crates/spread/src/measure.rs
@@ -227,7 +227,8 @@
 }
 
 fn side(workers: &Workers, arrivals: u64) -> Side {
-    let mut sorted = workers.ratios.clone();
+    let ratios = workers.ratios();
+    let mut sorted = ratios.clone();
     sorted.sort_by(f64::total_cmp);
     let at =
         |part: f64| sorted.get(((sorted.len() as f64 * part).ceil() as usize).saturating_sub(1)).copied();
@@ -244,7 +245,7 @@
         windows: herds.windows,
         herds_by_chance: herds.by_chance(),
         worst_window: herds.worst,
-        ratios: workers.ratios.clone(),
+        ratios,
     }
 }
 
--- /dev/null
+++ b/days/fleet-quarter.cue
@@ -0,0 +1,33 @@
+// One router of the fleet sees a quarter of all traffic; workers are halted and come back.
+day: {
+	note:    "uneven traffic, and workers that look empty because they do nothing"
+	seed:    21
+	routers: 300
+	cells:   10
+	zones:   2
+	kinds: [{name: "readers", role: "reader"}, {name: "writers", role: "writer"}]
+	fleet: [
+		{name: "reader", kind: "readers", count: 40, does: {role: "reader", reads_at_once: 4, read_rate: 5000}},
+		{name: "writer", kind: "writers", count: 60, does: {role: "writer", streams_at_once: 8, token_gap: 25ms}},
+	]
+	tracks: [
+		{name: "member-query", contract: 1s, cut_off: 4s, earnings: 1},
+		{name: "schedule-lodge", repeat: "single-use", contract: 1500ms, cut_off: 6s, earnings: 3},
+		{name: "statement-note", repeat: "referenced", group: "cell", window: 3s, contract: 1500ms, cut_off: 5s, earnings: 2},
+	]
+	terms: {warm_after: 8s}
+	lag: 300ms
+	load: {
+		rate: 270, for: 30s, clients: 1200, leaves: 1%, uneven: {part: 0.3%, times: 100}
+		traffic: [
+			{track: "member-query", part: 6},
+			{track: "schedule-lodge", part: 2, shared: 10%, adds: {least: 400, most: 1200}},
+			{track: "statement-note", part: 2, answer: {least: 30, most: 70}},
+		]
+	}
+	troubles: [
+		{at: 8s, do: "halt", who: ["reader0-3", "writer0-5"], for: 2s},
+		{at: 16s, do: "kill", who: ["reader8-15"], back: 1s},
+	]
+	expect: {memory: 64MiB}
+}
