--- a/crates/rules/src/halts.rs
+++ b/crates/rules/src/halts.rs
@@ -5,8 +5,8 @@
 
 use tideroute_wire::Micros;
 
-/// Microseconds after a halt in which a process comes to what waited for it; the loop's turns after halts of seconds
-/// were seen to take up to a few milliseconds, on a machine with hundreds of processes.
+/// Microseconds after a halt in which a process comes to what waited for it: room for the first turn of its loop, on
+/// a machine that has hundreds of them.
 const WAKES: Micros = 20_000;
 
 #[derive(Default)]
