--- a/crates/command/src/spread.rs
+++ b/crates/command/src/spread.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use plotters::prelude::*;
+use tideroute_lab::day;
 use tideroute_spread::{Side, Spread};
 
 use crate::Ended;
@@ -11,10 +12,8 @@
 const SIZE: (u32, u32) = (800, 360);
 
 pub fn run(record: &Path, json: bool, plot: Option<&Path>) -> Ended {
-    let named = |e: String| format!("{}: {e}", record.display());
-    let file = std::fs::File::open(record).map_err(|e| named(e.to_string()))?;
-    let reader = zstd::Decoder::new(file).map_err(|e| named(e.to_string()))?;
-    let spread = tideroute_spread::measure(reader).map_err(|e| named(e.to_string()))?;
+    let reader = day::open(record).map_err(|e| e.to_string())?;
+    let spread = tideroute_spread::measure(reader).map_err(|e| format!("{}: {e}", record.display()))?;
     if json {
         println!("{}", serde_json::to_string(&spread).map_err(|e| e.to_string())?);
     } else {
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -110,12 +110,17 @@
         }
     }
 
-    /// Halts a process or lets it go on, and notes it.
+    /// Halts a process or lets it go on, and notes it if it changes something.
     pub fn halt(&mut self, name: &str, halt: bool) {
         let (signal, what) = if halt { (Signal::STOP, What::Halted) } else { (Signal::CONT, What::WentOn) };
         let now = self.clock.now();
         if let Some(parts) = self.running.get(name).map(|r| r.parts.clone()) {
-            self.parts[parts].iter_mut().for_each(|part| part.halts.push((now, what)));
+            for part in &mut self.parts[parts] {
+                let halted = part.halts.last().is_some_and(|(_, last)| *last == What::Halted);
+                if halted != halt {
+                    part.halts.push((now, what));
+                }
+            }
         }
         self.signal(name, signal);
     }
--- a/crates/reactor/src/tap.rs
+++ b/crates/reactor/src/tap.rs
@@ -42,12 +42,17 @@
 
     /// A relay has joined two connections: each one's ends, where it was taken or went to first.
     pub(crate) fn joined(&mut self, at: Micros, ends: [Option<SocketAddr>; 4]) {
-        let ends: Vec<u8> = ends.into_iter().flat_map(|end| end.map_or([0; 6], bytes_of)).collect();
-        self.note(at, Link(0), What::Joined, 0, &ends.into());
+        self.met(at, Link(0), What::Joined, ends);
     }
 
     /// Two ends of one connection are known to belong together by both ends' addresses.
-    pub(crate) fn met(&mut self, at: Micros, link: Link, what: What, ends: [Option<SocketAddr>; 2]) {
+    pub(crate) fn met<const N: usize>(
+        &mut self,
+        at: Micros,
+        link: Link,
+        what: What,
+        ends: [Option<SocketAddr>; N],
+    ) {
         let ends: Vec<u8> = ends.into_iter().flat_map(|end| end.map_or([0; 6], bytes_of)).collect();
         self.note(at, link, what, 0, &ends.into());
     }
--- a/crates/records/src/kinds.rs
+++ b/crates/records/src/kinds.rs
@@ -354,8 +354,12 @@
     pub memory: u64,
 }
 
-/// What is done to processes from outside, and to some of a group at once.
-const OUTSIDE: [&str; 3] = ["kill", "halt", "clock"];
+impl Trouble {
+    /// It is done to processes from outside, and to some of a group at once.
+    pub fn from_outside(&self) -> bool {
+        ["kill", "halt", "clock"].contains(&self.act.as_str())
+    }
+}
 
 impl Day {
     /// The names of all workers, group by group.
@@ -388,7 +392,7 @@
     /// The same day with each process named that something is done to.
     pub fn with_names(&self) -> Day {
         let mut day = self.clone();
-        for t in day.troubles.iter_mut().filter(|t| OUTSIDE.contains(&t.act.as_str())) {
+        for t in day.troubles.iter_mut().filter(|t| t.from_outside()) {
             t.who = t.who.iter().flat_map(|name| self.named(name)).collect();
         }
         day
@@ -554,7 +558,7 @@
                     self.fault(&format!("day.troubles[{n}].who"), what, "once for each process");
                 }
             }
-            let killed = OUTSIDE.contains(&t.act.as_str());
+            let killed = t.from_outside();
             for (field, names) in [("between", &t.between), ("and", &t.and)] {
                 for (m, name) in names.iter().enumerate().filter(|(_, name)| d.named(name).is_empty()) {
                     let what = format!("{name:?} stands for no process");
--- a/crates/rules/src/cold.rs
+++ b/crates/rules/src/cold.rs
@@ -112,7 +112,7 @@
 
     /// Work goes to a worker: rule 4.
     pub fn works(&mut self, passed: &Passed, id: u64, worker: Address, tokens: f64, report: &mut Report) {
-        let Some(able) = self.terms.workers.get(&shown(worker)) else {
+        let Some(able) = self.terms.worker(worker) else {
             let what = format!("a shot went to {}, which the terms do not name", shown(worker));
             return report.note(Rule::Record, passed.at, Some(id), what);
         };
--- a/crates/rules/src/shots.rs
+++ b/crates/rules/src/shots.rs
@@ -296,7 +296,7 @@
         }
         let track = &terms.tracks[usize::from(held.track)];
         if let (Some((first, there)), false) = (held.ran, reading) {
-            let place = |a: Address| terms.workers.get(&shown(a));
+            let place = |a: Address| terms.worker(a);
             let together = match (track.group, place(there), place(to)) {
                 (Group::All, ..) => true,
                 (Group::Zone, Some(a), Some(b)) => a.zone == b.zone,
--- a/crates/rules/src/terms.rs
+++ b/crates/rules/src/terms.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use tideroute_wire::Micros;
+use tideroute_wire::{Address, Micros};
+
+use crate::cold::shown;
 
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Terms {
@@ -19,6 +21,13 @@
     pub most_shots: u16,
 }
 
+impl Terms {
+    /// The worker that listens there, if the terms name it.
+    pub fn worker(&self, at: Address) -> Option<&WorkerTerms> {
+        self.workers.get(&shown(at))
+    }
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TrackTerms {
     pub name: String,
