Membership of a fleet by SWIM with local health, and datagrams on the loop

Need: routers that see little must learn who is there before they can tell each other what they have out.

crates/membership: incarnations, suspicion shortened by those who share it, indirect probes, a full exchange by prints of 32 parts, words to the dead and to seeds so that a healed split meets, a MAC and a fleet's tag on each datagram. No socket, clock or chance of its own. The loop takes and sends datagrams; a program may note what it saw in its record.

Tests: 2,000 drawn runs beside a plain model of claims, 1,000 in other orders and repeated, 30,000 broken datagrams, 150 drawn worlds of kills, halts, cuts, loss and repeats.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`fleet::play`] a whole day in it.
 
 pub mod convert;
+pub mod crowd;
 pub mod day;
 pub mod faults;
 mod files;
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -389,7 +389,8 @@
                 }
             }
             // Relays run as processes only.
-            Act::Door { .. } | Act::Joined { .. } => {}
+            // Nobody in a world has a record or hears datagrams.
+            Act::Door { .. } | Act::Joined { .. } | Act::Datagram { .. } | Act::Note { .. } => {}
             Act::Ring { at, key } => self.later(at.max(self.now), id, life, Event::Ring(key)),
             Act::Hush { link, hush } => {
                 let Some(end) = self.ends.get_mut(&(id, link)) else { return };
--- /dev/null
+++ b/crates/lab/tests/crowd.rs
@@ -0,0 +1,197 @@
+//! Membership in virtual time: what a fleet must bear, and drawn worlds.
+
+use std::collections::BTreeMap;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use tideroute_lab::crowd::{name, Crowd, Network, CALM};
+use tideroute_wire::fleet::Standing;
+
+const S: u64 = 1_000_000;
+const MS: u64 = 1_000;
+const LOSSY: Network = Network { loss: 0.1, twice: 0.05, ..CALM };
+
+fn crowd(count: usize, seed: u64, network: Network) -> Crowd {
+    let mut crowd = Crowd::new(count, seed, network);
+    crowd.start_all(0..count);
+    crowd.run_for(8 * S);
+    assert_eq!(crowd.wrong(), [], "all see all, seed {seed}");
+    crowd
+}
+
+/// When each of the others saw it dead, after a moment, in order.
+fn known_dead(crowd: &Crowd, n: usize, since: u64) -> Vec<u64> {
+    let mut first = BTreeMap::new();
+    for s in &crowd.sightings {
+        if s.at >= since && s.seen.name == name(n) && s.seen.standing == Standing::Dead {
+            first.entry(s.viewer).or_insert(s.at - since);
+        }
+    }
+    let mut all: Vec<_> = first.into_values().collect();
+    all.sort_unstable();
+    all
+}
+
+#[test]
+fn a_killed_one_is_known_to_all_within_five_seconds_though_a_tenth_is_lost() {
+    for seed in 1..=4 {
+        let mut c = crowd(60, seed, LOSSY);
+        for n in (40..60).rev() {
+            let at = c.now();
+            c.kill(n);
+            c.run_for(5 * S);
+            let known = known_dead(&c, n, at);
+            assert_eq!(known.len(), n, "seed {seed}: all that are left know within 5 s");
+        }
+        assert!(c.falsely_dead(0).iter().all(|s| !c.is_up(s.viewer)), "seed {seed}");
+    }
+}
+
+#[test]
+fn none_is_taken_for_dead_that_is_halted_for_a_second() {
+    for (seed, network) in [(1, CALM), (2, LOSSY), (3, LOSSY), (4, LOSSY)] {
+        let mut c = crowd(100, seed, network);
+        let mut chance = Pcg64::seed_from_u64(seed);
+        for _ in 0..20 {
+            (0..2).for_each(|_| c.halt(chance.random_range(0..100), S));
+            c.run_for(1_100 * MS);
+        }
+        c.run_for(3 * S);
+        let dead = c.falsely_dead(0);
+        assert!(dead.is_empty(), "seed {seed}: {} deaths, first {:?}", dead.len(), dead[0]);
+        assert_eq!(c.wrong(), []);
+    }
+}
+
+#[test]
+fn two_halves_that_were_cut_for_ten_seconds_meet_within_five_of_the_heal() {
+    for seed in 1..=3 {
+        let mut c = crowd(100, seed, if seed == 1 { CALM } else { LOSSY });
+        c.cut(0..50, 50..100);
+        c.cut(50..100, 0..50);
+        c.run_for(10 * S);
+        assert!(c.wrong().len() > 2_000, "they have lost sight of each other: {}", c.wrong().len());
+        c.heal();
+        c.run_for(5 * S);
+        assert_eq!(c.wrong(), [], "seed {seed}");
+    }
+}
+
+/// What passes one way only takes nobody out for good, and once it is over all see all.
+#[test]
+fn a_cut_of_one_way_is_got_over() {
+    let mut c = crowd(40, 7, CALM);
+    c.cut(0..4, 4..40);
+    c.run_for(8 * S);
+    c.heal();
+    c.run_for(5 * S);
+    assert_eq!(c.wrong(), []);
+}
+
+#[test]
+fn seven_in_ten_killed_at_once_and_back_are_seen_again() {
+    for (seed, away) in [(1, 500 * MS), (2, 8 * S)] {
+        let mut c = crowd(100, seed, LOSSY);
+        (30..100).for_each(|n| c.kill(n));
+        c.run_for(away);
+        c.start_all(30..100);
+        c.run_for(5 * S);
+        assert_eq!(c.wrong(), [], "seed {seed}");
+    }
+}
+
+/// Its first incarnation is then below that of its former self, which others remember.
+#[test]
+fn one_that_comes_back_with_its_clock_set_back_is_believed_again() {
+    for away in [200 * MS, 8 * S] {
+        let mut c = crowd(20, 3, CALM);
+        c.kill(9);
+        c.run_for(away);
+        c.clock_off(9, -3_600 * S as i64);
+        c.start(9);
+        c.run_for(5 * S);
+        assert_eq!(c.wrong(), []);
+    }
+}
+
+#[test]
+fn one_that_leaves_is_gone_at_once_and_nobody_suspects_it() {
+    let mut c = crowd(60, 5, LOSSY);
+    let at = c.now();
+    c.leave(33);
+    c.run_for(1_500 * MS);
+    assert_eq!(c.wrong(), []);
+    let of_it = |s: &&tideroute_lab::crowd::Sighting| s.at >= at && s.seen.name == name(33);
+    let seen: Vec<_> = c.sightings.iter().filter(of_it).map(|s| s.seen.standing).collect();
+    assert_eq!(seen.len(), 59);
+    assert!(seen.iter().all(|s| *s == Standing::Left), "{seen:?}");
+}
+
+#[test]
+fn what_a_router_says_does_not_grow_with_the_fleet() {
+    let rate = |count: usize| {
+        let mut c = crowd(count, 9, CALM);
+        c.run_for(5 * S);
+        let sent = |c: &Crowd| (0..count).map(|n| c.sent(n).0).sum::<u64>();
+        let before = sent(&c);
+        c.run_for(10 * S);
+        (sent(&c) - before) / 10 / count as u64
+    };
+    let (few, many) = (rate(10), rate(200));
+    assert!(many < few * 11 / 10 && many < 1_000, "{few} and {many} bytes a second");
+}
+
+/// Drawn worlds of kills, starts, halts, cuts, loss and repeats. While they last no incarnation is seen that its
+/// router has not reached, and nobody's sight of another goes back; when they are over, all see what there is, and
+/// the same seed brings the same sightings.
+#[test]
+fn drawn_worlds_end_with_all_seeing_what_there_is() {
+    let play = |seed: u64| {
+        let mut chance = Pcg64::seed_from_u64(seed);
+        let count = chance.random_range(2..24);
+        let loss = chance.random_range(0..25) as f64 / 100.0;
+        let mut c = Crowd::new(count, seed, Network { loss, twice: 0.1, least: 50, most: 20 * MS });
+        c.start_all(0..count);
+        for _ in 0..chance.random_range(3..15) {
+            let n = chance.random_range(0..count);
+            match chance.random_range(0..6) {
+                0 => c.kill(n),
+                1 if !c.is_up(n) => c.start(n),
+                2 => c.halt(n, chance.random_range(10..3_000) * MS),
+                3 => {
+                    let edge = chance.random_range(0..count);
+                    c.cut(0..edge, edge..count);
+                    if chance.random::<bool>() {
+                        c.cut(edge..count, 0..edge);
+                    }
+                }
+                4 => c.heal(),
+                5 if n > 3 => c.leave(n),
+                _ => {}
+            }
+            c.run_for(chance.random_range(1..4_000) * MS);
+        }
+        // Whom all could begin with is there, and all that is wrong is over.
+        (0..3.min(count)).filter(|&n| !c.is_up(n)).collect::<Vec<_>>().into_iter().for_each(|n| c.start(n));
+        c.heal();
+        c.network(CALM);
+        // A halt, the worst of health, a suspicion at its longest, and its word.
+        c.run_for(20 * S);
+        assert_eq!(c.wrong(), [], "seed {seed}, {count} routers, loss {loss}");
+        let mut last = BTreeMap::new();
+        for s in &c.sightings {
+            let weight = (s.seen.incarnation, s.seen.standing);
+            if let Some((before, at)) = last.insert((s.viewer, s.seen.name.clone()), (weight, s.at)) {
+                assert!(weight > before || c.started(s.viewer) > at, "{before:?} was followed by {s:?}");
+            }
+        }
+        let seen = c.sightings.iter().map(|s| (s.at, s.viewer, s.seen.clone())).collect::<Vec<_>>();
+        (seen, c.now())
+    };
+    for seed in 1..=150 {
+        let (one, _) = play(seed);
+        if seed % 10 == 0 {
+            assert_eq!(play(seed).0, one, "the same seed, the same events");
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/program.rs
@@ -0,0 +1,142 @@
+//! A group on a loop: datagrams come and go through a seal, and what is seen is told to whom it concerns.
+
+use bytes::Bytes;
+use metrics::{counter, gauge};
+use tideroute_wire::fleet::{Standing, LARGEST};
+use tideroute_wire::link::{Link, Loss, Outbox, Program};
+use tideroute_wire::{Address, Micros};
+
+use crate::group::{Act, Counts, Group};
+use crate::seal::Seal;
+use crate::table::Seen;
+use crate::terms::Terms;
+
+/// Microseconds alone after which that is said aloud, and again and again.
+const ALONE: Micros = 5_000_000;
+
+/// One member of a fleet as a program. Any letter that it is told ends it, as a signal would.
+pub struct Member {
+    group: Group,
+    seal: Seal,
+    /// When its loop calls it next.
+    rings_at: Micros,
+    alone_since: Option<Micros>,
+    told: Counts,
+}
+
+impl Member {
+    pub fn new(terms: Terms, seal: Seal, now: Micros) -> Member {
+        let group = Group::new(terms, now);
+        Member { group, seal, rings_at: 0, alone_since: Some(now), told: Counts::default() }
+    }
+
+    /// Tells what the group counts, and that it is alone.
+    fn tell(&mut self, now: Micros) {
+        let (counts, told) = (self.group.counts(), self.told);
+        for (what, now, then) in [
+            ("probes", counts.probes, told.probes),
+            ("unanswered", counts.unanswered, told.unanswered),
+            ("suspected", counts.suspected, told.suspected),
+            ("declared dead", counts.declared, told.declared),
+            ("refuted", counts.refuted, told.refuted),
+            ("from the future", counts.future, told.future),
+            ("no room", counts.unkept, told.unkept),
+            ("quarrels", counts.quarrels, told.quarrels),
+            ("late", counts.late, told.late),
+        ] {
+            if now > then {
+                counter!("tideroute_fleet_total", "what" => what).increment(now - then);
+            }
+        }
+        self.told = counts;
+        let alone = self.group.others() == 0;
+        gauge!("tideroute_fleet_others").set(self.group.others() as f64);
+        gauge!("tideroute_fleet_health").set(f64::from(self.group.health()));
+        gauge!("tideroute_fleet_alone").set(f64::from(u8::from(alone)));
+        self.alone_since = self.alone_since.filter(|_| alone).or(alone.then_some(now));
+        if self.alone_since.is_some_and(|since| now >= since + ALONE) {
+            self.alone_since = Some(now);
+            tracing::warn!("alone: no other router of the fleet answers, nor does a seed");
+        }
+    }
+}
+
+impl Program for Member {
+    fn begin(&mut self, now: Micros, out: &mut Outbox) {
+        self.turn(now, out);
+    }
+
+    fn accepted(&mut self, _now: Micros, link: Link, _door: usize, out: &mut Outbox) {
+        out.cut(link);
+    }
+
+    fn opened(&mut self, _now: Micros, _link: Link, _out: &mut Outbox) {}
+
+    fn heard(&mut self, _now: Micros, _link: Link, _frame: &Bytes, _out: &mut Outbox) {}
+
+    fn lost(&mut self, _now: Micros, _link: Link, _loss: Loss, _out: &mut Outbox) {}
+
+    fn crowded(&mut self, _now: Micros, _link: Link, _crowded: bool, _out: &mut Outbox) {}
+
+    fn datagram(&mut self, now: Micros, _door: usize, from: Address, datagram: &Bytes, _out: &mut Outbox) {
+        counter!("tideroute_fleet_bytes_total", "way" => "in").increment(datagram.len() as u64);
+        // What cannot be opened or read is dropped and counted, and never answered.
+        let dropped = if datagram.len() > LARGEST {
+            Some("oversized")
+        } else {
+            match self.seal.open(datagram) {
+                Err(why) => Some(why.name()),
+                Ok(said) => self.group.heard(now, from, &said).err().map(|_| "unreadable"),
+            }
+        };
+        if let Some(why) = dropped {
+            counter!("tideroute_fleet_dropped_total", "why" => why).increment(1);
+            tracing::debug!(why, "a datagram was dropped");
+        }
+    }
+
+    fn rang(&mut self, _now: Micros, _key: u64, _out: &mut Outbox) {}
+
+    fn turn(&mut self, now: Micros, out: &mut Outbox) {
+        while let Some(act) = self.group.next(now) {
+            match act {
+                Act::Say { to, said } => {
+                    let datagram = self.seal.close(&said);
+                    counter!("tideroute_fleet_bytes_total", "way" => "out").increment(datagram.len() as u64);
+                    out.datagram(0, to, datagram);
+                }
+                Act::Saw(seen) => saw(&seen, out),
+            }
+        }
+        self.tell(now);
+        let due = self.group.due();
+        if due < Micros::MAX && (due < self.rings_at || self.rings_at <= now) {
+            self.rings_at = due;
+            out.ring(due, 0);
+        }
+    }
+
+    fn told(&mut self, now: Micros, _letter: &Bytes, out: &mut Outbox) {
+        self.stop(now, out);
+    }
+
+    fn stop(&mut self, now: Micros, _out: &mut Outbox) {
+        self.group.leave(now);
+    }
+
+    fn done(&self) -> bool {
+        self.group.left()
+    }
+}
+
+fn saw(seen: &Seen, out: &mut Outbox) {
+    let standing = match seen.standing {
+        Standing::There => "there",
+        Standing::Suspected => "suspected",
+        Standing::Dead => "dead",
+        Standing::Left => "left",
+    };
+    tracing::info!(name = seen.name, incarnation = seen.incarnation, standing, "saw a router of the fleet");
+    counter!("tideroute_fleet_seen_total", "standing" => standing).increment(1);
+    out.note(format!("{standing} {} {}", seen.incarnation, seen.name));
+}
--- /dev/null
+++ b/crates/membership/tests/model.rs
@@ -0,0 +1,203 @@
+//! A group beside a plain model of the order of claims, and on bytes that nobody said.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use tideroute::chance::Chance;
+use tideroute_membership::{Act, Group, Terms};
+use tideroute_wire::fleet::{Saying, Standing, PARTS};
+use tideroute_wire::Address;
+
+const NOW: u64 = 1_800_000_000_000_000;
+const HERE: Address = [127, 0, 0, 1, 1, 1];
+const STANDINGS: [Standing; 4] = [Standing::There, Standing::Suspected, Standing::Dead, Standing::Left];
+
+fn group(seed: u64) -> Group {
+    Group::new(Terms { name: "own".into(), at: HERE, seeds: vec![], seed }, NOW)
+}
+
+fn below(chance: &mut Chance, n: usize) -> usize {
+    (chance.unit() * n as f64) as usize
+}
+
+#[derive(Clone)]
+struct Word {
+    name: String,
+    incarnation: u64,
+    standing: Standing,
+    in_page: bool,
+}
+
+impl Word {
+    fn drawn(chance: &mut Chance, names: usize) -> Word {
+        Word {
+            name: format!("r{}", below(chance, names)),
+            incarnation: 1 + below(chance, 4) as u64,
+            standing: STANDINGS[below(chance, 4)],
+            in_page: below(chance, 3) == 0,
+        }
+    }
+
+    fn said(&self) -> Bytes {
+        let mut saying = Saying::new(None, 0);
+        assert!(saying.claim(&self.name, HERE, self.incarnation, self.standing, 7));
+        if self.in_page {
+            saying.page(1, 0, 1, None, 0)
+        } else {
+            saying.plain()
+        }
+    }
+}
+
+fn view(group: &Group) -> BTreeMap<String, (u64, Standing)> {
+    group.seen().map(|s| (s.name.clone(), (s.incarnation, s.standing))).collect()
+}
+
+/// What the words come to by the rules as the design note states them, each a line.
+fn plain(words: &[Word]) -> BTreeMap<String, (u64, Standing)> {
+    let mut known: BTreeMap<String, (u64, Standing)> = BTreeMap::new();
+    for w in words {
+        let Some(had) = known.get(&w.name).copied() else {
+            if w.standing.is_in() {
+                known.insert(w.name.clone(), (w.incarnation, w.standing));
+            }
+            continue;
+        };
+        // In a page a death is no more than a suspicion of one that is in.
+        let doubted = w.in_page && w.standing == Standing::Dead && had.1.is_in();
+        let standing = if doubted { Standing::Suspected } else { w.standing };
+        if (w.incarnation, standing) > had {
+            known.insert(w.name.clone(), (w.incarnation, standing));
+        }
+    }
+    known
+}
+
+#[test]
+fn what_is_known_follows_the_plain_rules() {
+    for seed in 1..=2_000 {
+        let mut chance = Chance::new(seed);
+        let words: Vec<_> = (0..60).map(|_| Word::drawn(&mut chance, 5)).collect();
+        let mut group = group(seed);
+        for word in &words {
+            group.heard(NOW, HERE, &word.said()).expect("well said");
+        }
+        assert_eq!(view(&group), plain(&words), "seed {seed}");
+    }
+}
+
+#[test]
+fn news_in_any_order_and_any_often_comes_to_the_same() {
+    for seed in 1..=1_000 {
+        let mut chance = Chance::new(seed);
+        let mut words: Vec<_> = (0..40)
+            .map(|_| Word { in_page: false, ..Word::drawn(&mut chance, 4) })
+            .filter(|w| w.standing.is_in() || w.incarnation > 1)
+            .collect();
+        // Of the dead that were never met nothing is kept, so all are met first.
+        let met: Vec<_> = (0..4)
+            .map(|n| Word {
+                name: format!("r{n}"),
+                incarnation: 0,
+                standing: Standing::There,
+                in_page: false,
+            })
+            .collect();
+        let come = |words: &[Word]| {
+            let mut group = group(seed);
+            met.iter().chain(words).for_each(|w| group.heard(NOW, HERE, &w.said()).expect("well said"));
+            view(&group)
+        };
+        let one = come(&words);
+        for n in (1..words.len()).rev() {
+            words.swap(n, below(&mut chance, n + 1));
+        }
+        let repeated: Vec<_> = words.iter().chain(words.iter().step_by(3)).cloned().collect();
+        assert_eq!(come(&repeated), one, "seed {seed}");
+    }
+}
+
+#[test]
+fn whatever_is_said_of_itself_it_outbids() {
+    let mut chance = Chance::new(3);
+    let mut group = group(1);
+    for _ in 0..1_000 {
+        let incarnation = group.own().incarnation - 2 + below(&mut chance, 5) as u64;
+        let standing = STANDINGS[1 + below(&mut chance, 3)];
+        let mut saying = Saying::new(None, 0);
+        saying.claim("own", HERE, incarnation, standing, 7);
+        group.heard(NOW, HERE, &saying.plain()).expect("well said");
+        assert!((group.own().incarnation, Standing::There) > (incarnation, standing));
+        assert_eq!(group.own().standing, Standing::There);
+    }
+    assert!(group.counts().refuted > 100);
+    // What no clock can have brought is not believed, or it could never be outbid.
+    let before = group.own().incarnation;
+    let mut saying = Saying::new(None, 0);
+    saying.claim("own", HERE, u64::MAX, Standing::Dead, 7);
+    saying.claim("r1", HERE, u64::MAX, Standing::There, 7);
+    group.heard(NOW, HERE, &saying.plain()).expect("well said");
+    assert_eq!((group.own().incarnation, group.counts().future, group.seen().count()), (before, 2, 0));
+}
+
+#[test]
+fn another_process_under_its_name_is_answered_once_a_second_at_most() {
+    let mut group = group(1);
+    let elsewhere = [127, 0, 0, 1, 9, 9];
+    let first = group.own().incarnation;
+    for n in 0..100u64 {
+        let claimed = group.own().incarnation + 1;
+        let saying = Saying::new(Some(("own", elsewhere, claimed, Standing::There)), 0);
+        group.heard(NOW + n * 10_000, elsewhere, &saying.ping(n as u32)).expect("well said");
+    }
+    assert_eq!(group.counts().quarrels, 100);
+    assert!(group.own().incarnation <= first + 2, "{}", group.own().incarnation - first);
+}
+
+/// Bytes as nobody says them: cut, changed and made up. They are refused or heard, and never more than that.
+#[test]
+fn bytes_that_nobody_said_do_no_harm() {
+    let mut chance = Chance::new(9);
+    let (mut group, mut heard, mut refused, mut most) = (group(1), 0, 0, 0);
+    for n in 0..30_000 {
+        let own = format!("r{}", below(&mut chance, 40));
+        let mut saying = Saying::new(Some((&own, HERE, 5, STANDINGS[below(&mut chance, 4)])), 0);
+        for _ in 0..below(&mut chance, 4) {
+            let w = Word::drawn(&mut chance, 40);
+            saying.claim(&w.name, HERE, w.incarnation, w.standing, 3);
+        }
+        let prints = [chance.unit().to_bits(); PARTS];
+        let said = match n % 6 {
+            0 => saying.ping(n),
+            1 => saying.answer(n),
+            2 => saying.detour(n, "r3", HERE),
+            3 => saying.compare(n, prints),
+            4 => saying.page(n, 0, 1, Some(prints), 0),
+            _ => saying.unheard(n),
+        };
+        let mut bytes = said.to_vec();
+        for _ in 0..below(&mut chance, 4) {
+            let place = below(&mut chance, bytes.len().max(1));
+            match below(&mut chance, 3) {
+                0 => bytes.truncate(place),
+                1 if place < bytes.len() => bytes[place] = below(&mut chance, 256) as u8,
+                _ => bytes.insert(place.min(bytes.len()), below(&mut chance, 256) as u8),
+            }
+        }
+        let now = NOW + u64::from(n) * 1_000;
+        match group.heard(now, HERE, &bytes.into()) {
+            Ok(()) => heard += 1,
+            Err(_) => refused += 1,
+        }
+        let mut acts = 0;
+        while let Some(act) = group.next(now) {
+            acts += 1;
+            if let Act::Say { said, .. } = act {
+                assert!(said.len() <= tideroute_wire::fleet::LARGEST);
+            }
+        }
+        most = most.max(acts);
+    }
+    assert!(heard > 5_000 && refused > 2_000, "{heard} heard, {refused} refused");
+    assert!(most < 60, "{most} acts after one datagram");
+}
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -19,6 +19,7 @@
 
 use crate::clock::{Clock, Warp};
 use crate::conn::{Conn, Got, Stage, MOST, PIECE};
+use crate::datagrams::{DatagramDoor, TAKEN};
 use crate::door::{Door, BACKLOG};
 use crate::mailbox::{mailbox, Letters, Mailbox};
 use crate::signals::Signals;
@@ -31,7 +32,8 @@
 const LAST_WORDS: Micros = 500_000;
 /// Microseconds a tick of the wheel: as fine as the decisions' own clock.
 const TICK: Micros = 100;
-/// Keys of the poller: doors come first, then the signals, then connections.
+/// Keys of the poller: doors come first, then those for datagrams, then the signals, then connections.
+const DATAGRAMS: usize = 1 << 15;
 const SIGNALS: usize = 1 << 16;
 const REREADS: usize = SIGNALS + 1;
 const CONNS: usize = REREADS + 1;
@@ -74,6 +76,7 @@
     poller: Arc<Poller>,
     clock: Clock,
     doors: Vec<Door>,
+    datagrams: Vec<DatagramDoor>,
     /// Where some are to be dialled in place of where they are.
     ways: HashMap<Address, Address>,
     conns: Slab<Conn>,
@@ -144,6 +147,7 @@
             poller,
             clock,
             doors,
+            datagrams: vec![],
             ways: HashMap::new(),
             conns: Slab::new(),
             places: HashMap::new(),
@@ -168,6 +172,16 @@
         })
     }
 
+    /// Hears datagrams at these addresses as well; they stay to the end of the run.
+    pub fn datagrams(&mut self, addresses: &[SocketAddr]) -> Result<(), ReactorError> {
+        for &address in addresses {
+            let door = DatagramDoor::bind(address).map_err(|e| ReactorError::Listen(address, e))?;
+            add(&self.poller, &door.socket, Event::readable(DATAGRAMS + self.datagrams.len()))?;
+            self.datagrams.push(door);
+        }
+        Ok(())
+    }
+
     /// What passes is bytes as they come, and not frames. A connection that the program ends with something
     /// still to send is then closed in two steps, so many of them at once.
     pub fn raw(&mut self, most_lingering: usize) {
@@ -282,7 +296,8 @@
                         }
                     }
                     REREADS => self.read_again(program, &mut out),
-                    door if door < SIGNALS => self.accept(door, program, &mut out),
+                    door if door < DATAGRAMS => self.accept(door, program, &mut out),
+                    door if door < SIGNALS => self.take(door - DATAGRAMS, program, &mut out),
                     key => self.ready(key - CONNS, event, program, &mut out),
                 }
             }
@@ -453,6 +468,12 @@
                     let taken = self.published.as_ref().is_some_and(|to| to.offer(bytes));
                     counter!("tideroute_published_total", "taken" => taken.to_string()).increment(1);
                 }
+                Act::Datagram { door, to, bytes } => {
+                    let to = self.ways.get(&to).copied().unwrap_or(to);
+                    let sent = self.datagrams.get(door).is_some_and(|d| d.send(to, &bytes));
+                    counter!("tideroute_datagrams_total", "sent" => sent.to_string()).increment(1);
+                }
+                Act::Note { bytes } => self.note(Link(0), What::Saw, &bytes),
                 Act::Vanish => self.vanished = true,
             }
         }
@@ -697,6 +718,22 @@
         }
     }
 
+    /// Takes the datagrams that wait at a door, up to a bound.
+    fn take(&mut self, door: usize, program: &mut impl Program, out: &mut Outbox) {
+        for _ in 0..TAKEN {
+            let Some(taken) = self.datagrams.get(door).map(|d| d.take(&mut self.piece)) else { return };
+            match taken {
+                Ok(Some((from, bytes))) => program.datagram(self.clock.now(), door, from, &bytes, out),
+                Ok(None) => return,
+                Err(problem) => {
+                    tracing::warn!(%problem, "a datagram could not be taken");
+                    return;
+                }
+            }
+            self.carry_out(out);
+        }
+    }
+
     fn ready(&mut self, place: usize, event: Event, program: &mut impl Program, out: &mut Outbox) {
         let Some(conn) = self.conns.get(place) else { return };
         if let Stage::Dialling { .. } = conn.stage {
@@ -777,6 +814,9 @@
         for (_, conn) in &self.conns {
             let _ = self.poller.delete(&conn.stream);
         }
+        for door in &self.datagrams {
+            let _ = self.poller.delete(&door.socket);
+        }
         for door in self.doors.iter().filter(|d| d.is_open()) {
             door.listener.iter().for_each(|listener| drop(self.poller.delete(listener)));
         }
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -162,6 +162,6 @@
         What::Killed | What::Left => shots.process_ended(passed, report),
         What::Halted => shots.halts.begin(passed.process, passed.at),
         What::WentOn => shots.halts.end(passed.process, passed.at),
-        What::Dialled | What::Met | What::Accepted | What::Began | What::Joined => {}
+        What::Dialled | What::Met | What::Accepted | What::Began | What::Joined | What::Saw => {}
     }
 }
--- a/crates/rules/src/links.rs
+++ b/crates/rules/src/links.rs
@@ -173,7 +173,7 @@
                 }
                 return None;
             }
-            What::Began | What::Left | What::Halted | What::WentOn => return None,
+            What::Began | What::Saw | What::Left | What::Halted | What::WentOn => return None,
         }
         let end = self.ends.get(&key)?;
         let talk = end.between.zip(end.to).map(|(between, to)| Talk {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod client;
 pub mod fetch;
+pub mod fleet;
 pub mod frame;
 pub mod link;
 pub mod list;
@@ -23,6 +24,9 @@
     pub mod record {
         include!(concat!(env!("OUT_DIR"), "/tideroute.v1.record.rs"));
     }
+    pub mod fleet {
+        include!(concat!(env!("OUT_DIR"), "/tideroute.v1.fleet.rs"));
+    }
 }
 
 /// The version of the protocol that Hello names.
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -100,6 +100,16 @@
     Publish {
         bytes: Bytes,
     },
+    /// Sends a datagram from a datagram door, by its place among those; lost if there is no room, as on the way.
+    Datagram {
+        door: usize,
+        to: Address,
+        bytes: Bytes,
+    },
+    /// Writes something that the program saw into the record of what passed, if there is one.
+    Note {
+        bytes: Bytes,
+    },
     /// Ends the program at once, without a word to anybody, as a crash would.
     Vanish,
 }
@@ -158,6 +168,14 @@
         self.acts.push(Act::Publish { bytes });
     }
 
+    pub fn datagram(&mut self, door: usize, to: Address, bytes: Bytes) {
+        self.acts.push(Act::Datagram { door, to, bytes });
+    }
+
+    pub fn note(&mut self, bytes: impl Into<Bytes>) {
+        self.acts.push(Act::Note { bytes: bytes.into() });
+    }
+
     pub fn vanish(&mut self) {
         self.acts.push(Act::Vanish);
     }
@@ -185,6 +203,8 @@
     fn turn(&mut self, now: Micros, out: &mut Outbox);
     /// All that was sent on a raw link has been handed to the machine: its last byte is written.
     fn drained(&mut self, _now: Micros, _link: Link, _out: &mut Outbox) {}
+    /// A datagram came to a datagram door, by its place among those.
+    fn datagram(&mut self, _now: Micros, _door: usize, _from: Address, _bytes: &Bytes, _out: &mut Outbox) {}
     /// The file that the program was started with, read again because a signal asked for it.
     fn reread(&mut self, _now: Micros, _file: &Bytes, _out: &mut Outbox) {}
     /// Another thread of the process tells something.
--- a/crates/wire/src/tap.rs
+++ b/crates/wire/src/tap.rs
@@ -45,6 +45,8 @@
     Halted,
     /// It was let go on.
     WentOn,
+    /// The process saw something, which the frame tells.
+    Saw,
 }
 
 /// One thing that passed.
@@ -95,6 +97,7 @@
         What::Joined => event::What::Joined,
         What::Halted => event::What::Halted,
         What::WentOn => event::What::WentOn,
+        What::Saw => event::What::Saw,
     };
     let event = Event {
         at_us: passed.at,
@@ -217,6 +220,7 @@
             Ok(event::What::Joined) => What::Joined,
             Ok(event::What::Halted) => What::Halted,
             Ok(event::What::WentOn) => What::WentOn,
+            Ok(event::What::Saw) => What::Saw,
             _ => return Err(self.fault(Malformed::Range("what"))),
         };
         let (at, process, link, place) = (e.at_us, e.process, e.link, e.place);
