--- a/crates/command/src/cores.rs
+++ b/crates/command/src/cores.rs
@@ -18,6 +18,7 @@
 use tideroute_wire::Origin;
 
 use crate::administration::Administration;
+use crate::member::Membership;
 use crate::{figures, serve, Ended, Run};
 
 pub fn router(path: &Path, fail_after: Option<u64>, run: &Run) -> Ended {
@@ -31,13 +32,19 @@
     let admin = record.admin.as_ref().map(Administration::begin).transpose()?;
     if record.cores == 1 {
         let reactor = Reactor::new(&[listen]).map_err(|e| e.to_string())?;
+        let member = Membership::begin(&record, run)?;
         let stopping = AtomicBool::new(false);
-        return Ok(core(&record, 0, reactor, listen, run, &stopping, admin.as_ref())? == Loop::Done);
+        let ended = core(&record, 0, reactor, listen, run, &stopping, admin.as_ref())?;
+        member.into_iter().for_each(Membership::leave);
+        return Ok(ended == Loop::Done);
     }
     // Shared doors would let a second router in beside this one; a plain one shows whether somebody is there.
     let alone = TcpListener::bind(listen).map_err(|e| ReactorError::Listen(listen, e).to_string())?;
     drop(alone);
-    all(record, listen, fail_after, run.clone(), admin)
+    let member = Membership::begin(&record, run)?;
+    let ended = all(record, listen, fail_after, run.clone(), admin);
+    member.into_iter().for_each(Membership::leave);
+    ended
 }
 
 /// Runs all cores until each has ended; one that dies before it was told to end is started anew.
@@ -120,7 +127,8 @@
     }
 }
 
-fn origin() -> Result<Origin, String> {
+/// What a router draws from the machine where it starts.
+pub fn origin() -> Result<Origin, String> {
     let mut drawn = [0; 16];
     getrandom::fill(&mut drawn).map_err(|e| format!("the machine gives no random bits for ids: {e}"))?;
     Ok(Origin::from_be_bytes(drawn))
--- a/crates/command/src/main.rs
+++ b/crates/command/src/main.rs
@@ -9,6 +9,7 @@
 mod logs;
 mod measure;
 mod measure_tenants;
+mod member;
 mod platform;
 mod plot;
 mod serve;
--- a/crates/command/src/serve.rs
+++ b/crates/command/src/serve.rs
@@ -67,6 +67,17 @@
     role: &str,
 ) -> Result<Reactor, String> {
     reactor.catch_signals().map_err(|e| e.to_string())?;
+    furnish(reactor, addresses, run, name, role)
+}
+
+/// Has a loop write down what passes, and find the ways and the clock that a day asks for.
+pub fn furnish(
+    mut reactor: Reactor,
+    addresses: &[SocketAddr],
+    run: &Run,
+    name: &str,
+    role: &str,
+) -> Result<Reactor, String> {
     if let Some(path) = &run.tap {
         let address = addresses.first().and_then(|a| convert::address(&a.to_string()).ok());
         let who = Who { number: run.process, name: name.into(), role: role.into(), address };
@@ -126,6 +137,9 @@
     let doors = record.doors.iter().map(|d| Ok(convert::socket(&d.listen)?.into()));
     let doors: Vec<SocketAddr> = doors.collect::<Result<_, String>>()?;
     let mut reactor = reactor(&doors, run, "relay", "relay")?;
+    let datagrams = record.datagrams.iter().map(|d| Ok(convert::socket(&d.listen)?.into()));
+    let datagrams: Vec<SocketAddr> = datagrams.collect::<Result<_, String>>()?;
+    reactor.datagrams(&datagrams).map_err(|e| e.to_string())?;
     reactor.raw(0);
     let now = reactor.clock().now();
     drive(reactor, &mut Relay::new(convert::relay(&record, run.script_from.unwrap_or(now), now)?))
--- a/crates/lab/src/convert.rs
+++ b/crates/lab/src/convert.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddrV4;
 
 use tideroute::interface::{self, Group, Repeat};
+use tideroute_membership::Seal;
 use tideroute_records::kinds::{
-    Able, Door, Fault, List, Relay, Role, Router, Step, Tenant, Terms, Track, Worker,
+    Able, Door, Fault, Fleet, List, Relay, Role, Router, Step, Tenant, Terms, Track, Worker,
 };
 use tideroute_relay::{How, RelayTerms, Way};
 use tideroute_shares::{Limits, Rate};
@@ -103,6 +104,14 @@
     })
 }
 
+/// The terms of a fleet's member, and the seal of the fleet.
+pub fn member(name: &str, f: &Fleet, seed: u64) -> Result<(tideroute_membership::Terms, Seal), String> {
+    let key = hash(&f.key).map_err(|e| format!("the key of the fleet {}: {e}", f.name))?;
+    let seeds = f.seeds.iter().map(|s| address(s)).collect::<Result<_, _>>()?;
+    let terms = tideroute_membership::Terms { name: name.to_string(), at: address(&f.listen)?, seeds, seed };
+    Ok((terms, Seal::new(&f.name, &key)))
+}
+
 /// The tenants of a record; None where anybody may come. Those of a store are told by who administers it.
 fn tenants(r: &Router) -> Result<Option<Vec<tideroute_host::TenantTerms>>, String> {
     let named = r.tenants.iter().map(tenant).collect::<Result<Vec<_>, _>>()?;
@@ -193,8 +202,9 @@
             _ => How::Late { delay: f.delay, jitter: f.jitter, loss: f.loss },
         },
     };
-    let doors = r.doors.iter().map(door).collect::<Result<_, String>>()?;
-    Ok(RelayTerms { doors, faults: r.faults.iter().map(fault).collect(), seed: r.seed })
+    let doors = |doors: &[Door]| doors.iter().map(door).collect::<Result<Vec<_>, String>>();
+    let (doors, datagrams) = (doors(&r.doors)?, doors(&r.datagrams)?);
+    Ok(RelayTerms { doors, datagrams, faults: r.faults.iter().map(fault).collect(), seed: r.seed })
 }
 
 pub fn list(l: &List, from: Micros, now: Micros) -> ListTerms {
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{self, Read};
-use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -175,12 +175,13 @@
 /// free when it comes back, as no connection and no other day can have taken it meanwhile.
 fn free_ports(day: &Day, doors: usize) -> io::Result<Ports> {
     let (workers, process) = (day.workers().count(), std::process::id());
+    let members = if day.membership { day.routers } else { 0 };
     let own = Ipv4Addr::new(127, 1 + (process >> 8) as u8 % 250, 1 + process as u8 % 250, 1);
-    let count = 1 + day.routers + workers + doors;
+    let count = 1 + day.routers + workers + members + doors;
     let mut names = Vec::new();
     for port in FIRST_PORT..u16::MAX {
         let at = SocketAddrV4::new(own, port);
-        if TcpListener::bind(at).is_ok() {
+        if TcpListener::bind(at).is_ok() && UdpSocket::bind(at).is_ok() {
             names.push(at.to_string());
         }
         if names.len() == count {
@@ -190,10 +191,11 @@
     if names.len() < count {
         return Err(io::ErrorKind::AddrNotAvailable.into());
     }
-    let doors = names.split_off(1 + day.routers + workers);
+    let doors = names.split_off(1 + day.routers + workers + members);
+    let members = names.split_off(1 + day.routers + workers);
     let workers = names.split_off(1 + day.routers);
     let routers = names.split_off(1);
-    Ok(Ports { list: names.remove(0), routers, workers, doors })
+    Ok(Ports { list: names.remove(0), routers, workers, members, doors })
 }
 
 struct Player<'a> {
@@ -241,6 +243,7 @@
             arguments: arguments.iter().map(|a| a.to_string()).collect(),
             speaks: role == "client",
             cores: if role == "router" { self.day.cores } else { 1 },
+            member: role == "router" && self.day.membership,
         };
         self.recipes.insert(name.to_string(), recipe);
     }
@@ -272,7 +275,7 @@
         self.add("load", "client", None, &arguments);
         if let Some(file) = relays.file(day, ports) {
             let path = write(folder, "relay", &file)?;
-            self.add("relay", "relay", ports.doors.first(), &["relay", &path, "--script-from", &begins]);
+            self.add("relay", "relay", relays.door(ports), &["relay", &path, "--script-from", &begins]);
         }
         for (name, recipe) in &mut self.recipes {
             if let Some(ways) = relays.ways(day, ports, name) {
--- a/crates/lab/src/files.rs
+++ b/crates/lab/src/files.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use tideroute_records::kinds::{
-    Burst, Day, File, Group, Key, Late, List, Load, Role, Router, Step, Tenant, Terms, Worker,
+    Burst, Day, File, Fleet, Group, Key, Late, List, Load, Role, Router, Step, Tenant, Terms, Worker,
 };
 use tideroute_rules::{Group as Among, Repeat, TrackTerms, WorkerTerms};
 
@@ -14,10 +14,15 @@
     pub list: String,
     pub routers: Vec<String>,
     pub workers: Vec<String>,
+    /// Where routers hear each other.
+    pub members: Vec<String>,
     /// A relay's, where one stands between some of them.
     pub doors: Vec<String>,
 }
 
+/// Routers at which a day's others begin.
+const SEEDS: usize = 3;
+
 pub fn terms(day: &Day) -> Terms {
     Terms { routers: day.routers as u32, ..day.terms.clone() }
 }
@@ -50,6 +55,12 @@
         terms: terms(day),
         tenants: tenants(day),
         admin: None,
+        fleet: ports.members.get(n).map(|listen| Fleet {
+            name: "day".into(),
+            listen: listen.clone(),
+            seeds: ports.members.iter().take(SEEDS).cloned().collect(),
+            key: blake3::hash(format!("the key of day {}", day.seed).as_bytes()).to_hex().to_string(),
+        }),
     };
     File { router: Some(router), ..File::default() }
 }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -81,6 +81,7 @@
             list: at(0, 0),
             routers: (0..day.routers).map(|n| at(1, n)).collect(),
             workers: (0..workers).map(|n| at(2, n)).collect(),
+            members: vec![],
             doors: vec![],
         };
         let begins = DAWN + START + day.lag;
--- a/crates/lab/src/processes.rs
+++ b/crates/lab/src/processes.rs
@@ -26,6 +26,8 @@
     pub speaks: bool,
     /// Each writes a part of the record of its own.
     pub cores: u32,
+    /// One more part is of its membership in a fleet.
+    pub member: bool,
 }
 
 struct Running {
@@ -85,6 +87,12 @@
             let who = Who { number, name, role: recipe.role.clone(), address: recipe.address };
             self.parts.push(Part { who, path, killed: None, halts: vec![] });
         }
+        if recipe.member {
+            let (name, path) = (recipe.name.clone(), path.with_extension("part.member"));
+            let number = number + recipe.cores * NUMBERS_A_CORE;
+            let who = Who { number, name, role: "member".into(), address: None };
+            self.parts.push(Part { who, path, killed: None, halts: vec![] });
+        }
         self.running.insert(recipe.name.clone(), Running { child, parts: first..self.parts.len() });
         Ok(())
     }
--- a/crates/records/src/kinds.rs
+++ b/crates/records/src/kinds.rs
@@ -32,6 +32,15 @@
     pub terms: Terms,
     pub tenants: Vec<Tenant>,
     pub admin: Option<Admin>,
+    pub fleet: Option<Fleet>,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Fleet {
+    pub name: String,
+    pub listen: String,
+    pub seeds: Vec<String>,
+    pub key: String,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -167,6 +176,7 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Relay {
     pub doors: Vec<Door>,
+    pub datagrams: Vec<Door>,
     pub faults: Vec<Fault>,
     pub seed: u64,
 }
@@ -259,6 +269,7 @@
     pub seed: u64,
     pub routers: usize,
     pub cores: u32,
+    pub membership: bool,
     pub cells: u16,
     pub zones: u8,
     pub kinds: Vec<Kind>,
@@ -431,6 +442,9 @@
             }
         }
     }
+    if let Some(f) = file.router.as_ref().and_then(|r| r.fleet.as_ref()) {
+        checks.fleet(f);
+    }
     if let Some(w) = &file.worker {
         checks.address("worker.listen", &w.listen);
         checks.address("worker.list", &w.list);
@@ -469,6 +483,21 @@
         }
     }
 
+    fn fleet(&mut self, f: &Fleet) {
+        self.address("router.fleet.listen", &f.listen);
+        self.hash("router.fleet.key", &f.key);
+        if f.name.is_empty() {
+            self.fault("router.fleet.name", "the fleet has no name", "one that all of its routers have");
+        }
+        for (n, seed) in f.seeds.iter().enumerate() {
+            self.address(&format!("router.fleet.seeds[{n}]"), seed);
+        }
+        if f.seeds.is_empty() {
+            let expected = "the address of one router of the fleet at least";
+            self.fault("router.fleet.seeds", "no seeds: it would run alone", expected);
+        }
+    }
+
     fn unlike<'a>(&mut self, path: &str, names: impl Iterator<Item = &'a String>) {
         let mut seen = BTreeSet::new();
         for (n, name) in names.enumerate() {
--- a/crates/records/src/schema.cue
+++ b/crates/records/src/schema.cue
@@ -27,6 +27,19 @@
 	tenants: [...#Tenant] | *[]
 	// Tenants are kept in a store and administered while it runs.
 	admin?: #Admin
+	// The routers that it knows and that know it; without, it runs alone.
+	fleet?: #Fleet
+}
+
+// Routers of one name and key that tell each other by datagrams who is there.
+#Fleet: {
+	name:   string
+	// Where it hears the others, as they reach it.
+	listen: string
+	// Where some of them are; its own address may stand among them, so that all can have the same ones.
+	seeds: [string, ...string]
+	// The same for all of the fleet, as 64 hexadecimal digits.
+	key: string
 }
 
 // The administration API: where it listens, the file of its store, and who may use it.
@@ -164,7 +177,9 @@
 
 // A relay between processes of a day, made by its player.
 #Relay: {
-	doors: [#Door, ...#Door]
+	doors: [...#Door] | *[]
+	// Doors for datagrams: what comes to one is sent on.
+	datagrams: [...#Door] | *[]
 	faults: [...#Fault] | *[]
 	seed:   int & >=0 | *7
 }
@@ -257,6 +272,8 @@
 	routers: int & >=1 & <=1000 | *3
 	// Of each router.
 	cores: int & >=1 & <=64 | *1
+	// Whether routers know each other, as a fleet.
+	membership: bool | *false
 	cells:   int & >=1 & <=1000 | *4
 	zones:   int & >=1 & <=255 | *2
 	kinds: [#Kind, ...#Kind]
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -17,6 +17,10 @@
 const SENT_AGAIN: Micros = 200_000;
 /// Kinds of timers, in the top bit of their keys: a fault's beginning or end, or a part that is due.
 const DUE: u64 = 1 << 62;
+/// The same for a datagram that is held back.
+const HELD: u64 = 1 << 61;
+/// Datagrams held back at once; further ones are lost.
+const MOST_HELD: usize = 20_000;
 
 /// Which way a fault works, seen from who dials.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -66,6 +70,8 @@
 pub struct RelayTerms {
     /// In the order of the loop's doors.
     pub doors: Vec<Door>,
+    /// In the order of its doors for datagrams, which meet faults as who dials does.
+    pub datagrams: Vec<Door>,
     pub faults: Vec<Fault>,
     pub seed: u64,
 }
@@ -77,6 +83,7 @@
     /// Which flow a link belongs to, and which of its two it is.
     by_link: HashMap<Link, (u64, usize)>,
     count: u64,
+    held: BTreeMap<u64, (usize, Bytes)>,
     chance: Pcg64,
     stopping: bool,
 }
@@ -85,13 +92,17 @@
     pub fn new(terms: RelayTerms) -> Relay {
         let chance = Pcg64::seed_from_u64(terms.seed);
         let (flows, by_link) = (BTreeMap::new(), HashMap::new());
-        Relay { terms, began: 0, flows, by_link, count: 0, chance, stopping: false }
+        Relay { terms, began: 0, flows, by_link, count: 0, held: BTreeMap::new(), chance, stopping: false }
     }
 
     /// The faults that meet a door now.
     fn now_at(&self, door: usize, now: Micros) -> impl Iterator<Item = &Fault> {
+        self.now_of(&self.terms.doors[door], now)
+    }
+
+    fn now_of<'a>(&'a self, door: &'a Door, now: Micros) -> impl Iterator<Item = &'a Fault> {
         let since = now.saturating_sub(self.began);
-        let faults = self.terms.doors[door].faults.iter().filter_map(|&n| self.terms.faults.get(n));
+        let faults = door.faults.iter().filter_map(|&n| self.terms.faults.get(n));
         faults.filter(move |f| f.from <= since && since < f.until)
     }
 
@@ -140,6 +151,26 @@
         }
     }
 
+    /// When a datagram goes on; None if it is lost.
+    fn datagram_due(&mut self, door: usize, now: Micros) -> Option<Micros> {
+        let faults: Vec<_> = self.now_of(self.terms.datagrams.get(door)?, now).copied().collect();
+        let mut at = now;
+        for fault in faults.iter().filter(|f| f.way.takes(0)) {
+            let How::Late { delay, jitter, loss } = fault.how else { return None };
+            if self.chance.random::<f64>() < loss {
+                return None;
+            }
+            at += delay + self.chance.random_range(0..=jitter);
+        }
+        Some(at)
+    }
+
+    fn send_datagram(&self, door: usize, bytes: Bytes, out: &mut Outbox) {
+        if let Some(to) = self.terms.datagrams.get(door).map(|d| d.to) {
+            out.datagram(door, to, bytes);
+        }
+    }
+
     fn forget(&mut self, n: u64) {
         if let Some(flow) = self.flows.remove(&n) {
             flow.links.iter().for_each(|link| {
@@ -229,8 +260,24 @@
         self.pump(n, now, out);
     }
 
+    fn datagram(&mut self, now: Micros, door: usize, _from: Address, bytes: &Bytes, out: &mut Outbox) {
+        match self.datagram_due(door, now) {
+            Some(at) if at <= now => self.send_datagram(door, bytes.clone(), out),
+            Some(at) if self.held.len() < MOST_HELD => {
+                self.count += 1;
+                self.held.insert(self.count, (door, bytes.clone()));
+                out.ring(at, HELD | self.count);
+            }
+            _ => {}
+        }
+    }
+
     fn rang(&mut self, now: Micros, key: u64, out: &mut Outbox) {
-        if key & DUE != 0 {
+        if key & HELD != 0 {
+            if let Some((door, bytes)) = self.held.remove(&(key & !HELD)) {
+                self.send_datagram(door, bytes, out);
+            }
+        } else if key & DUE != 0 {
             self.pump(key & !DUE, now, out);
         } else {
             self.turn_of(key as usize, now, out);
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -27,7 +27,7 @@
     let SocketAddr::V4(to) = echo() else { panic!("no IPv4") };
     let ([a, b, c, d], [high, low]) = (to.ip().octets(), to.port().to_be_bytes());
     let door = Door { to: [a, b, c, d, high, low], faults: (0..faults.len()).collect() };
-    let terms = RelayTerms { doors: vec![door], faults: faults.to_vec(), seed: 3 };
+    let terms = RelayTerms { doors: vec![door], datagrams: vec![], faults: faults.to_vec(), seed: 3 };
     let (told, tell) = channel();
     std::thread::spawn(move || {
         let mut reactor = Reactor::new(&["127.0.0.1:0".parse().expect("an address")]).expect("it listens");
