--- a/crates/command/src/day.rs
+++ b/crates/command/src/day.rs
@@ -10,6 +10,7 @@
 use tideroute_lab::{faults, fleet};
 use tideroute_records::kinds::{Day, File, Trouble};
 use tideroute_rules::{Report, Rule};
+use tideroute_views::Report as Views;
 
 use crate::{serve, Ended};
 
@@ -57,6 +58,7 @@
     }
     takes(&record, &played);
     print(&played.report);
+    played.views.iter().for_each(print_views);
     if let Some(times) = shrink.filter(|_| !played.passed()) {
         shrunk(&record, &program, &folder, &interrupted, times)?;
     }
@@ -146,8 +148,33 @@
 
 pub fn rules(record: &Path) -> Ended {
     let report = day::check(record).map_err(|e| format!("{}: {e}", record.display()))?;
+    let views = day::views(record).map_err(|e| format!("{}: {e}", record.display()))?;
     print(&report);
-    Ok(report.kept())
+    views.iter().for_each(print_views);
+    Ok(report.kept() && views.is_none_or(|v| v.kept()))
+}
+
+/// How routers saw each other.
+fn print_views(views: &Views) {
+    let [median, most, last] = views.known.map(|known| known as f64 / 1e6);
+    println!(
+        "  {} members, {} sightings; {} kills known to others after {median:.2} s p50, {most:.2} s p99, {last:.2} s \
+         at most",
+        views.members, views.sightings, views.kills
+    );
+    println!(
+        "  {} deaths seen, {} of them of routers that were cut off or had just been down; {} sights compared at {} \
+         moments",
+        views.deaths, views.excused, views.compared, views.moments
+    );
+    if views.kept() {
+        println!("views: all true");
+        return;
+    }
+    println!("views: NOT true: {} times", views.broken.len() as u64 + views.more);
+    for (at, what) in views.broken.iter().take(10) {
+        println!("    at {at}: {what}");
+    }
 }
 
 fn print(report: &Report) {
--- a/crates/lab/src/files.rs
+++ b/crates/lab/src/files.rs
@@ -6,6 +6,8 @@
     Burst, Day, File, Fleet, Group, Key, Late, List, Load, Role, Router, Step, Tenant, Terms, Worker,
 };
 use tideroute_rules::{Group as Among, Repeat, TrackTerms, WorkerTerms};
+use tideroute_views::{Cut, Members};
+use tideroute_wire::Micros;
 
 use crate::straight::Known;
 
@@ -138,6 +140,25 @@
     workers.collect()
 }
 
+/// Loss beyond which two routers may take each other for gone.
+const DEAFENING: f64 = 0.25;
+
+/// What the views of routers that know each other are read by.
+pub fn members(day: &Day, begins: Micros) -> Option<Members> {
+    let cuts = day
+        .troubles
+        .iter()
+        .filter(|t| t.act == "cut" || t.act == "delay" && t.loss.is_some_and(|loss| loss > DEAFENING));
+    let named = |names: &[String]| names.iter().flat_map(|name| day.named(name)).collect();
+    let cuts = cuts.map(|t| Cut {
+        from: begins + t.at,
+        until: begins + t.at + t.lasts.unwrap_or(0),
+        between: named(&t.between),
+        and: named(&t.and),
+    });
+    day.membership.then(|| Members { names: day.router_names().collect(), cuts: cuts.collect() })
+}
+
 /// What the rules are read by.
 pub fn rules(day: &Day, ports: &Ports) -> tideroute_rules::Terms {
     let tracks = day.tracks.iter().map(|t| TrackTerms {
