tideroute fleet status tells who is there and whose views differ

Need: a fleet has to be looked at, and a router that is alone has to show it. The command asks one router for all that it knows and the others for what they know otherwise; it warns, and its figures say, when a router is alone.

--- a/crates/command/src/main.rs
+++ b/crates/command/src/main.rs
@@ -6,6 +6,7 @@
 mod cores;
 mod day;
 mod figures;
+mod fleet;
 mod logs;
 mod measure;
 mod measure_tenants;
@@ -100,6 +101,11 @@
         #[command(subcommand)]
         what: Measure,
     },
+    /// Looks at the fleet of routers that a running router belongs to.
+    Fleet {
+        #[command(subcommand)]
+        what: Fleet,
+    },
     /// Administers the tenants of a running router.
     Admin {
         #[command(subcommand)]
@@ -135,6 +141,19 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Fleet {
+    /// Who is there as one router sees it, and how the views of all the others differ from that. Ends with 0 if all
+    /// agree, with 1 if some differ, do not answer, or the router is alone.
+    Status {
+        /// The router's record.
+        file: PathBuf,
+        /// Prints it as JSON.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 #[derive(Subcommand)]
 enum Measure {
     /// What a router adds to the way of a first token and of each token, against going straight to the workers.
@@ -212,6 +231,7 @@
         }
         Command::Measure { what: Measure::Tenants { cores } } => measure_tenants::run(cores),
         Command::Measure { what: Measure::Through { file, rounds } } => measure::through(&file, rounds),
+        Command::Fleet { what: Fleet::Status { file, json } } => fleet::status(&file, json),
         Command::Admin { what } => admin::run(&what),
         Command::Check { files } => check(&files),
         Command::Day { file, out, in_virtual_time: true, draw, .. } => day::virtually(&file, out, draw),
--- a/crates/command/tests/fleet.rs
+++ b/crates/command/tests/fleet.rs
@@ -1,8 +1,13 @@
 //! Routers that know each other, as processes.
 
-use std::path::Path;
+use std::net::UdpSocket;
+use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 
+mod waiting;
+
+use waiting::{free, until, Running};
+
 /// Loss, a kill, halts, three that are back at once, and a cut in two: judged by the record alone.
 #[test]
 fn routers_see_each_other_as_they_are() {
@@ -17,3 +22,107 @@
     assert!(text.contains("rules: all kept") && text.contains("views: all true"), "{text}");
     assert!(text.contains("1 kills known"), "{text}");
 }
+
+const KEY: &str = "0707070707070707070707070707070707070707070707070707070707070707";
+
+/// A folder of records of one fleet, with a list that nobody serves: membership needs none.
+struct Fleet {
+    folder: PathBuf,
+    doors: Vec<String>,
+}
+
+impl Fleet {
+    fn new(name: &str, count: usize) -> Fleet {
+        let folder = std::env::temp_dir().join(format!("tideroute-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        // Held all at once, so that no two are the same.
+        let held: Vec<_> = (0..count).map(|_| UdpSocket::bind("127.0.0.1:0").expect("a port")).collect();
+        let doors = held.iter().map(|s| s.local_addr().expect("an address").to_string()).collect();
+        Fleet { folder, doors }
+    }
+
+    fn record(&self, n: usize, key: &str) -> PathBuf {
+        let (listen, list, at, seed) = (free(), free(), &self.doors[n], &self.doors[0]);
+        let text = format!(
+            r#"router: {{
+	name: "r{n}", listen: "{listen}", list: "{list}"
+	fleet: {{name: "harbour", listen: "{at}", seeds: ["{seed}"], key: "{key}"}}
+	tracks: [{{name: "quick", contract: 1s}}]
+	kinds: [{{name: "readers", role: "reader"}}]
+	terms: {{}}
+}}"#
+        );
+        let path = self.folder.join(format!("r{n}.cue"));
+        std::fs::write(&path, text).expect("a record");
+        path
+    }
+
+    fn start(&self, path: &Path) -> Running {
+        let log = std::fs::File::create(path.with_extension("log")).expect("a log");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tideroute"));
+        command.arg("router").arg(path).stdin(Stdio::null()).stderr(log);
+        Running(command.spawn().expect("it starts"))
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn status(path: &Path) -> (Option<i32>, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_tideroute"))
+        .args(["fleet", "status", &path.display().to_string()])
+        .output()
+        .expect("it runs");
+    let said = [output.stdout, output.stderr].map(|said| String::from_utf8_lossy(&said).into_owned());
+    (output.status.code(), said.concat())
+}
+
+#[test]
+fn a_fleet_shows_who_is_there_and_who_left_and_what_a_stranger_sees() {
+    let fleet = Fleet::new("fleet-status", 4);
+    let records: Vec<_> = (0..3).map(|n| fleet.record(n, KEY)).collect();
+    let mut running: Vec<_> = records.iter().map(|r| fleet.start(r)).collect();
+    let seen = |n: usize, word: &str, code: i32| {
+        until(|| {
+            let (ended, said) = status(&records[n]);
+            (ended == Some(code) && said.contains(word)).then_some(said)
+        })
+    };
+    let all = seen(1, "3 there, 0 suspected", 0);
+    assert!(all.contains("of the others 2 see the same, 0 differ, 0 do not answer"), "{all}");
+    assert!(fleet.doors[..3].iter().all(|door| all.contains(door)), "{all}");
+    // Who is told to end says goodbye; who is killed is missed.
+    waiting::signal(&running[2].0, "-TERM");
+    assert!(running[2].0.wait().expect("it ends").success());
+    seen(0, "2 there, 0 suspected, 0 dead, 1 left", 0);
+    drop(running.pop());
+    drop(running.pop());
+    let alone = seen(0, "1 dead, 1 left", 1);
+    assert!(alone.contains("ALONE"), "{alone}");
+    until(|| {
+        std::fs::read_to_string(records[0].with_extension("log")).ok()?.contains("alone: ").then_some(())
+    });
+    // With another key it is of no fleet that it could see, says so, and hears no answer with the right one.
+    let stranger = fleet.record(3, &KEY.replace('7', "8"));
+    let _stranger = fleet.start(&stranger);
+    until(|| std::fs::read_to_string(stranger.with_extension("log")).ok()?.contains("alone: ").then_some(()));
+    let wrong = fleet.record(3, KEY);
+    let (code, said) = status(&wrong);
+    assert!(code == Some(2) && said.contains("r3 does not answer"), "{said}");
+}
+
+#[test]
+fn an_address_that_is_taken_ends_the_start() {
+    let fleet = Fleet::new("fleet-taken", 1);
+    let taken = UdpSocket::bind(&fleet.doors[0]).expect("it was free");
+    let path = fleet.record(0, KEY);
+    let mut running = fleet.start(&path);
+    let ended = running.0.wait().expect("it ends");
+    let said = std::fs::read_to_string(path.with_extension("log")).expect("a log");
+    assert_eq!(ended.code(), Some(2), "{said}");
+    assert!(said.contains("the fleet harbour: cannot listen at"), "{said}");
+    drop(taken);
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -17,5 +17,5 @@
 pub use group::{Act, Counts, Group};
 pub use program::Member;
 pub use seal::{Seal, Unsealed};
-pub use table::Seen;
-pub use terms::{Terms, PERIOD};
+pub use table::{part_of, Seen};
+pub use terms::{Terms, PAGES};
--- a/crates/membership/src/program.rs
+++ b/crates/membership/src/program.rs
@@ -12,7 +12,7 @@
 use crate::terms::Terms;
 
 /// Microseconds alone after which that is said aloud, and again and again.
-const ALONE: Micros = 5_000_000;
+const ALONE: Micros = 2_000_000;
 
 /// One member of a fleet as a program. Any letter that it is told ends it, as a signal would.
 pub struct Member {
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -43,7 +43,8 @@
     u32::from_le_bytes([hash[0], hash[1], hash[2], hash[3]])
 }
 
-fn part_of(name: &str) -> usize {
+/// The part of what a router knows to which a name belongs.
+pub fn part_of(name: &str) -> usize {
     print_of(name) as usize % PARTS
 }
 
--- a/crates/records/src/kinds.rs
+++ b/crates/records/src/kinds.rs
@@ -492,10 +492,6 @@
         for (n, seed) in f.seeds.iter().enumerate() {
             self.address(&format!("router.fleet.seeds[{n}]"), seed);
         }
-        if f.seeds.is_empty() {
-            let expected = "the address of one router of the fleet at least";
-            self.fault("router.fleet.seeds", "no seeds: it would run alone", expected);
-        }
     }
 
     fn unlike<'a>(&mut self, path: &str, names: impl Iterator<Item = &'a String>) {
