--- a/crates/command/src/main.rs
+++ b/crates/command/src/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod logs;
 mod measure;
+mod measure_fleet;
 mod measure_tenants;
 mod member;
 mod platform;
@@ -169,6 +170,18 @@
         #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u32).range(1..=64))]
         cores: u32,
     },
+    /// Membership in virtual time: bytes, datagrams and CPU of a router, and when others know of a kill, by the size
+    /// of the fleet.
+    Fleet {
+        #[arg(long, value_delimiter = ',', default_values_t = [10, 100, 300, 1000, 3000],
+              value_parser = clap::value_parser!(u64).range(2..=5000))]
+        routers: Vec<u64>,
+        /// The part of datagrams that is lost.
+        #[arg(long, default_value_t = 0.0, value_parser = part)]
+        loss: f64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Throughput, latency, CPU and memory of one router at 1, 2, 4 and 8 cores.
     Cores {
         /// A day's file; its troubles are left out.
@@ -185,6 +198,11 @@
     },
 }
 
+fn part(text: &str) -> Result<f64, String> {
+    let part: f64 = text.parse().map_err(|_| format!("{text:?} is no number"))?;
+    (0.0..0.9).contains(&part).then_some(part).ok_or_else(|| "from 0 to below 0.9".to_string())
+}
+
 /// How a process is run as part of a day.
 #[derive(Args, Clone)]
 struct Run {
@@ -229,6 +247,9 @@
         Command::Measure { what: Measure::Cores { file, seconds, rates, plot } } => {
             measure::cores(&file, seconds, &rates, plot.as_deref())
         }
+        Command::Measure { what: Measure::Fleet { routers, loss, seed } } => {
+            measure_fleet::run(&routers, loss, seed)
+        }
         Command::Measure { what: Measure::Tenants { cores } } => measure_tenants::run(cores),
         Command::Measure { what: Measure::Through { file, rounds } } => measure::through(&file, rounds),
         Command::Fleet { what: Fleet::Status { file, json } } => fleet::status(&file, json),
