Readers may be asked how much they have before a read goes to one of the first three

Need: load spread evenly though each router sees little. So it is no home, but chance that nobody sees: a read lasts a quarter of a second. Ruled out: telling each other.

Change: terms.asks. The first three of a key's order are probed, and the first is taken than which none behind it has two shots fewer. Off by default, never on the platform. A worker's word on a probe comes to the module.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -103,6 +103,7 @@
         max_shots: 5,
         withdrawals: true,
         probes: true,
+        asks: false,
         advice: true,
         longest_advice: 1_000 * MS,
         ..Terms::default()
--- a/crates/host/benches/reload.rs
+++ b/crates/host/benches/reload.rs
@@ -30,6 +30,7 @@
         max_shots: 5,
         withdrawals: true,
         probes: true,
+        asks: false,
         subscribes: true,
         advice: true,
         longest_advice: 10_000,
--- a/crates/host/src/books.rs
+++ b/crates/host/src/books.rs
@@ -286,6 +286,13 @@
         self.settle(now, id, number, ending, ways);
     }
 
+    /// A worker that was probed says how many shots it works on or has waiting.
+    pub fn told(&mut self, now: Micros, nonce: u64, shots: u32) {
+        if let Some(&worker) = self.probes.get(&nonce) {
+            self.module.told(tenths(now), worker, shots);
+        }
+    }
+
     pub fn probed(&mut self, now: Micros, nonce: u64, well: bool, ways: &mut impl Ways<Asked = A>) {
         let Some(worker) = self.probes.remove(&nonce) else { return };
         ways.probed(worker);
--- a/crates/host/src/hear.rs
+++ b/crates/host/src/hear.rs
@@ -141,10 +141,11 @@
         Ok(())
     }
 
-    fn probed(&mut self, nonce: u64, _reads: u32, _streams: u32, _waiting: u32) -> Result<(), Malformed> {
+    fn probed(&mut self, nonce: u64, reads: u32, streams: u32, waiting: u32) -> Result<(), Malformed> {
         let worker = self.worker()?;
         if self.host.lines.at(worker).probe == Some(nonce) {
             let (books, mut wires) = self.host.parts(self.out);
+            books.told(self.now, nonce, reads.saturating_add(streams).saturating_add(waiting));
             books.probed(self.now, nonce, true, &mut wires);
         }
         Ok(())
--- a/crates/lab/src/convert.rs
+++ b/crates/lab/src/convert.rs
@@ -69,6 +69,7 @@
         max_shots: terms.most_shots,
         withdrawals: terms.withdrawals,
         probes: terms.probes,
+        asks: terms.asks,
         // The list is asked for once, and again whenever it was lost.
         subscribes: true,
         advice: terms.advice,
--- a/crates/records/src/kinds.rs
+++ b/crates/records/src/kinds.rs
@@ -116,6 +116,7 @@
     pub most_shots: u16,
     pub withdrawals: bool,
     pub probes: bool,
+    pub asks: bool,
     pub longest_wait: u64,
     pub advice: bool,
     pub longest_advice: u64,
--- a/crates/records/src/schema.cue
+++ b/crates/records/src/schema.cue
@@ -108,6 +108,8 @@
 	most_shots:   int & >=2 & <=64 | *5
 	withdrawals:  bool | *true
 	probes:       bool | *true
+	// Whether readers are asked how much they have before a read goes out.
+	asks: bool | *false
 	// Where there are tenants: how long a submission may wait to be let in.
 	longest_wait: duration & >0s | *1s
 	advice:       bool | *true
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -121,6 +121,8 @@
         max_shots,
         withdrawals: flag(root, "caps.cancel")?,
         probes: flag(root, "caps.probing")?,
+        // A probe costs there, and what it says of a worker's load is not read.
+        asks: false,
         subscribes: match word(root, "discovery")? {
             "automatic" => false,
             "subscribe" => true,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,7 @@
 use crate::chance::Chance;
 use crate::fading::{Fading, FadingMean};
 use crate::interface::*;
-use crate::ledger::{Booked, Ledger, Load};
+use crate::ledger::{Booked, Ledger, Load, Shot};
 use crate::needs::{Filed, Need, Needs, Prompt};
 use crate::ranking::draw;
 use crate::roster::Roster;
@@ -65,6 +65,12 @@
 const DOUBT: f64 = 0.2;
 /// Part of the release time after which a state that found no writer is let go; the rest covers ticks.
 const PINNED: f64 = 0.7;
+/// Readers, in the order of a key, that are asked how much they have before a read goes to one of them.
+const ASKED: usize = 3;
+/// Shots by which one has to be emptier than those before it: about what is gained where a text is kept.
+const EMPTIER: f64 = 2.0;
+/// Tenths: how long their answers are waited for, and believed: many ways there and back, and few arrivals.
+const HEARSAY: Tenths = 100;
 /// Tenths: how often undecided submissions are looked at, and how often only workers are watched.
 const LOOK: Tenths = 100;
 const WATCH: Tenths = 500;
@@ -84,22 +90,12 @@
     rests_until: Tenths,
     suspect: bool,
     probing: bool,
+    /// When it last said how many shots it has, and how many with those sent since.
+    told: (Tenths, f64),
     /// The part of shots lost there, by track.
     losses: BTreeMap<u8, FadingMean>,
 }
 
-#[derive(Default)]
-struct Shot {
-    number: u16,
-    worker: WorkerId,
-    reading: bool,
-    sent: Tenths,
-    started: bool,
-    withdrawn: bool,
-    doubted: bool,
-    cross: bool,
-}
-
 #[derive(Default)]
 struct Submission {
     arrival: Arrival,
@@ -332,6 +328,11 @@
         }
     }
 
+    /// A probed worker says how many shots it works on or has waiting.
+    pub fn told(&mut self, now: Tenths, worker: WorkerId, shots: u32) {
+        self.workers.entry(worker).and_modify(|w| w.told = (now, f64::from(shots)));
+    }
+
     pub fn decide(&mut self, now: Tenths) -> Option<Decision> {
         // One survey a round of pulls, which ends with None.
         if self.ready.is_empty() && !std::mem::replace(&mut self.surveyed, true) {
@@ -723,29 +724,53 @@
                 return self.end(s);
             }
         }
-        if let Some(worker) = self.reader_for(now, s) {
+        let found = self.reader_for(now, s);
+        if let Some(worker) = self.emptiest(now, s, &found) {
             let reading = self.workers.get(&worker).is_some_and(|w| w.role == Role::Reader);
             s.asked.clear();
             self.send(now, s, worker, reading, false);
             return self.ask(now, s);
         }
-        self.end_if_hopeless(now, s);
+        if found.is_empty() {
+            self.end_if_hopeless(now, s);
+        }
     }
 
-    fn reader_for(&mut self, now: Tenths, s: &Submission) -> Option<WorkerId> {
+    /// Exception to the first reader: the first than which none behind it is clearly emptier by its own word; none
+    /// while that is awaited. Guards against reads that meet at one while others idle, where a router sees little.
+    fn emptiest(&mut self, now: Tenths, s: &Submission, found: &[WorkerId]) -> Option<WorkerId> {
+        let (mut best, mut awaited): (Option<(f64, WorkerId)>, bool) = (None, false);
+        for id in found.iter().filter(|_| found.len() > 1) {
+            let Some(w) = self.workers.get_mut(id) else { continue };
+            let has = w.told.1 / w.list.size.max(0.01);
+            if now < w.told.0 + HEARSAY {
+                best = best.filter(|(least, _)| has + EMPTIER > *least).or(Some((has, *id)));
+            } else if now < s.since + HEARSAY {
+                awaited = true;
+                let probed = std::mem::replace(&mut w.probing, true);
+                self.ready.extend((!probed).then_some(Decision::Probe { worker: *id }));
+            }
+        }
+        best.map(|(_, id)| id).or(found.first().copied()).filter(|_| !awaited)
+    }
+
+    /// The reader to send to; where readers are asked, the first few.
+    fn reader_for(&mut self, now: Tenths, s: &Submission) -> Vec<WorkerId> {
+        let (mut found, most) = (vec![], if self.terms.asks { ASKED } else { 1 });
         if self.shut {
-            return None;
+            return found;
         }
         let ticket = (s.arrival.id, s.arrival.track);
         if self.roster.readers.is_empty() && self.terms.writers_read {
-            return self.least(now, ticket, (false, u16::MAX, 0), |w| now >= w.denied + DENIAL);
+            let any = self.least(now, ticket, (false, u16::MAX, 0), |w| now >= w.denied + DENIAL);
+            return any.into_iter().collect();
         }
         self.shut = true;
         let usable_wait = s.usable_wait();
         let mut past: Option<(f64, WorkerId)> = None;
         let (first, mut place) = self.readers(now, &s.arrival);
         let (key, mut tried) = (s.arrival.key(), 0);
-        loop {
+        while found.len() < most {
             let id = if let Some(id) = first.get(tried) {
                 *id
             } else {
@@ -778,13 +803,13 @@
                 continue;
             }
             if tokens <= SPILL {
-                return Some(id);
-            }
-            if past.is_none_or(|(least, _)| tokens < least) {
+                found.push(id);
+            } else if past.is_none_or(|(least, _)| tokens < least) {
                 past = Some((tokens, id));
             }
         }
-        past.map(|(_, id)| id)
+        found.extend(past.filter(|_| found.is_empty()).map(|(_, id)| id));
+        found
     }
 
     /// The held writer, else the fewest own streams in the reader's cell, else beyond it through the gate.
@@ -840,7 +865,8 @@
         let number = s.shots;
         s.shots += 1;
         s.out = Some(Shot { number, worker, reading, sent: now, cross, ..Shot::default() });
-        if self.workers.contains_key(&worker) {
+        if let Some(w) = self.workers.get_mut(&worker) {
+            w.told.1 += 1.0;
             if reading {
                 self.ledger.add_ahead(worker, Some(s.arrival.prompt));
             } else if s.place.is_none_or(|(p, _)| p != worker) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -90,6 +90,8 @@
     pub max_shots: u16,
     pub withdrawals: bool,
     pub probes: bool,
+    /// A worker that is probed says how much it has, and readers are asked before a read goes out.
+    pub asks: bool,
     /// Changes of the list come only once they are asked for.
     pub subscribes: bool,
     pub advice: bool,
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -6,6 +6,19 @@
 
 use crate::interface::{SubmissionId, Tenths, WorkerId};
 
+/// What is out of a submission.
+#[derive(Default)]
+pub struct Shot {
+    pub number: u16,
+    pub worker: WorkerId,
+    pub reading: bool,
+    pub sent: Tenths,
+    pub started: bool,
+    pub withdrawn: bool,
+    pub doubted: bool,
+    pub cross: bool,
+}
+
 #[derive(Default)]
 pub struct Load {
     /// Prompts being read: how many, and their tokens.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -29,6 +29,7 @@
         max_shots: 5,
         withdrawals: true,
         probes: true,
+        asks: false,
         subscribes: false,
         advice: true,
         longest_advice: 1000 * MS,
--- a/tests/equal.rs
+++ b/tests/equal.rs
@@ -91,6 +91,7 @@
         max_shots: 5,
         withdrawals: kind.wrong.is_multiple_of(2),
         probes: kind.probes,
+        asks: false,
         subscribes: kind.changes > 0,
         advice: true,
         longest_advice: 1_000 * MS,
