--- /dev/null
+++ b/crates/command/tests/spread.rs
@@ -0,0 +1,39 @@
+//! How evenly routers that see little spread their load, as processes.
+
+use std::path::Path;
+use std::process::{Command, Stdio};
+
+fn run(arguments: &[&str]) -> (bool, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tideroute"));
+    let output = command.args(arguments).stdin(Stdio::null()).output().expect("it runs");
+    let said = String::from_utf8_lossy(&output.stdout) + String::from_utf8_lossy(&output.stderr);
+    (output.status.success(), said.into_owned())
+}
+
+/// The part of reader seconds that passed idle while another reader had reads waiting, and what was found kept.
+fn played(name: &str, text: &str) -> (f64, f64) {
+    let folder = std::env::temp_dir().join(format!("tideroute-spread-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let day = folder.join("day.cue").display().to_string();
+    std::fs::write(&day, text).expect("a day");
+    let (well, said) = run(&["day", &day, "--out", &folder.display().to_string()]);
+    assert!(well && said.contains("rules: all kept"), "{said}");
+    let (well, said) = run(&["spread", &folder.join("day.record.zst").display().to_string(), "--json"]);
+    assert!(well, "{said}");
+    let spread: serde_json::Value = serde_json::from_str(&said).expect("JSON");
+    let _ = std::fs::remove_dir_all(&folder);
+    let figure = |of: &serde_json::Value| of.as_f64().expect("a figure");
+    (figure(&spread["readers"]["idle_beside"]), figure(&spread["kept"]))
+}
+
+#[test]
+fn readers_that_are_asked_do_not_idle_while_others_have_reads_waiting() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days/asks.cue");
+    let text = std::fs::read_to_string(path).expect("the day");
+    let (idle, kept) = played("asked", &text);
+    let (idle_unasked, kept_unasked) = played("unasked", &text.replace("asks: true", "asks: false"));
+    assert!(idle < 0.01, "{idle} asked, {idle_unasked} unasked");
+    // The measure sees what it is there to see.
+    assert!(idle_unasked > 0.02, "{idle_unasked}");
+    assert!(kept > kept_unasked - 0.05, "{kept} of {kept_unasked}");
+}
--- a/crates/spread/src/workers.rs
+++ b/crates/spread/src/workers.rs
@@ -28,8 +28,9 @@
 }
 
 const SECOND: Micros = 1_000_000;
-/// The part of the median second's work under which a second is left out.
-const LEAST: f64 = 0.1;
+/// The part of the median second's work under which a second is left out: in the last one of a day, with a third of
+/// the work, whoever ends last is the fullest by far.
+const LEAST: f64 = 0.5;
 
 impl Workers {
     pub fn add(&mut self, weight: f64, slots: u32) -> usize {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -67,10 +67,10 @@
 const PINNED: f64 = 0.7;
 /// Readers, in the order of a key, that are asked how much they have before a read goes to one of them.
 const ASKED: usize = 3;
-/// Shots by which one has to be emptier than those before it: about what is gained where a text is kept.
-const EMPTIER: f64 = 2.0;
-/// Tenths: how long their answers are waited for, and believed: many ways there and back, and few arrivals.
-const HEARSAY: Tenths = 100;
+/// Shots by which one has to be emptier than those before it: a kept text saves a read about that much work.
+const EMPTIER: f64 = 1.0;
+/// Tenths: how long their word is believed, in which few arrive; it is waited for until the next look.
+const HEARSAY: Tenths = 200;
 /// Tenths: how often undecided submissions are looked at, and how often only workers are watched.
 const LOOK: Tenths = 100;
 const WATCH: Tenths = 500;
@@ -745,7 +745,7 @@
             let has = w.told.1 / w.list.size.max(0.01);
             if now < w.told.0 + HEARSAY {
                 best = best.filter(|(least, _)| has + EMPTIER > *least).or(Some((has, *id)));
-            } else if now < s.since + HEARSAY {
+            } else if now + LOOK < s.contract.min(s.since + 2 * LOOK) {
                 awaited = true;
                 let probed = std::mem::replace(&mut w.probing, true);
                 self.ready.extend((!probed).then_some(Decision::Probe { worker: *id }));
--- a/tests/lessons.rs
+++ b/tests/lessons.rs
@@ -348,3 +348,60 @@
     let later = let_in(&mut world);
     assert!(soon < 60 && later > 95, "{soon} of 100 soon, {later} after three times the memory");
 }
+
+/// Twelve workers, four of them readers, that are asked; the order of the key's readers by who is asked first.
+fn asked() -> (World, Vec<WorkerId>) {
+    let mut world = World::new(Terms { asks: true, ..terms() }, 12);
+    let id = world.arrive(0, 1, 10.0, LEFT);
+    assert!(world.open[&id].out.is_none(), "it waits for their word");
+    let order = std::mem::take(&mut world.probes);
+    assert_eq!(order.len(), 3);
+    (world, order)
+}
+
+fn tell(world: &mut World, worker: WorkerId, shots: u32) {
+    world.router.told(world.now, worker, shots);
+    world.router.probed(world.now, worker, true);
+    world.pull();
+}
+
+#[test]
+fn of_readers_that_are_asked_the_first_is_taken_unless_another_is_clearly_emptier() {
+    // Sizes are four: four shots are one for the size.
+    for (says, taken) in [([3, 0, 0], 0), ([4, 0, 0], 1), ([8, 4, 0], 2), ([16, 20, 13], 0), ([0, 0, 0], 0)] {
+        let (mut world, order) = asked();
+        for (worker, shots) in order.iter().zip(says) {
+            assert!(world.log.iter().all(|(_, d)| sent_to(d).is_none()), "before all have spoken");
+            tell(&mut world, *worker, shots);
+        }
+        let sent: Vec<_> = world.log.iter().filter_map(|(_, d)| sent_to(d)).collect();
+        assert_eq!(sent, [order[taken]], "{says:?}");
+    }
+}
+
+#[test]
+fn who_does_not_say_how_much_it_has_is_not_waited_for_longer_than_a_few_milliseconds() {
+    let (mut world, order) = asked();
+    tell(&mut world, order[0], 40);
+    tell(&mut world, order[1], 0);
+    world.pass(20 * MS);
+    assert_eq!(world.log.iter().find_map(|(_, d)| sent_to(d)), Some(order[1]));
+    // Nobody speaks: the first of the order, as if none had been asked.
+    let (mut world, order) = asked();
+    world.pass(20 * MS);
+    assert_eq!(world.log.iter().find_map(|(_, d)| sent_to(d)), Some(order[0]));
+}
+
+#[test]
+fn many_that_come_at_once_do_not_all_go_to_the_one_that_was_empty() {
+    let (mut world, order) = asked();
+    for (worker, shots) in order.iter().zip([8, 40, 0]) {
+        tell(&mut world, *worker, shots);
+    }
+    for _ in 0..12 {
+        world.arrive(0, 1, 10.0, LEFT);
+    }
+    let to = |id: WorkerId| world.log.iter().filter(|(_, d)| sent_to(d) == Some(id)).count();
+    let counts = [0, 1, 2].map(|n| to(order[n]));
+    assert!(counts[0] >= 3 && counts[1] == 0 && counts[2] >= 5, "{counts:?}");
+}
