measure spread: plain ways to choose a reader beside the routers, over the same load

Need: one table by which to judge how evenly load is spread. Random, fewest own, two choices, greedy by news half a second old and perfect sight go straight to the same workers; then the routers, readers unasked and asked.

--- a/crates/command/src/main.rs
+++ b/crates/command/src/main.rs
@@ -21,6 +21,7 @@
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
+use tideroute_lab::choosers::Way;
 
 /// A router for language-model servers that read and write in two stages.
 #[derive(Parser)]
@@ -94,6 +95,9 @@
         /// Straight to the workers that the file names, with no router between.
         #[arg(long, value_name = "PATH", hide = true)]
         straight_to: Option<PathBuf>,
+        /// Choosing readers that way.
+        #[arg(long, value_name = "WAY", default_value = "next", hide = true)]
+        straight_by: Way,
         #[command(flatten)]
         run: Run,
     },
@@ -170,6 +174,15 @@
         #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u32).range(1..=64))]
         cores: u32,
     },
+    /// How evenly a day's load is spread: by plain ways to choose a reader, each given what it may know, then by the
+    /// routers, readers unasked and asked.
+    Spread {
+        /// A day's file; its troubles are left out.
+        #[arg(default_value = "days/fleet.cue")]
+        file: PathBuf,
+        #[arg(long, default_value_t = 25)]
+        seconds: u64,
+    },
     /// Membership in virtual time: bytes, datagrams and CPU of a router, and when others know of a kill, by the size
     /// of the fleet.
     Fleet {
@@ -238,8 +251,8 @@
         Command::Worker { file, cold, run } => serve::worker(&file, cold, &run),
         Command::Relay { file, run } => serve::relay(&file, &run),
         Command::List { file, run } => serve::list(&file, &run),
-        Command::Load { file, straight_to: Some(workers), begin_at, table, json, run } => {
-            serve::straight(&file, &workers, [json, table], begin_at, &run)
+        Command::Load { file, straight_to: Some(workers), straight_by, begin_at, table, json, run } => {
+            serve::straight(&file, &workers, straight_by, [json, table], begin_at, &run)
         }
         Command::Load { file, json, table, begin_at, run, .. } => {
             serve::load(&file, json.as_deref(), table.as_deref(), begin_at, &run)
@@ -247,6 +260,7 @@
         Command::Measure { what: Measure::Cores { file, seconds, rates, plot } } => {
             measure::cores(&file, seconds, &rates, plot.as_deref())
         }
+        Command::Measure { what: Measure::Spread { file, seconds } } => measure::spread(&file, seconds),
         Command::Measure { what: Measure::Fleet { routers, loss, seed } } => {
             measure_fleet::run(&routers, loss, seed)
         }
--- a/crates/command/src/measure.rs
+++ b/crates/command/src/measure.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use signal_hook::consts::{SIGINT, SIGTERM};
+use tideroute_lab::choosers::Way;
 use tideroute_lab::day::{self, DayError};
 use tideroute_records::kinds::Day;
 
@@ -102,3 +103,57 @@
     println!("       added    {a:>16.0}{b:>8.0}{c:>17.0}{d:>8.0}");
     Ok(true)
 }
+
+/// One line for each way to choose a reader, over the same load.
+pub fn spread(path: &Path, seconds: u64) -> Ended {
+    let (mut record, interrupted) = quiet_day(path)?;
+    record.load.lasts = seconds * 1_000_000;
+    let program = std::env::current_exe().map_err(|e| format!("the program does not find itself: {e}"))?;
+    let folder = std::env::temp_dir().join(format!("tideroute-spread-{}", std::process::id()));
+    println!(
+        "{} s; readers: fullest/mean, idle beside waiting, index of dispersion, windows with herds",
+        seconds
+    );
+    println!("way                      p50    p99  worst     idle  index  herds (by chance)      kept  service  rules");
+    let mut all_kept = true;
+    let plain = Way::ALL.iter().filter(|(_, way)| *way != Way::Next).map(|(name, _)| (*name, None));
+    let ours = [("ours, unasked", Some(false)), ("ours, asked", Some(true))];
+    for (name, asks) in plain.chain(ours) {
+        let (mut service, mut rules) = (String::new(), "");
+        let played = match asks {
+            None => day::straight(&record, &program, &folder, &interrupted, name),
+            Some(asks) => {
+                record.terms.asks = asks;
+                day::play(&record, &program, &folder, &interrupted).map(|played| {
+                    service =
+                        format!("{:.1}%", 100.0 * played.figures["service"].as_f64().unwrap_or(f64::NAN));
+                    all_kept &= played.report.kept();
+                    rules = if played.report.kept() { "kept" } else { "BROKEN" };
+                    played.record
+                })
+            }
+        };
+        let seen = match played {
+            Err(DayError::Interrupted) => return Ok(false),
+            played => {
+                let reader = day::open(&played.map_err(|e| e.to_string())?).map_err(|e| e.to_string())?;
+                tideroute_spread::measure(reader).map_err(|e| e.to_string())?
+            }
+        };
+        let _ = std::fs::remove_dir_all(&folder);
+        let r = &seen.readers;
+        println!(
+            "{name:<22}{:>6.2}{:>7.2}{:>7.2}{:>8.2}%{:>7.2}{:>7} of {} ({:.1}){:>9.1}%{service:>9}  {rules}",
+            r.ratio_p50,
+            r.ratio_p99,
+            r.ratio_worst,
+            100.0 * r.idle_beside,
+            r.dispersion,
+            r.herds,
+            r.windows,
+            r.herds_by_chance,
+            100.0 * seen.kept
+        );
+    }
+    Ok(all_kept)
+}
--- a/crates/command/src/serve.rs
+++ b/crates/command/src/serve.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tideroute_lab::choosers::Way;
 use tideroute_lab::convert;
 use tideroute_lab::load::Load;
 use tideroute_lab::straight::Straight;
@@ -149,6 +150,7 @@
 pub fn straight(
     path: &Path,
     workers: &Path,
+    way: Way,
     figures: [Option<PathBuf>; 2],
     begin_at: Option<Micros>,
     run: &Run,
@@ -159,7 +161,7 @@
     let known = serde_json::from_slice(&known).map_err(|e| named(workers, e.to_string()))?;
     let reactor = reactor(&[], run, "load", "client")?;
     wait_for(begin_at, &reactor);
-    let mut program = Straight::new(&record, known);
+    let mut program = Straight::new(&record, known, way);
     let ended = drive(reactor, &mut program)?;
     let line = format!("{} ended, {} of them failed\n", program.ended, program.failed);
     for path in figures.iter().flatten() {
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -97,7 +97,7 @@
         return Err(DayError::VirtualOnly);
     }
     let day = &faults::drawn(day);
-    let (player, ports) = pass(day, program, folder, interrupted, false)?;
+    let (player, ports) = pass(day, program, folder, interrupted, None)?;
     let (table, exits, fallen) = (player.table.clone(), player.exits.clone(), player.fallen.clone());
     let (memory, all) = (player.processes.memory.clone(), &player.processes.parts);
     let record = folder.join("day.record.zst");
@@ -121,19 +121,43 @@
     interrupted: &AtomicBool,
     straight: bool,
 ) -> Result<Legs, DayError> {
-    let (player, _) = pass(day, program, folder, interrupted, straight)?;
-    let record = folder.join("day.record.zst");
-    parts::merge(&player.processes.parts, "", &record)?;
+    let record = straight_or_not(day, program, folder, interrupted, straight.then_some("next"))?;
     Ok(legs(open(&record)?, !straight)?)
 }
 
+/// Plays the day with no routers: its load goes straight to the workers, choosing readers that way
+/// ([`Way`](crate::choosers::Way)). Where the record is.
+pub fn straight(
+    day: &Day,
+    program: &Path,
+    folder: &Path,
+    interrupted: &AtomicBool,
+    way: &str,
+) -> Result<PathBuf, DayError> {
+    straight_or_not(day, program, folder, interrupted, Some(way))
+}
+
+fn straight_or_not(
+    day: &Day,
+    program: &Path,
+    folder: &Path,
+    interrupted: &AtomicBool,
+    straight: Option<&str>,
+) -> Result<PathBuf, DayError> {
+    let (player, ports) = pass(day, program, folder, interrupted, straight)?;
+    let record = folder.join("day.record.zst");
+    let terms = serde_json::to_string(&files::rules(day, &ports)).unwrap_or_default();
+    parts::merge(&player.processes.parts, &terms, &record)?;
+    Ok(record)
+}
+
 /// Lets the day pass, from the first process started to the last one ended.
 fn pass<'a>(
     day: &'a Day,
     program: &Path,
     folder: &'a Path,
     interrupted: &'a AtomicBool,
-    straight: bool,
+    straight: Option<&'a str>,
 ) -> Result<(Player<'a>, Ports), DayError> {
     std::fs::create_dir_all(folder).map_err(|e| DayError::File(folder.display().to_string(), e))?;
     let relays = Relays::plan(day);
@@ -225,8 +249,8 @@
     exits: BTreeMap<String, bool>,
     /// What the load printed.
     table: String,
-    /// The load goes straight to the workers; there are no routers.
-    straight: bool,
+    /// The load goes straight to the workers, choosing that way; there are no routers.
+    straight: Option<&'a str>,
     interrupted: &'a AtomicBool,
 }
 
@@ -270,7 +294,7 @@
             let arguments = ["worker", &path, "--script-from", &begins];
             self.add(&name, "worker", Some(&ports.workers[place]), &arguments);
         }
-        let routers = if self.straight { 0 } else { day.routers };
+        let routers = if self.straight.is_some() { 0 } else { day.routers };
         for (n, name) in day.router_names().enumerate().take(routers) {
             let keep = folder.join(format!("{name}.list")).display().to_string();
             let path = write(folder, &name, &files::router(day, ports, n, keep))?;
@@ -280,10 +304,10 @@
         let [json, table] = ["load.json", "load.txt"].map(|f| folder.join(f).display().to_string());
         let mut arguments = vec!["load", &path, "--json", &json, "--table", &table, "--begin-at", &begins];
         let straight = folder.join("workers.json").display().to_string();
-        if self.straight {
+        if let Some(way) = self.straight {
             let known = serde_json::to_string(&files::known(day, ports)).unwrap_or_default();
             std::fs::write(&straight, known).map_err(|e| DayError::File(straight.clone(), e))?;
-            arguments.extend(["--straight-to", &straight]);
+            arguments.extend(["--straight-to", &straight, "--straight-by", way]);
         }
         self.add("load", "client", None, &arguments);
         if let Some(file) = relays.file(day, ports) {
--- a/crates/lab/src/files.rs
+++ b/crates/lab/src/files.rs
@@ -135,7 +135,8 @@
     let workers = day.workers().enumerate().filter_map(|(place, (_, group, n))| {
         let address = crate::convert::address(&ports.workers[place]).ok()?;
         let cell = (n % usize::from(day.cells)) as u16;
-        Some(Known { address, reader: group.does.role == Role::Reader, cell })
+        let (reader, size) = (group.does.role == Role::Reader, group.does.size);
+        Some(Known { address, reader, cell, size })
     });
     workers.collect()
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! the rules checked. [`world::World`] runs the same programs in virtual time, in one process and from one seed, and
 //! [`fleet::play`] a whole day in it.
 
+pub mod choosers;
 pub mod convert;
 pub mod crowd;
 pub mod day;
--- a/crates/lab/src/straight.rs
+++ b/crates/lab/src/straight.rs
@@ -1,6 +1,6 @@
 //! The same load straight to the stand-ins, with no router between: a client that knows the workers and sends
-//! each submission to the next reader and a writer beside it. It shows what the way itself takes, so that what
-//! a router adds can be told.
+//! each submission to a reader, the next one or by a [`Way`](crate::choosers::Way), and a writer beside it. It shows
+//! what the way itself takes, so that what a router adds can be told, and how plain ways to choose spread it.
 
 use std::collections::BTreeMap;
 
@@ -11,6 +11,7 @@
 use tideroute_wire::worker::{self, How};
 use tideroute_wire::{say_router, Address, Malformed, Micros};
 
+use crate::choosers::{Chooser, Way};
 use crate::traffic::{plan, Planned};
 
 /// Microseconds: how long a dial may take.
@@ -24,15 +25,19 @@
     pub address: Address,
     pub reader: bool,
     pub cell: u16,
+    pub size: f64,
 }
 
 struct Going {
     reader: Address,
     writer: Address,
+    client: usize,
+    reads: bool,
 }
 
 pub struct Straight {
     workers: Vec<Known>,
+    chooser: Chooser,
     planned: Vec<Planned>,
     next: usize,
     began: Micros,
@@ -44,9 +49,10 @@
 }
 
 impl Straight {
-    pub fn new(terms: &Record, workers: Vec<Known>) -> Straight {
+    pub fn new(terms: &Record, workers: Vec<Known>, way: Way) -> Straight {
         Straight {
             workers,
+            chooser: Chooser::new(way, terms.routers.len(), terms.seed),
             planned: plan(terms),
             next: 0,
             began: 0,
@@ -65,13 +71,16 @@
             let id = self.next as u64 + 1;
             self.next += 1;
             let readers: Vec<_> = self.workers.iter().filter(|w| w.reader).collect();
-            let reader = readers[(p.session % readers.len() as u64) as usize];
+            let sizes: Vec<_> = readers.iter().map(|r| (r.address, r.size)).collect();
+            let Some(place) = self.chooser.choose(now, p.client, p.session, &sizes) else { continue };
+            let reader = readers[place];
             let beside = |w: &&Known| !w.reader && w.cell == reader.cell;
             let load = |w: &&Known| self.streams.get(&w.address).copied().unwrap_or(0);
             let Some(writer) = self.workers.iter().filter(beside).min_by_key(load) else { continue };
             let (reader, writer) = (reader.address, writer.address);
             *self.streams.entry(writer).or_default() += 1;
-            self.going.insert(id, Going { reader, writer });
+            self.going.insert(id, Going { reader, writer, client: p.client, reads: true });
+            self.chooser.note(now, p.client, reader, true);
             let read = worker::read(
                 id,
                 0,
@@ -91,7 +100,16 @@
         }
     }
 
-    fn end(&mut self, id: u64, well: bool) {
+    /// A submission's read has ended, if it had not before.
+    fn read(&mut self, now: Micros, id: u64) {
+        if let Some(going) = self.going.get_mut(&id).filter(|g| g.reads) {
+            going.reads = false;
+            self.chooser.note(now, going.client, going.reader, false);
+        }
+    }
+
+    fn end(&mut self, now: Micros, id: u64, well: bool) {
+        self.read(now, id);
         if let Some(going) = self.going.remove(&id) {
             *self.streams.entry(going.writer).or_default() -= 1;
             self.ended += 1;
@@ -102,6 +120,7 @@
 
 struct Ear<'a> {
     straight: &'a mut Straight,
+    now: Micros,
     out: &'a mut Outbox,
 }
 
@@ -111,6 +130,7 @@
     }
 
     fn read_done(&mut self, id: u64, _shot: u16, _kept: u32, _bytes: u64) -> Result<(), Malformed> {
+        self.straight.read(self.now, id);
         let (s, out) = (&self.straight, &mut *self.out);
         let (Some(going), Some(p)) = (s.going.get(&id), s.planned.get(id as usize - 1)) else {
             return Ok(());
@@ -139,12 +159,12 @@
     }
 
     fn finished(&mut self, id: u64, _shot: u16, _tokens: u32) -> Result<(), Malformed> {
-        self.straight.end(id, true);
+        self.straight.end(self.now, id, true);
         Ok(())
     }
 
     fn ended(&mut self, id: u64, _shot: u16, _how: How) -> Result<(), Malformed> {
-        self.straight.end(id, false);
+        self.straight.end(self.now, id, false);
         Ok(())
     }
 
@@ -173,17 +193,17 @@
 
     fn opened(&mut self, _now: Micros, _link: Link, _out: &mut Outbox) {}
 
-    fn heard(&mut self, _now: Micros, link: Link, frame: &Bytes, out: &mut Outbox) {
-        if let Err(problem) = worker::hear_worker(frame, &mut Ear { straight: self, out }) {
+    fn heard(&mut self, now: Micros, link: Link, frame: &Bytes, out: &mut Outbox) {
+        if let Err(problem) = worker::hear_worker(frame, &mut Ear { straight: self, now, out }) {
             tracing::error!(%problem, link = link.0, "a worker breaks the protocol");
         }
     }
 
-    fn lost(&mut self, _now: Micros, link: Link, _loss: Loss, _out: &mut Outbox) {
+    fn lost(&mut self, now: Micros, link: Link, _loss: Loss, _out: &mut Outbox) {
         let lost = self.links.iter().find(|(_, l)| **l == link).map(|(at, _)| *at);
         let hit = |g: &Going| Some(g.reader) == lost || Some(g.writer) == lost;
         let ids: Vec<_> = self.going.iter().filter(|(_, g)| hit(g)).map(|(id, _)| *id).collect();
-        ids.into_iter().for_each(|id| self.end(id, false));
+        ids.into_iter().for_each(|id| self.end(now, id, false));
     }
 
     fn crowded(&mut self, _now: Micros, _link: Link, _crowded: bool, _out: &mut Outbox) {}
--- a/days/fleet-hot.cue
+++ b/days/fleet-hot.cue
@@ -15,7 +15,7 @@
 		{name: "schedule-lodge", repeat: "single-use", contract: 1500ms, cut_off: 6s, earnings: 3},
 		{name: "statement-note", repeat: "referenced", group: "cell", window: 3s, contract: 1500ms, cut_off: 5s, earnings: 2},
 	]
-	terms: {warm_after: 8s}
+	terms: {warm_after: 8s, asks: true}
 	lag: 300ms
 	load: {
 		rate: 270, for: 30s, clients: 600, leaves: 1%
