A stream that stops before its first event is whole counts as one that may have run

Looked for: each way by which a written shot can pass for never sent. Checked and ruled out: the module's decisions (tests/equal.rs agrees), reads and places, 503 and 410 without the worker's word, dials that fail, writes that fail midway, used connections (single-use writes go on new ones).

At fault, each by reading, the first by a test that fails without the fix: (1) program.rs worker_rang ended a connection whose stream fell silent before its first event was whole and told nobody; exit.rs withdraw then took the unknown connection for unwritten, and the client of a single-use submission got 503, has not run. It is a fault that may have run now. (2) withdraw of a connection that is not known: may have run. (3) reactor.rs ready: the last byte left in a turn, but the program heard of that after the timers and lists of the same turn, which could take the request for unwritten; it is told at once now. No test for (3): the order within one turn could not be brought about steadily.

--- a/crates/platform/src/exit.rs
+++ b/crates/platform/src/exit.rs
@@ -136,7 +136,8 @@
 
     fn withdraw(&mut self, id: SubmissionId, _shot: &Shot) -> bool {
         let Some(link) = self.pools.shot(id) else { return true };
-        let written = self.pools.get_mut(link).is_some_and(|c| c.written);
+        // Of one that is not known any more nothing shows that it never ran.
+        let written = self.pools.get_mut(link).is_none_or(|c| c.written);
         self.pools.end(link, self.out);
         !written
     }
--- a/crates/platform/src/program.rs
+++ b/crates/platform/src/program.rs
@@ -306,11 +306,14 @@
         if !conn.patience.over(now, key(Ring::Worker(link)), out) {
             return;
         }
-        if conn.streams && conn.job.is_some() {
-            tracing::debug!(worker = ?conn.worker, "a stream is silent");
-            return self.spoilt(now, link, out);
+        match conn.job {
+            // Also one whose first event is not whole: its request may have run.
+            Some(Job::Shot { .. }) => {
+                tracing::debug!(worker = ?conn.worker, "a stream is silent");
+                self.spoilt(now, link, out);
+            }
+            _ => self.pools.end(link, out),
         }
-        self.pools.end(link, out);
     }
 
     /// Tells, where the log asks for it, what the books believe is out at each worker and what is out on
--- a/crates/platform/tests/shots.rs
+++ b/crates/platform/tests/shots.rs
@@ -413,3 +413,22 @@
         assert_eq!(!stage.calls("GET /alive").is_empty(), suspected);
     }
 }
+
+/// Once its connection was ended and nobody told: at the cut-off it passed for never sent, its client was told that it
+/// had not run, and came again.
+#[test]
+fn a_stream_that_stops_before_its_first_event_is_whole_may_have_run() {
+    for (track, statuses) in [("once", vec![502]), ("safe", vec![503])] {
+        let mut stage = Stage::new();
+        let client = stage.come();
+        stage.say(client, ask_for("id", track, 6_000, "{}"));
+        read(&mut stage);
+        let (writer, _) = stage.shot();
+        stage.say(writer, format!("{HEAD}{}", chunk("data: {\"a\"")));
+        stage.pass(4_700 * MS);
+        assert!(stage.ended.contains_key(&writer), "it is not waited for any longer");
+        assert_eq!(stage.statuses(client), statuses, "{track}");
+        stage.pass(2_000 * MS);
+        assert!(track == "safe" || !stage.statuses(client).contains(&503), "nothing shows that it never ran");
+    }
+}
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -387,19 +387,24 @@
         }
     }
 
+    /// Tells the program what has come of what it asked for.
+    fn tell(&mut self, program: &mut impl Program, out: &mut Outbox) {
+        while let Some(news) = self.news.pop_front() {
+            let now = self.clock.now();
+            match news {
+                News::Opened(link) => program.opened(now, link, out),
+                News::Lost(link, loss) => program.lost(now, link, loss, out),
+                News::Crowded(link, crowded) => program.crowded(now, link, crowded, out),
+                News::Drained(link) => program.drained(now, link, out),
+            }
+            self.carry_out(out);
+        }
+    }
+
     /// Lets the program decide, sends what it said, and tells it what came of that, until all is quiet.
     fn settle(&mut self, program: &mut impl Program, out: &mut Outbox) {
         loop {
-            while let Some(news) = self.news.pop_front() {
-                let now = self.clock.now();
-                match news {
-                    News::Opened(link) => program.opened(now, link, out),
-                    News::Lost(link, loss) => program.lost(now, link, loss, out),
-                    News::Crowded(link, crowded) => program.crowded(now, link, crowded, out),
-                    News::Drained(link) => program.drained(now, link, out),
-                }
-                self.carry_out(out);
-            }
+            self.tell(program, out);
             program.turn(self.clock.now(), out);
             self.carry_out(out);
             // Written down before it leaves: a process killed in between has not sent what its record lacks.
@@ -744,6 +749,9 @@
         }
         if event.writable && conn.waiting() > 0 {
             self.flush(place);
+            // Guards against what follows in this turn, a list or a timer, taking a request for unwritten whose last
+            // byte has just left.
+            self.tell(program, out);
         }
         // Of a link that is hushed the poller still tells that it broke, over and over.
         let hushed = self.conns[place].hushed && self.conns[place].stage == Stage::Open;
