A member's own word is written down in one place

Read again: three places began a datagram with who speaks, each by hand, and a goodbye took a time that it did not use. One function now.

--- a/crates/membership/src/group.rs
+++ b/crates/membership/src/group.rs
@@ -146,12 +146,12 @@
     pub fn leave(&mut self, now: Micros) {
         if self.own.standing != Standing::Left {
             self.own.standing = Standing::Left;
-            self.goodbye(now);
+            self.goodbye();
             self.goodbye_at = Some(now + LEAVING);
         }
     }
 
-    fn goodbye(&mut self, _now: Micros) {
+    fn goodbye(&mut self) {
         for slot in some(&self.table, &mut self.chance, GOODBYES, None) {
             self.say_plain(slot);
         }
@@ -187,8 +187,8 @@
         if self.due() > now {
             return;
         }
-        if let Some(at) = self.goodbye_at {
-            self.goodbye(at);
+        if self.goodbye_at.is_some() {
+            self.goodbye();
             (self.goodbye_at, self.left) = (None, true);
             return;
         }
@@ -239,12 +239,16 @@
 
     // What is said.
 
+    /// A datagram with nothing in it but who speaks.
+    fn own_word(&self) -> Saying {
+        let own = &self.own;
+        Saying::new(Some((&own.name, own.at, own.incarnation, own.standing)), Seal::AROUND)
+    }
+
     /// A datagram's beginning: to one that is not seen as there, what is said of it first, so that it can set that
     /// right; then news.
     fn saying(&mut self, to: Option<usize>) -> Saying {
-        let own = &self.own;
-        let from = (own.name.as_str(), own.at, own.incarnation, own.standing);
-        let mut saying = Saying::new(Some(from), Seal::AROUND);
+        let mut saying = self.own_word();
         let doubted = to.and_then(|slot| self.table.get(slot)).filter(|e| e.seen.standing != Standing::There);
         if let Some(entry) = doubted {
             let (s, by) = (&entry.seen, entry.by);
@@ -535,20 +539,15 @@
         let slot = self.speaker.as_ref().and_then(|(name, _)| self.table.find(name));
         let health = self.health;
         let mut pages = Vec::new();
-        let fresh = |group: &mut Group| {
-            let own = group.own.clone();
-            let from = (own.name.as_str(), own.at, own.incarnation, own.standing);
-            Saying::new(Some(from), Seal::AROUND)
-        };
         let mut page = self.saying(slot.filter(|_| !marked.contains(&true)));
         if marked.contains(&true) {
-            page = fresh(self);
+            page = self.own_word();
             // Its own word is in every datagram; who only looks finds it there too.
             let listed: Vec<_> = self.table.of_parts(marked).map(|e| (e.seen.clone(), e.by)).collect();
             let first = below(&mut self.chance, listed.len().max(1));
             for (s, by) in listed.iter().cycle().skip(first).take(listed.len()) {
                 if !page.claim(&s.name, s.at, s.incarnation, s.standing, *by) {
-                    let full = std::mem::replace(&mut page, fresh(self));
+                    let full = std::mem::replace(&mut page, self.own_word());
                     pages.push(full);
                     page.claim(&s.name, s.at, s.incarnation, s.standing, *by);
                 }
@@ -603,9 +602,7 @@
         let behind = slot.and_then(|s| group.table.get(s)).is_some_and(|e| e.seen.incarnation > incarnation);
         if let Some(entry) = slot.filter(|_| behind).and_then(|slot| group.table.get(slot)) {
             let (s, by) = (entry.seen.clone(), entry.by);
-            let own = group.own.clone();
-            let from = (own.name.as_str(), own.at, own.incarnation, own.standing);
-            let mut saying = Saying::new(Some(from), Seal::AROUND);
+            let mut saying = group.own_word();
             saying.claim(&s.name, s.at, s.incarnation, s.standing, by);
             group.say(at, saying.plain());
         }
