What a lost read left is freed while the next shots are dialled in vain

Followed id of n202: its read was called back at 16.510 and a DELETE begun; the next shot, to a worker in a zone that is cut off, took the DELETE back in the same moment; its dial failed 250 ms later, and so four times until 17.515. Ruled out: a DELETE that nobody answers (at most 0.40 s in all 292 that were answered), a release by the module that comes late. At fault: Exit::shoot (errands.cancel at the send, not at the connection), Platform::clean_up (left_behind stays while any shot is out, also one whose connection never comes up).

Change: a letting go ends when the next shot's connection is there; what a read left behind is freed 50 ms after its end if the next shot is not up by then; who does not answer has as many more asked as were asked before; one letting go a submission at a time. Guards against any cut or silence longer than one dial. Can do harm where a connection comes up in the very moment in which a DELETE is under way (as before at the send).

--- a/crates/platform/src/errands.rs
+++ b/crates/platform/src/errands.rs
@@ -16,8 +16,9 @@
 /// Microseconds after which a worker that has not answered is not waited for alone: some round trips and a
 /// handshake, and short enough that several can be tried within any release time.
 const PATIENCE: Micros = 100_000;
-/// Workers tried at most.
-const TRIES: usize = 6;
+/// Workers tried at most: each time as many more as were tried before, so that of a fleet of which half can't be
+/// reached one is found within any release time.
+const TRIES: usize = 16;
 
 struct Errand {
     id: SubmissionId,
@@ -40,7 +41,7 @@
     }
 
     /// Lets go of what is held for a submission; `at` are workers that run, as far as is known, in the order in
-    /// which they are to be tried.
+    /// which they are to be tried. One that is under way is enough: nothing new is held before it is cancelled.
     pub fn begin(
         &mut self,
         now: Micros,
@@ -50,42 +51,46 @@
         pools: &mut Pools,
         out: &mut Outbox,
     ) {
+        if self.open.values().any(|e| e.id == id) {
+            return;
+        }
         self.count += 1;
         let left = at.rev().collect();
         self.open.insert(self.count, Errand { id, trace, left, tries: 0, out: vec![] });
-        self.go(now, self.count, pools, out);
+        self.go(now, self.count, 1, pools, out);
     }
 
-    /// Tries the next worker, and sets the time for the one after it.
-    fn go(&mut self, now: Micros, number: u64, pools: &mut Pools, out: &mut Outbox) {
+    /// Tries so many workers more, and sets the time for those after them.
+    fn go(&mut self, now: Micros, number: u64, more: usize, pools: &mut Pools, out: &mut Outbox) {
         let Some(errand) = self.open.get_mut(&number) else { return };
-        while errand.tries < TRIES {
+        let most = (errand.tries + more).min(TRIES);
+        while errand.tries < most {
             let Some(worker) = errand.left.pop() else { break };
             let target = format!("{}{}", words::PLACES, errand.trace);
             let bytes = write::request("DELETE", &target, [("host", "worker")], None);
             if let Some(link) = pools.call(now, worker, Job::Errand { number }, bytes, out) {
                 errand.tries += 1;
                 errand.out.push(link);
-                return out.ring(now + PATIENCE, key(Ring::Errand(number)));
             }
         }
         if errand.out.is_empty() {
             tracing::debug!(id = errand.id, "nobody could be told to let go");
             self.open.remove(&number);
         } else {
-            // Nobody else is left to ask: who was asked has as long again.
+            // Where nobody else is left to ask, who was asked has as long again.
             out.ring(now + PATIENCE, key(Ring::Errand(number)));
         }
     }
 
-    /// A worker has not answered in time: the next one is asked too.
+    /// A worker has not answered in time: the next ones are asked too.
     pub fn rang(&mut self, now: Micros, number: u64, pools: &mut Pools, out: &mut Outbox) {
         if let Some(errand) = self.open.get_mut(&number) {
             if errand.left.is_empty() || errand.tries >= TRIES {
                 // Time for the last one is over as well.
                 return self.done(number, None, pools, out);
             }
-            self.go(now, number, pools, out);
+            let more = errand.tries.max(1);
+            self.go(now, number, more, pools, out);
         }
     }
 
@@ -104,7 +109,7 @@
         let Some(errand) = self.open.get_mut(&number) else { return };
         errand.out.retain(|l| *l != link);
         if errand.out.is_empty() {
-            self.go(now, number, pools, out);
+            self.go(now, number, 1, pools, out);
         }
     }
 
--- a/crates/platform/src/exit.rs
+++ b/crates/platform/src/exit.rs
@@ -19,6 +19,9 @@
 use crate::watch::Watch;
 use crate::words;
 
+/// Microseconds in which a dialled connection is there, unless something is wrong on its way: some round trips
+/// and what the worker needs for it.
+pub const COMES_UP: Micros = 50_000;
 /// Microseconds: an answer on a place comes within 0.3 s, or after the read has ended.
 const PLACE: Micros = 1_000_000;
 
@@ -44,8 +47,8 @@
     pub pools: &'a mut Pools,
     pub errands: &'a mut Errands,
     pub watch: &'a mut Watch,
-    /// Submissions with a read that may have left a state behind, though its shot did not end well.
-    pub left_behind: &'a mut BTreeMap<SubmissionId, Arc<str>>,
+    /// Submissions with a read that may have left a state behind, though its shot did not end well, and since when.
+    pub left_behind: &'a mut BTreeMap<SubmissionId, (Arc<str>, Micros)>,
     pub later: &'a mut Later,
     pub stopping: bool,
     pub now: Micros,
@@ -97,8 +100,6 @@
     type Asked = Asked;
 
     fn shoot(&mut self, id: SubmissionId, s: &Submission<Asked>, shot: &Shot, left: Micros) {
-        // What an earlier shot left is replaced by what this one makes, and must not be freed under it.
-        self.errands.cancel(id, self.pools, self.out);
         let left = (left / 1_000).to_string();
         let fields = s.asked.fields.iter().map(|(name, value)| (*name, value.as_str()));
         let fields = fields.chain([(words::LEFT, left.as_str())]);
@@ -109,6 +110,9 @@
         if self.pools.call(self.now, shot.worker, job, bytes, self.out).is_none() {
             self.later.endings.push((id, shot.number, Ending::NeverSent));
         }
+        if self.pools.shot_is_up(id) {
+            self.errands.cancel(id, self.pools, self.out);
+        }
     }
 
     fn hold(&mut self, id: SubmissionId, s: &Submission<Asked>, at: WorkerId, _reader: WorkerId) {
@@ -149,7 +153,8 @@
             Ending::Read | Ending::Full | Ending::Stateless | Ending::Unreachable | Ending::NeverSent
         );
         if shot.reading && !nothing {
-            self.left_behind.insert(id, s.asked.trace.clone());
+            self.left_behind.insert(id, (s.asked.trace.clone(), self.now));
+            self.out.ring(self.now + COMES_UP, key(Ring::CleanUp));
         }
     }
 
--- a/crates/platform/src/pools.rs
+++ b/crates/platform/src/pools.rs
@@ -52,6 +52,8 @@
 pub struct Conn {
     pub worker: WorkerId,
     pub job: Option<Job>,
+    /// The connection is there, and not only dialled.
+    pub up: bool,
     /// The request's last byte has been written.
     pub written: bool,
     /// It has carried a call before this one.
@@ -121,6 +123,11 @@
         (shots, self.conns.len(), self.rests.len())
     }
 
+    /// Whether a submission's shot has a connection that is there.
+    pub fn shot_is_up(&self, id: SubmissionId) -> bool {
+        self.shots.get(&id).and_then(|link| self.conns.get(link)).is_some_and(|conn| conn.up)
+    }
+
     pub fn over(&mut self, id: SubmissionId) {
         self.shots.remove(&id);
     }
@@ -282,6 +289,7 @@
         Conn {
             worker,
             job: None,
+            up: false,
             written: false,
             used: false,
             place: None,
--- a/crates/platform/src/program.rs
+++ b/crates/platform/src/program.rs
@@ -13,7 +13,7 @@
 use crate::ask::Asked;
 use crate::clients::{At, Clients};
 use crate::errands::Errands;
-use crate::exit::{Exit, Later};
+use crate::exit::{Exit, Later, COMES_UP};
 use crate::file::{self, Terms};
 use crate::list;
 use crate::pools::{Heard, Job, Pools};
@@ -49,6 +49,8 @@
     Grace,
     /// What is believed is told.
     Belief,
+    /// What a read left behind may be freed under a shot that does not come up.
+    CleanUp,
 }
 
 pub(crate) fn key(ring: Ring) -> u64 {
@@ -63,6 +65,7 @@
         Ring::Watch => (7, 0),
         Ring::Grace => (8, 0),
         Ring::Belief => (9, 0),
+        Ring::CleanUp => (10, 0),
     };
     kind << KIND | what
 }
@@ -74,7 +77,7 @@
     pools: Pools,
     errands: Errands,
     watch: Watch,
-    left_behind: BTreeMap<SubmissionId, Arc<str>>,
+    left_behind: BTreeMap<SubmissionId, (Arc<str>, Micros)>,
     later: Later,
     /// Since when a whole list is heard that is older than the one in force.
     stale: Option<Micros>,
@@ -337,12 +340,14 @@
     }
 
     /// A read that did not end well may have left a state: it is let go once no shot is out and the books know of
-    /// none, unless an answer has begun, with which all else goes by itself.
+    /// none, unless an answer has begun, with which all else goes by itself. A shot whose connection does not come
+    /// up takes nothing: guards against a state that stays held while one worker after another is dialled in vain.
     fn clean_up(&mut self, now: Micros, out: &mut Outbox) {
         let mut free = vec![];
-        let submissions = &self.books.submissions;
-        self.left_behind.retain(|id, trace| {
-            let stays = submissions.get(*id).is_some_and(|s| s.shot.is_some() && !s.streams());
+        let (submissions, pools) = (&self.books.submissions, &self.pools);
+        self.left_behind.retain(|id, (trace, since)| {
+            let takes = pools.shot_is_up(*id) || now < *since + COMES_UP;
+            let stays = submissions.get(*id).is_some_and(|s| s.shot.is_some() && !s.streams() && takes);
             let begun = submissions.get(*id).is_some_and(|s| s.streams());
             if !stays && !begun {
                 free.push((*id, trace.clone()));
@@ -375,7 +380,14 @@
         self.client_came(now, link, out);
     }
 
-    fn opened(&mut self, _now: Micros, _link: Link, _out: &mut Outbox) {}
+    /// What an earlier shot left is replaced by what this one makes, and must not be freed under it.
+    fn opened(&mut self, _now: Micros, link: Link, out: &mut Outbox) {
+        let Some(conn) = self.pools.get_mut(link) else { return };
+        conn.up = true;
+        if let Some(Job::Shot { id, .. }) = conn.job {
+            self.errands.cancel(id, &mut self.pools, out);
+        }
+    }
 
     fn heard(&mut self, now: Micros, link: Link, bytes: &Bytes, out: &mut Outbox) {
         self.now = now;
@@ -457,7 +469,9 @@
                 self.grace_over = true;
                 return self.books.stop();
             }
-            _ => return self.tell_belief(now, out),
+            9 => return self.tell_belief(now, out),
+            // The turn that follows looks after it.
+            _ => return,
         };
         let (books, mut exit) = self.parts(now, out);
         books.rang(now, timer, &mut exit);
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -74,6 +74,8 @@
     /// Links that the router ended, and whether it cut them.
     pub ended: BTreeMap<Link, bool>,
     pub hushed: BTreeSet<Link>,
+    /// Dialled, and not yet told to be there.
+    unopened: BTreeSet<Link>,
     /// Sent, and not yet told to be written.
     unwritten: BTreeSet<Link>,
     /// Dials are answered at once, and what is sent is written at once.
@@ -99,6 +101,7 @@
             sent: BTreeMap::new(),
             ended: BTreeMap::new(),
             hushed: BTreeSet::new(),
+            unopened: BTreeSet::new(),
             unwritten: BTreeSet::new(),
             eager: true,
             taken: BTreeMap::new(),
@@ -115,7 +118,10 @@
             let acts = self.out.take();
             for act in acts {
                 match act {
-                    Act::Dial { link, to, .. } => drop(self.dialled.insert(link, to)),
+                    Act::Dial { link, to, .. } => {
+                        self.dialled.insert(link, to);
+                        self.unopened.insert(link);
+                    }
                     Act::Send { link, frame } => {
                         assert!(!self.ended.contains_key(&link), "sends on a link that it ended");
                         self.sent.entry(link).or_default().extend_from_slice(&frame);
@@ -132,6 +138,10 @@
                     act => panic!("the router asks for {act:?}"),
                 }
             }
+            let dials = std::mem::take(&mut self.unopened);
+            let (up, later): (Vec<_>, Vec<_>) = dials.into_iter().partition(|_| self.eager);
+            self.unopened.extend(later.into_iter().filter(|link| !self.ended.contains_key(link)));
+            up.into_iter().for_each(|link| self.program.opened(self.now, link, &mut self.out));
             let written = std::mem::take(&mut self.unwritten);
             let (now, later): (Vec<_>, Vec<_>) =
                 written.into_iter().partition(|l| self.eager || !l.dialled());
@@ -143,8 +153,17 @@
         }
     }
 
+    /// A dial led to a connection.
+    pub fn opens(&mut self, link: Link) {
+        if self.unopened.remove(&link) {
+            self.program.opened(self.now, link, &mut self.out);
+            self.settle();
+        }
+    }
+
     /// What was sent on a link has been written.
     pub fn written(&mut self, link: Link) {
+        self.opens(link);
         self.unwritten.remove(&link);
         self.program.drained(self.now, link, &mut self.out);
         self.settle();
@@ -173,6 +192,7 @@
 
     pub fn lose_as(&mut self, link: Link, loss: Loss) {
         self.unwritten.remove(&link);
+        self.unopened.remove(&link);
         self.dialled.remove(&link);
         self.program.lost(self.now, link, loss, &mut self.out);
         self.settle();
--- a/crates/platform/tests/shots.rs
+++ b/crates/platform/tests/shots.rs
@@ -274,6 +274,37 @@
     assert_eq!(tried.len(), 3, "each time at another worker");
 }
 
+#[test]
+fn what_a_read_left_is_freed_while_the_next_ones_are_dialled_in_vain() {
+    for places in [true, false] {
+        let mut file = file();
+        file["settings"]["family_info"]["ahead"] = places.into();
+        let mut stage = Stage::with(&file);
+        let client = stage.come();
+        stage.say(client, ask("id", "safe"));
+        let (reader, _) = stage.shot();
+        stage.eager = false;
+        stage.lose(reader);
+        let (second, _) = stage.shot();
+        let at_once = stage.calls("DELETE /internal/reservations/id ");
+        // Where no place was asked for, the next shot takes what is held if it comes up as most do.
+        assert_eq!(at_once.len(), usize::from(places));
+        stage.pass(60 * MS);
+        let free =
+            at_once.first().copied().unwrap_or_else(|| stage.call("DELETE /internal/reservations/id "));
+        // As in a zone that is cut off: one shot after another comes to nothing, and the letting go goes on.
+        stage.lose_as(second, Loss::Unreached);
+        let (third, _) = stage.shot();
+        assert!(!stage.ended.contains_key(&free.0), "it goes on");
+        stage.pass(200 * MS);
+        let more = stage.calls("DELETE /internal/reservations/id ");
+        assert_eq!(more.len(), 3, "one more after a while, then as many as before");
+        // One comes up: what it makes must not be freed under it.
+        stage.opens(third);
+        assert!(more.iter().chain([&free]).all(|(link, _)| stage.ended.contains_key(link)));
+    }
+}
+
 #[test]
 fn a_place_that_is_not_held_is_told_apart_from_one_that_is_not_known() {
     for (answer, other) in
