A client that goes is seen behind all it sent; closes end with our side first; windows count dials

Need: no attempt begins over 0.1 s after its client has gone, nothing that was written goes with a close over unread bytes, and a keyed repeat arrives within its window.

Change: a client is always read: one largest request is kept ahead, the rest thrown away and the connection ended after the answer; after 1 MiB it is sent away. A raw connection taken at a door ends on our side first and is read on, within the bounds that were there. The window of a keyed class is shorter by the dial's time, where the settings name one.

--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -28,7 +28,8 @@
     pub patience: Patience,
     /// Nothing more is taken from it after the answer.
     pub last: bool,
-    pub hushed: bool,
+    /// Bytes that came ahead of their turn and were thrown away.
+    pub wasted: usize,
     /// A request came on it before.
     pub asked: bool,
     /// Its place among those that wait for a client, by when that began.
@@ -56,7 +57,7 @@
             arrived: BytesMut::new(),
             patience: Patience::ENDLESS,
             last: false,
-            hushed: false,
+            wasted: 0,
             asked: false,
             since: Some(now),
             counted: 0,
--- a/crates/platform/src/entry.rs
+++ b/crates/platform/src/entry.rs
@@ -21,8 +21,11 @@
 const WHOLE: Micros = 2_000_000;
 /// Microseconds that a connection may stand idle between requests.
 const IDLE: Micros = 15_000_000;
-/// Bytes that are read ahead of an open request: a small one behind it. More waits in the socket.
-const BEHIND: usize = 16 << 10;
+/// Bytes that are kept ahead of an open request: one more of the largest. What comes on top is read and thrown away,
+/// for the end of a client that goes is seen behind it only.
+const BEHIND: usize = HEAD + BODY + (8 << 10);
+/// Bytes thrown away after which a client is sent away with its request: it sends without end.
+const WASTED: usize = 1 << 20;
 /// Requests that need no worker answered in one go on a connection.
 const IN_A_ROW: usize = 16;
 
@@ -47,7 +50,12 @@
     }
 
     pub(crate) fn client_heard(&mut self, now: Micros, link: Link, bytes: &Bytes, out: &mut Outbox) {
+        let over = self.clients.held > self.terms.rooms.held;
         let Some(client) = self.clients.get_mut(link) else { return };
+        let ahead = client.arrived.len() + bytes.len();
+        if matches!(client.at, At::Answer(..)) && (over || client.wasted > 0 || ahead > BEHIND) {
+            return self.wasted(now, link, bytes.len(), out);
+        }
         let begins = client.arrived.is_empty() && matches!(client.at, At::Head);
         client.arrived.extend_from_slice(bytes);
         if begins {
@@ -77,15 +85,33 @@
             }
         }
         let Some(client) = self.clients.get_mut(link) else { return };
-        let hush = matches!(client.at, At::Answer(..)) && client.arrived.len() > BEHIND;
-        if std::mem::replace(&mut client.hushed, hush) != hush {
-            out.hush(link, hush);
-        }
         if matches!(client.at, At::Head) && client.arrived.is_empty() && client.asked {
             client.patience.set(now + IDLE, key(Ring::Client(link)), out);
         }
     }
 
+    /// So much came ahead of its turn and is not kept: after the open answer nothing more can be read there.
+    fn wasted(&mut self, now: Micros, link: Link, bytes: usize, out: &mut Outbox) {
+        let Some(client) = self.clients.get_mut(link) else { return };
+        client.last = true;
+        client.wasted += bytes + std::mem::take(&mut client.arrived).len();
+        let without_end = client.wasted > WASTED;
+        self.clients.count(link);
+        if without_end {
+            counter!("tideroute_clients_sent_away_total").increment(1);
+            self.client_gone(now, link, out);
+            out.close(link, "sends without end while its request is open");
+        }
+    }
+
+    /// The client has gone, and what is open for it goes with it.
+    pub(crate) fn client_gone(&mut self, now: Micros, link: Link, out: &mut Outbox) {
+        if let Some(id) = self.clients.lose(link) {
+            let (books, mut exit) = self.parts(now, out);
+            books.dropped(now, id, &mut exit);
+        }
+    }
+
     /// Takes a head. Whether there may be more to take now.
     fn head(&mut self, now: Micros, link: Link, out: &mut Outbox) -> bool {
         let Some(client) = self.clients.get_mut(link) else { return false };
--- a/crates/platform/src/program.rs
+++ b/crates/platform/src/program.rs
@@ -439,9 +439,8 @@
             self.watch.end(now, out);
         } else if link.dialled() {
             self.worker_lost(now, link, out);
-        } else if let Some(id) = self.clients.lose(link) {
-            let (books, mut exit) = self.parts(now, out);
-            books.dropped(now, id, &mut exit);
+        } else {
+            self.client_gone(now, link, out);
         }
     }
 
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -545,6 +545,8 @@
             self.wheel.set(until / TICK + 1, Ring::Patience(link));
             self.dirty.push(place);
             self.watch(place);
+        } else if conn.stage == Stage::Open {
+            self.end(place);
         } else {
             self.bury(place);
         }
@@ -594,8 +596,8 @@
         self.watch(place);
     }
 
-    /// The last words have gone out. A reset would follow if the peer still sends, and might overtake them: a
-    /// raw connection that was taken at a door ends on this side first.
+    /// The last words have gone out, just now or before. A reset would follow if the peer still sends, and might
+    /// overtake them: a raw connection that was taken at a door ends on this side first.
     fn end(&mut self, place: usize) {
         let conn = &mut self.conns[place];
         let lingers = conn.raw && !conn.link.dialled() && self.lingering < self.most_lingering;
--- a/crates/reactor/tests/links.rs
+++ b/crates/reactor/tests/links.rs
@@ -227,3 +227,39 @@
     assert!(!matches!(stream.read(&mut [0; 8]), Ok(1..)));
     assert_eq!(thread.join().unwrap(), Ended::Vanished);
 }
+
+/// A close over unread bytes would reset the connection, and what was sent just before could go with it.
+#[test]
+fn a_raw_link_that_is_closed_while_its_peer_sends_ends_well() {
+    let mut reactor = Reactor::new(&["127.0.0.1:0".parse().unwrap()]).unwrap();
+    reactor.raw(8);
+    let at = reactor.addresses()[0];
+    let hands = |seen: &Seen, link, out: &mut Outbox, now| match seen {
+        Seen::Heard(_) if link == Link(0) => {
+            out.send(link, Bytes::from_static(b"answer"));
+            out.hush(link, true);
+            out.ring(now + 100_000, 9);
+        }
+        Seen::Rang(9) => out.close(Link(0), "idle"),
+        _ => {}
+    };
+    let (seen, all) = channel();
+    let mut program = Scripted { seen, hands, over: false };
+    let thread = std::thread::spawn(move || reactor.run(&mut program).unwrap());
+    let mut stream = TcpStream::connect(at).unwrap();
+    stream.write_all(b"ask").unwrap();
+    assert_eq!(next(&all), Seen::Accepted(Link(0)));
+    assert_eq!(next(&all), Seen::Heard(Bytes::from_static(b"ask")));
+    stream.write_all(b"ask again").unwrap();
+    let mut got = Vec::new();
+    stream.read_to_end(&mut got).expect("it ends, and is not reset");
+    assert_eq!(got, b"answer");
+    for _ in 0..3 {
+        std::thread::sleep(Duration::from_millis(20));
+        stream.write_all(b"more").expect("what it still sends is read on, and no reset answers it");
+    }
+    drop(stream);
+    let mut last = TcpStream::connect(at).unwrap();
+    last.write_all(b"end").unwrap();
+    assert_eq!(thread.join().unwrap(), Ended::Done);
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -74,7 +74,9 @@
     Ok(roles)
 }
 
-fn track(class: &Value, per_thousand_us: f64) -> Result<Track, String> {
+/// What holds for a class. Its repeats have to arrive while the first is remembered, so that the time which a
+/// connection may take to come up is none in which to send one.
+fn track(class: &Value, per_thousand_us: f64, comes_up_ms: f64) -> Result<Track, String> {
     let repeat = match word(class, "idempotency")? {
         "pure" => Repeat::Replayable,
         "token" => Repeat::Referenced {
@@ -84,7 +86,7 @@
                 "cell" => Group::Cell,
                 other => return Err(format!("dedup_scope {other:?} in the settings is unknown")),
             },
-            window: tenths(number(class, "key_ttl_ms")?),
+            window: tenths((number(class, "key_ttl_ms")? - comes_up_ms).max(0.0)),
         },
         "side_effect" => Repeat::SingleUse,
         other => return Err(format!("idempotency {other:?} in the settings is unknown")),
@@ -148,6 +150,7 @@
     let writers_read = flag(root, "family_info.writers_read")?;
     let advice = flag(root, "caps.retry_after")?;
     let probes = flag(root, "caps.probing")?;
+    let comes_up = number(root, "caps.dial_timeout_ms").unwrap_or(0.0);
     let max_shots = number(root, "caps.max_attempts")? as u16;
     if max_shots == 0 {
         return Err("caps.max_attempts in the settings allows no attempt".to_string());
@@ -155,7 +158,11 @@
     let report = report(root)?;
     Ok(Terms {
         routers: number(root, "balancers")?.max(1.0) as u32,
-        tracks: classes.iter().zip(stretches).map(|(c, us)| track(c, us)).collect::<Result<_, _>>()?,
+        tracks: classes
+            .iter()
+            .zip(stretches)
+            .map(|(c, us)| track(c, us, comes_up))
+            .collect::<Result<_, _>>()?,
         roles: roles(root, writers_read)?,
         places: flag(root, "family_info.ahead")?,
         writers_read,
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -45,6 +45,25 @@
     assert_eq!(tideroute_settings::terms(&quiet).expect("sound").longest_advice, 0);
 }
 
+#[test]
+fn repeats_of_a_keyed_class_are_sent_so_early_that_they_arrive_in_its_window() {
+    let window = |ttl: f64, dial: Option<f64>| {
+        let mut root = settings();
+        root["classes"][0]["idempotency"] = "token".into();
+        root["classes"][0]["dedup_scope"] = "zone".into();
+        root["classes"][0]["key_ttl_ms"] = ttl.into();
+        dial.into_iter().for_each(|ms| root["caps"]["dial_timeout_ms"] = ms.into());
+        match tideroute_settings::terms(&root).expect("sound").tracks[0].repeat {
+            Repeat::Referenced { window, .. } => window,
+            other => panic!("{other:?}"),
+        }
+    };
+    assert_eq!(
+        [(500.0, Some(250.0)), (200.0, Some(250.0)), (500.0, None)].map(|(t, d)| window(t, d)),
+        [2_500, 0, 5_000]
+    );
+}
+
 #[test]
 fn readers_are_asked_where_a_probe_says_how_much_waits() {
     let load = |how: &str, columns: Value, meaning: &str| {
