Cold workers get their part of what all can do, bounded by the whole fleet's sum

At fault, Router::lot: a sum was held 2.5 of its deviations under the budget itself, though budgets of one request a second allow five by chance; its part was of all workers and not of what all can do, so that warm ones had twice their load; and a router that began a few seconds ago reckoned its flow over 40 s.

Harms where answers come slower than what is sent for long: the answered flow is what is believed.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -52,8 +52,10 @@
 const KNOWN: Tenths = 400_000;
 /// A prefix seen less than so often of late is forgotten.
 const FADED: f64 = 0.01;
-/// Standard deviations of a sum of many routers' chances that stay free at a cold worker.
-const SPREAD: f64 = 2.5;
+/// The bound on the chance that many routers' sum at a cold worker goes beyond its budget and twice its root and two.
+const RISK: f64 = 1e-4;
+/// A cold worker may get so many times what it can do for sure: what it works on warms it.
+const WARMS: f64 = 1.5;
 /// Shots that a fresh worker may have out before its first answer.
 const FRESH: u32 = 2;
 /// A shot counts as lost after the usual wait times this and the logarithm of the odds of a loss.
@@ -140,6 +142,7 @@
     shut: bool,
     wake: Tenths,
     subscribe: Option<Tenths>,
+    began: Tenths,
     /// By track, how long first tokens take and, apart, reads.
     waits: [BTreeMap<u8, FadingMean>; 2],
     cross_wait: FadingMean,
@@ -148,15 +151,15 @@
     /// How often each prefix was seen lately.
     seen: Seen,
     /// What was lately sent to and answered by writers and by readers.
-    flows: [(Fading, Fading); 2],
+    flows: [[Fading; 2]; 2],
     /// The part of all shots lost, by track.
     losses: BTreeMap<u8, FadingMean>,
 }
 
 impl Router {
     pub fn new(terms: Terms, seed: u64, now: Tenths) -> Self {
-        let subscribe = terms.subscribes.then_some(now);
-        Router { chance: Chance::new(seed), wake: Tenths::MAX, subscribe, terms, ..Router::default() }
+        let (subscribe, chance) = (terms.subscribes.then_some(now), Chance::new(seed));
+        Router { chance, wake: Tenths::MAX, subscribe, began: now, terms, ..Router::default() }
     }
 
     /// A whole list begins: workers that it does not name are gone.
@@ -220,7 +223,7 @@
     /// A writer, 0, began to answer, or a reader, 1, read.
     fn answered(&mut self, now: Tenths, worker: WorkerId, track: u8, stage: usize, took: Tenths) {
         self.waits[stage].entry(track).or_default().add(now, MEMORY, took as f64);
-        self.flows[stage].1.add(now, KNOWN, 1.0);
+        self.flows[stage][1].add(now, KNOWN, 1.0);
         self.judge(now, worker, track, 0.0);
         let Some(w) = self.workers.get_mut(&worker) else { return };
         w.read_wait.add(now, MEMORY, took as f64);
@@ -303,10 +306,9 @@
     }
 
     pub fn dropped(&mut self, _now: Tenths, id: SubmissionId) {
-        if let Some(s) = self.open.get_mut(&id) {
-            s.ended = true;
-            self.touched.insert(id);
-        }
+        let Some(s) = self.open.get_mut(&id) else { return };
+        s.ended = true;
+        self.touched.insert(id);
     }
 
     pub fn woken(&mut self, now: Tenths) {
@@ -431,10 +433,10 @@
     /// Whether a writer grants wherever the read is, and whatever is read.
     fn grants_any(&mut self, now: Tenths) -> bool {
         let (tracks, warm) = (self.terms.tracks.len() as u8, self.terms.warm_after);
-        let open = self.cross_wait.read(now, MEMORY).is_none_or(|mean| mean < self.gate_bound());
         let sure = |w: &Worker| !w.tight(now) && !w.cold(now, warm);
         let first = self.roster.writers.iter().copied().find(|id| sure(&self.workers[id]));
-        open && first.is_some_and(|id| (0..tracks).all(|track| self.usable(now, id, (0, track), None)))
+        first.is_some_and(|id| (0..tracks).all(|track| self.usable(now, id, (0, track), None)))
+            && self.is_open(now)
     }
 
     /// Those parked that may be hopeless, may have to end by now, or have a prompt for which there is room.
@@ -487,10 +489,9 @@
         }
     }
 
-    /// Guards against answers that never come, of a worker or of one track there: a shot out for long has its
-    /// worker probed, and one out for some times the usual wait is called back where it may run again and counts
-    /// against its worker there. Its age is a wait too, so that patience grows when all is slow; and what is not
-    /// known yet is taken for slow, or reads that last are called back and begun anew. Harms where one is lost.
+    /// Guards against answers that never come, of a worker or of one track there: a shot out for long has its worker
+    /// probed; for some times the usual wait, as slow as it may be while little is known, it is called back where it
+    /// may run again and counts against its worker there. Its age is a wait too. Harms slow reads taken for lost.
     fn watch(&mut self, now: Tenths, touched: &BTreeSet<SubmissionId>, open: &mut Open) {
         // No other shot can be called back: it is too young to be lost, awaited, and at a worker that works.
         let mut suspects: BTreeSet<_> = self.needs.doubtful(now).collect();
@@ -560,22 +561,24 @@
     }
 
     /// Guards against pushing over a cold worker, by any number of routers: only submissions that draw it go
-    /// there, so few that their sum stays under the stated multiple of what it can do by some times its own
-    /// spread, reckoned from what warm peers answer. Harms where many are cold: they do little till warm.
+    /// there, by its part of what all can do, and so few that their sum hardly ever goes beyond the stated multiple
+    /// of what it can do and what is put down to chance. Fleet-wide, a warm peer answers `peer` in the stated span.
     fn lot(&mut self, now: Tenths, id: WorkerId, ticket: SubmissionId, cell: Option<u16>) -> bool {
         let flow = cell.map_or(1.0, |cell| self.roster.part(cell));
         let (t, w) = (&self.terms, &self.workers[&id]);
         let (all, warm) = self.roster.ready(w.role, now, t.warm_after);
-        let (all, warm) = (all as f64, warm as f64);
-        let (sent, done) = &mut self.flows[usize::from(w.role == Role::Reader)];
-        let (sent, done) = (sent.read(now, KNOWN), done.read(now, KNOWN));
-        let part = (now - w.list.started) as f64 / t.warm_after as f64;
-        let present = t.cold_share + (1.0 - t.cold_share) * part;
-        // Fleet-wide, a warm peer answers so many within the stated span.
-        let peer = done * t.fall_span as f64 / KNOWN as f64 * f64::from(t.routers) / f64::max(warm, 1.0);
-        let spread = (SPREAD * SPREAD + 4.0 * t.fall_multiple * present * peer).sqrt() - SPREAD;
-        let share = (spread * spread / 4.0 / peer.max(0.001)).min(present);
-        draw(ticket, id) < share * done / (sent.max(1.0) * all * flow.max(0.001))
+        let flows = self.flows[usize::from(w.role == Role::Reader)].each_mut();
+        let [sent, done] = flows.map(|flow| flow.read(now, KNOWN));
+        let warmed = (now - w.list.started) as f64 / t.warm_after as f64;
+        let present = t.cold_share + (1.0 - t.cold_share) * warmed;
+        let able = (warm + (all - warm) * present).max(1.0);
+        let known = KNOWN as f64 * (1.0 - (-((now - self.began + REST) as f64 / KNOWN as f64)).exp());
+        let peer = done * t.fall_span as f64 / known * f64::from(t.routers) / able;
+        let budget = t.fall_multiple * present * peer;
+        let most = budget + 2.0 * budget.sqrt() + 2.0;
+        let mean = most / std::f64::consts::E * RISK.powf(1.0 / most);
+        let share = (mean / peer.max(0.001)).min(present * WARMS);
+        draw(ticket, id) < share * done / (sent.max(1.0) * able * flow.max(0.001))
     }
 
     /// Each reader's part of all reads follows the writers for each reader in its cell and zone, in bounds:
@@ -677,13 +680,12 @@
 
     /// The gate to another cell: open while first tokens over cells come soon enough, else now and then.
     fn gate(&mut self, now: Tenths) -> bool {
-        let bound = self.gate_bound();
-        self.cross_wait.read(now, MEMORY).is_none_or(|mean| mean < bound)
-            || self.chance.unit() * MEASURE < 1.0
+        self.is_open(now) || self.chance.unit() * MEASURE < 1.0
     }
 
-    fn gate_bound(&self) -> f64 {
-        self.terms.tracks.iter().map(|t| t.contract).min().unwrap_or(0) as f64 / 2.0
+    fn is_open(&mut self, now: Tenths) -> bool {
+        let bound = self.terms.tracks.iter().map(|t| t.contract).min().unwrap_or(0) as f64 / 2.0;
+        self.cross_wait.read(now, MEMORY).is_none_or(|mean| mean < bound)
     }
 
     /// The next step of a submission that has no shot out.
@@ -871,7 +873,7 @@
             } else if s.place.is_none_or(|(p, _)| p != worker) {
                 self.ledger.add_ahead(worker, None);
             }
-            self.flows[usize::from(reading)].0.add(now, KNOWN, 1.0);
+            self.flows[usize::from(reading)][0].add(now, KNOWN, 1.0);
         }
         self.ready.push_back(Decision::Send { id: s.arrival.id, worker, within: 0 });
     }
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -66,9 +66,9 @@
     }
 
     /// How many workers of a role are ready, and how many of them warm.
-    pub fn ready(&self, role: Role, now: Tenths, warm_after: Tenths) -> (usize, usize) {
+    pub fn ready(&self, role: Role, now: Tenths, warm_after: Tenths) -> (f64, f64) {
         let (ready, starts) = &self.kin[role as usize];
         let cold = starts.len() - starts.partition_point(|at| now - at >= warm_after);
-        (*ready, ready - cold)
+        (*ready as f64, (ready - cold) as f64)
     }
 }
--- /dev/null
+++ b/tests/ramp.rs
@@ -0,0 +1,238 @@
+//! Fleets drawn by chance, in virtual time, beside a plain model of what a cold worker may be sent that knows nothing
+//! of the decisions: its budget in the stated time and what chance may add to that, over all routers together.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use tideroute::chance::Chance;
+use tideroute::choice::Router;
+use tideroute::interface::*;
+
+const MS: Tenths = 10;
+/// Fleets that are drawn.
+const FLEETS: u64 = 1_000;
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum What {
+    Arrive,
+    Read(usize, SubmissionId, u16),
+    Begin(usize, SubmissionId, u16),
+    End(usize, SubmissionId, u16),
+    Wake(usize),
+}
+
+struct Fleet {
+    draw: Chance,
+    terms: Terms,
+    routers: Vec<Router>,
+    /// The part of all submissions that come to those up to this one.
+    upto: Vec<f64>,
+    readers: u16,
+    writers: u16,
+    /// When the first so many readers started, once they did.
+    cold: u16,
+    began: Tenths,
+    /// Submissions in ten seconds, and what one reader can do in a second.
+    rate: f64,
+    able: f64,
+    queue: BinaryHeap<Reverse<(Tenths, u64, What)>>,
+    events: u64,
+    sent: BTreeMap<WorkerId, Vec<Tenths>>,
+    shots: BTreeMap<(usize, SubmissionId), u16>,
+}
+
+fn worker(n: u16) -> WorkerId {
+    let [high, low] = n.to_be_bytes();
+    [10, 0, high, low, 1, 0]
+}
+
+impl Fleet {
+    fn drawn(seed: u64) -> Fleet {
+        let mut draw = Chance::new(seed);
+        let mut from = |least: f64, most: f64| least * (most / least).powf(draw.unit());
+        let (many, readers, cold_share) = (from(2.0, 300.0) as usize, from(4.0, 40.0) as u16, from(0.2, 0.5));
+        let (span, warm, multiple) = (from(500.0, 2_000.0), from(8_000.0, 14_000.0), from(2.0, 3.0));
+        let (able, busy, part) = (from(1.0, 12.0), from(0.4, 0.9), from(0.05, 0.6));
+        let track =
+            Track { repeat: Repeat::Replayable, contract: 1_200 * MS, per_thousand: 0, earnings: 1.0 };
+        let terms = Terms {
+            routers: many as u32,
+            tracks: vec![track],
+            roles: vec![Role::Reader, Role::Writer],
+            release: 1_000 * MS,
+            cold_share,
+            warm_after: warm as Tenths * MS,
+            fall_multiple: multiple,
+            fall_span: span as Tenths * MS,
+            max_shots: 6,
+            ..Terms::default()
+        };
+        // Some routers see several times what others do.
+        let weights: Vec<f64> = (0..many).map(|_| from(0.2, 5.0)).collect();
+        let all: f64 = weights.iter().sum();
+        let upto = weights.iter().scan(0.0, |sum, w| {
+            *sum += w / all;
+            Some(*sum)
+        });
+        let upto = upto.collect();
+        let routers = (0..many).map(|n| Router::new(terms.clone(), seed * 1_000 + n as u64, 0)).collect();
+        let (cold, writers) = ((f64::from(readers) * part).max(1.0) as u16, readers.div_ceil(2));
+        let mut fleet = Fleet {
+            draw,
+            terms,
+            routers,
+            upto,
+            readers,
+            writers,
+            cold,
+            began: 0,
+            rate: f64::from(readers) * able * busy,
+            able,
+            queue: BinaryHeap::new(),
+            events: 0,
+            sent: BTreeMap::new(),
+            shots: BTreeMap::new(),
+        };
+        fleet.list(0, 0..fleet.readers + fleet.writers, 0);
+        fleet
+    }
+
+    /// All routers hear of these workers.
+    fn list(&mut self, now: Tenths, which: std::ops::Range<u16>, started: Tenths) {
+        for n in which {
+            let (kind, cell) = (u16::from(n >= self.readers), n % 4);
+            let (worker, standing) = (worker(n), Standing::Ready);
+            let listing = Listing { worker, kind, size: 1.0, standing, cell, zone: 0, started };
+            self.routers.iter_mut().for_each(|r| r.listed(now, listing));
+        }
+    }
+
+    fn after(&mut self, at: Tenths, what: What) {
+        self.events += 1;
+        self.queue.push(Reverse((at, self.events, what)));
+    }
+
+    fn arrives(&mut self, now: Tenths) {
+        let gap = -(1.0 - self.draw.unit()).ln() / self.rate * 10_000.0;
+        self.after(now + gap.ceil() as Tenths, What::Arrive);
+    }
+
+    fn pull(&mut self, now: Tenths, router: usize) {
+        while let Some(decision) = self.routers[router].decide(now) {
+            match decision {
+                Decision::Send { id, worker, .. } => {
+                    let number = self.shots.entry((router, id)).or_default();
+                    let shot = *number;
+                    *number += 1;
+                    let reader = worker[2..4] < self.readers.to_be_bytes()[..];
+                    if reader {
+                        self.sent.entry(worker).or_default().push(now);
+                    }
+                    let what = if reader { What::Read } else { What::Begin };
+                    let takes = if reader { 100.0 + 100.0 * self.draw.unit() } else { 5.0 };
+                    self.after(now + takes as Tenths * MS, what(router, id, shot));
+                }
+                Decision::Wake { after } => self.after(now + after, What::Wake(router)),
+                Decision::TurnBack { id, .. } | Decision::Abandon { id } => {
+                    self.shots.remove(&(router, id));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn play(&mut self, until: Tenths) {
+        while let Some(Reverse((now, ..))) = self.queue.peek() {
+            if *now >= until {
+                return;
+            }
+            let Some(Reverse((now, event, what))) = self.queue.pop() else { return };
+            let router = match what {
+                What::Arrive => {
+                    self.arrives(now);
+                    let lot = self.draw.unit();
+                    let router = self.upto.partition_point(|upto| *upto < lot).min(self.routers.len() - 1);
+                    let (session, prefix) = (event, 1 + (self.draw.unit() * 50.0) as u64);
+                    let arrival =
+                        Arrival { id: event, track: 0, session, prefix, prompt: 900.0, left: 60_000 };
+                    self.routers[router].arrived(now, arrival);
+                    router
+                }
+                What::Read(router, id, shot) => {
+                    self.routers[router].settled(now, id, shot, Ending::Read, false);
+                    router
+                }
+                What::Begin(router, id, shot) => {
+                    self.routers[router].started(now, id, shot);
+                    self.after(now + 100 * MS, What::End(router, id, shot));
+                    router
+                }
+                What::End(router, id, shot) => {
+                    self.routers[router].settled(now, id, shot, Ending::Honoured, true);
+                    self.shots.remove(&(router, id));
+                    router
+                }
+                What::Wake(router) => {
+                    self.routers[router].woken(now);
+                    router
+                }
+            };
+            self.pull(now, router);
+        }
+    }
+
+    /// Of the windows that begin with a read at a cold reader, how many there are, how many hold more than budget
+    /// and chance allow, and the reads at cold readers beside what their budgets sum up to.
+    fn judged(&self) -> (usize, usize, f64, f64) {
+        let (t, mut all, mut over, mut reads, mut budgets) = (&self.terms, 0, 0, 0.0, 0.0);
+        let lasts = self.terms.warm_after as f64;
+        for n in 0..self.cold {
+            let sent = self.sent.get(&worker(n)).map_or(&[][..], Vec::as_slice);
+            let sent: Vec<_> = sent.iter().filter(|at| **at >= self.began).collect();
+            budgets += t.fall_multiple * self.able * (1.0 + t.cold_share) / 2.0 * lasts / 10_000.0;
+            reads += sent.len() as f64;
+            for (n, &at) in sent.iter().enumerate() {
+                let warm = (at - self.began) as f64 / lasts;
+                let able = self.able * (t.cold_share + (1.0 - t.cold_share) * warm.min(1.0));
+                let budget = t.fall_multiple * able * t.fall_span as f64 / 10_000.0;
+                let count = sent[n..].partition_point(|s| **s < at + t.fall_span);
+                all += 1;
+                over += usize::from(count as f64 > budget + 2.0 * budget.sqrt() + 2.0);
+            }
+        }
+        (all, over, reads, budgets)
+    }
+}
+
+#[test]
+fn many_routers_with_uneven_traffic_do_not_push_over_workers_that_start_together() {
+    let threads: Vec<_> = (0..8)
+        .map(|part| {
+            std::thread::spawn(move || {
+                let mut sums = (0, 0, 0.0, 0.0);
+                for seed in (0..FLEETS).filter(|seed| seed % 8 == part) {
+                    let mut fleet = Fleet::drawn(seed);
+                    fleet.arrives(0);
+                    // Some have just begun themselves when the workers start.
+                    let known = 1_000.0 + 11_000.0 * fleet.draw.unit();
+                    fleet.began = known as Tenths * MS;
+                    fleet.play(fleet.began);
+                    fleet.list(fleet.began, 0..fleet.cold, fleet.began);
+                    fleet.play(fleet.began + fleet.terms.warm_after);
+                    let (all, over, reads, budgets) = fleet.judged();
+                    sums = (sums.0 + all, sums.1 + over, sums.2 + reads, sums.3 + budgets);
+                }
+                sums
+            })
+        })
+        .collect();
+    let (mut all, mut over, mut reads, mut budgets) = (0, 0, 0.0, 0.0);
+    for thread in threads {
+        let sums = thread.join().expect("a part of the fleets");
+        (all, over, reads, budgets) = (all + sums.0, over + sums.1, reads + sums.2, budgets + sums.3);
+    }
+    println!("{over} of {all} windows over budget and chance; {reads} reads of {budgets:.0} in all budgets");
+    // Chance alone, at a mean that fills the budget, goes over in some of a hundred windows.
+    assert!(all > 40_000 && over * 20_000 <= all, "{over} of {all}");
+    assert!(reads > budgets / 20.0, "they are given work: {reads} of {budgets}");
+}
