--- a/check.sh
+++ b/check.sh
@@ -4,4 +4,4 @@
 cargo fmt --all --check
 cargo clippy --workspace --all-targets --locked -- -D warnings
 cargo build --release --locked
-cargo test --workspace --locked
+sh .ci/tests.sh
