The first reader is asked alone, and the others only where that can matter

A reader whose report cannot be read was asked again at each answer (5 probes in 20 ms, found by the test on bytes), and passed for empty. Fault: Router::emptiest, told.

Whoever never spoke counts as full. What shows that nothing ran stands once, at the ending.

--- a/crates/platform/src/exit.rs
+++ b/crates/platform/src/exit.rs
@@ -148,11 +148,7 @@
 
     fn settled(&mut self, id: SubmissionId, s: &Submission<Asked>, shot: &Shot, ending: Ending) {
         self.pools.over(id);
-        let nothing = matches!(
-            ending,
-            Ending::Read | Ending::Full | Ending::Stateless | Ending::Unreachable | Ending::NeverSent
-        );
-        if shot.reading && !nothing {
+        if shot.reading && !ending.never_ran() {
             self.left_behind.insert(id, (s.asked.trace.clone(), self.now));
             self.out.ring(self.now + COMES_UP, key(Ring::CleanUp));
         }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -72,8 +72,8 @@
 const ASKED: usize = 3;
 /// Shots like its own by which one has to be emptier: a kept text saves a read about that much work.
 const EMPTIER: f64 = 1.0;
-/// Tenths: how long their word is believed, in which few arrive; it is waited for until the next look.
-const HEARSAY: Tenths = 200;
+/// Tenths: how long their word is believed, in which few arrive; longer than it is waited for, two looks.
+const HEARSAY: Tenths = 300;
 /// Tenths: how often undecided submissions are looked at, and how often only workers are watched.
 const LOOK: Tenths = 100;
 const WATCH: Tenths = 500;
@@ -182,6 +182,7 @@
             list,
             fresh_from: list.started,
             denied: now - BELIEF,
+            told: (now - BELIEF, f64::INFINITY),
             ..Worker::default()
         });
         if worker.list.started != list.started {
@@ -248,11 +249,7 @@
         self.touched.insert(id);
         submission.since = now;
         submission.ended |= terminal;
-        let proven = matches!(
-            ending,
-            Ending::Read | Ending::Full | Ending::Stateless | Ending::Unreachable | Ending::NeverSent
-        );
-        if !out.reading && !proven && submission.ran.is_none() {
+        if !out.reading && !ending.never_ran() && submission.ran.is_none() {
             submission.ran = Some((out.sent, out.worker));
         }
         let held_there = submission.place.is_some_and(|(w, held)| held && w == out.worker);
@@ -317,7 +314,8 @@
 
     pub fn probed(&mut self, now: Tenths, worker: WorkerId, well: bool) {
         let Some(w) = self.workers.get_mut(&worker) else { return };
-        w.probing = false;
+        // Where it says nothing that can be read, what was believed stands, and it is not asked again and again.
+        (w.probing, w.told.0) = (false, if well { now } else { w.told.0 });
         if std::mem::take(&mut w.asked) && !well {
             self.suspect(worker);
         } else if !well {
@@ -537,8 +535,7 @@
                 w.back(now);
             }
         }
-        let workers = &self.workers;
-        self.watched.retain(|id| workers[id].suspect || workers[id].rests_until > 0);
+        self.watched.retain(|id| self.workers[id].suspect || self.workers[id].rests_until > 0);
     }
 
     /// Whether a shot or place may go to the worker, a choice for all or for those read in one cell.
@@ -735,17 +732,21 @@
         }
     }
 
-    /// Exception to the first reader: the first than which none behind it is clearly emptier by its own word; none
-    /// while that is awaited. Guards against reads that meet at one while others idle, where a router sees little.
+    /// Exception to the first reader: the first than which none behind it is clearly emptier by its own word, which
+    /// is asked where that may be; none while that is awaited. Guards against reads that meet at one while others
+    /// idle, where a router sees little. Harms where a worker that fails at once looks empty.
     fn emptiest(&mut self, now: Tenths, s: &Submission, found: &[WorkerId]) -> Option<WorkerId> {
         let (mut best, mut awaited): (Option<(f64, WorkerId)>, bool) = (None, false);
-        let amount = self.terms.amount(s.arrival.prompt);
+        let margin = EMPTIER * self.terms.amount(s.arrival.prompt);
         for id in found.iter().filter(|_| found.len() > 1) {
+            if best.map_or(awaited && now < s.since + LOOK, |(least, _)| least < margin) {
+                break;
+            }
             let Some(w) = self.workers.get_mut(id) else { continue };
             let has = w.told.1 / w.list.size.max(0.01);
             if now < w.told.0 + HEARSAY {
-                best = best.filter(|(least, _)| has + EMPTIER * amount > *least).or(Some((has, *id)));
-            } else if now + LOOK < s.contract.min(s.since + 2 * LOOK) {
+                best = best.filter(|(least, _)| has + margin > *least).or(Some((has, *id)));
+            } else if now + LOOK < s.contract.min(s.since + 3 * LOOK) {
                 awaited = true;
                 let probed = std::mem::replace(&mut w.probing, true);
                 w.asked |= !probed;
@@ -863,9 +864,8 @@
     }
 
     fn send(&mut self, now: Tenths, s: &mut Submission, worker: WorkerId, reading: bool, cross: bool) {
-        let number = s.shots;
+        s.out = Some(Shot { number: s.shots, worker, reading, sent: now, cross, ..Shot::default() });
         s.shots += 1;
-        s.out = Some(Shot { number, worker, reading, sent: now, cross, ..Shot::default() });
         if let Some(w) = self.workers.get_mut(&worker) {
             w.told.1 += self.terms.amount(s.arrival.prompt);
             if reading {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -56,6 +56,14 @@
     Read,
 }
 
+impl Ending {
+    /// It shows that no answer has begun, nor ever will.
+    pub fn never_ran(self) -> bool {
+        use Ending::*;
+        matches!(self, Read | Full | Stateless | Unreachable | NeverSent)
+    }
+}
+
 /// What holds for one track of submissions.
 #[derive(Clone, Debug)]
 pub struct Track {
