Reads lean towards writers by as much as readers have writers in their cell

At fault, Router::share_out: a cell with no writer got the least part wherever there is one.

Change: the lean is at most half of an even part times the part of readers that have writers near. Where all have, as on the older sites, nothing changes. Harms where links are scarce and few cells have writers.

--- a/tests/before/choice.rs
+++ b/tests/before/choice.rs
@@ -15,10 +15,8 @@
 const SPILL: f64 = 4_000.0;
 /// The least filled takes up to so many times the bound where all are past it.
 const FILLED: f64 = 2.0;
-/// A reader's part of all reads is at most so many times an even one, which readers as a whole can spare.
-const LEAN: f64 = 1.5;
-/// And at least this part of an even one.
-const LEAN_LEAST: f64 = 0.5;
+/// A reader's part of all reads differs by so much of an even one at most, times the part that has writers near.
+const LEAN: f64 = 0.5;
 /// Steps in which the parts are scaled until they fit between the two bounds; more change little.
 const ROUNDS: u32 = 8;
 /// One prefix may take so many times an even part of the reads at each of its homes.
@@ -505,11 +503,13 @@
         };
         let readers = self.workers.iter().filter(|(_, w)| ready(w) && w.role != Role::Writer);
         let leans: Vec<_> = readers.map(|(&id, w)| (id, w.list.size.max(0.01), lean(w))).collect();
+        let sum = |all: bool| leans.iter().filter(|l| all || l.2 > 0.0).map(|l| l.1).sum::<f64>();
+        let most = LEAN * sum(false) / sum(true).max(0.01);
         let mut scale = 1.0;
         for _ in 0..ROUNDS {
-            let parts = leans.iter().map(|&(id, size, l)| (id, size * (l * scale).clamp(LEAN_LEAST, LEAN)));
-            self.shares = parts.collect();
-            scale *= leans.iter().map(|l| l.1).sum::<f64>() / self.shares.values().sum::<f64>().max(0.01);
+            let part = |l: f64| (l * scale).clamp(1.0 - most, 1.0 + most);
+            self.shares = leans.iter().map(|&(id, size, l)| (id, size * part(l))).collect();
+            scale *= sum(true) / self.shares.values().sum::<f64>().max(0.01);
         }
     }
 
--- a/tests/lessons.rs
+++ b/tests/lessons.rs
@@ -291,6 +291,35 @@
     }
 }
 
+#[test]
+fn where_few_cells_have_writers_their_readers_get_hardly_more_than_others() {
+    // Twelve workers in four cells, writers in the first so many of them.
+    let parts = |with_writers: u16| {
+        let mut world = World::new(Terms { places: false, ..terms() }, 12);
+        for n in (0..12).filter(|n| listing(*n).cell >= with_writers) {
+            world.relist(Listing { kind: 0, zone: 0, ..listing(n) });
+        }
+        (0..12)
+            .filter(|n| listing(*n).cell < with_writers)
+            .for_each(|n| world.relist(Listing { zone: 0, ..listing(n) }));
+        world.pull();
+        let mut reads = [0.0, 0.0];
+        for prefix in 1..400 {
+            let id = world.arrive(0, prefix, 10.0, LEFT);
+            let cell = cell(&world, at(&world, id));
+            reads[usize::from(cell >= with_writers)] += 1.0;
+            world.settle(id, Ending::Read);
+            world.start(id);
+            world.settle(id, Ending::Honoured);
+            world.pass(10 * MS);
+        }
+        let readers = [f64::from(with_writers), 3.0 * f64::from(4 - with_writers)];
+        (reads[0] / readers[0]) / (reads[1] / readers[1]).max(1e-9)
+    };
+    let (one, most) = (parts(1), parts(3));
+    assert!((0.7..1.6).contains(&one) && most > 1.8, "one cell of four {one}, three of four {most}");
+}
+
 #[test]
 fn a_paused_worker_keeps_its_shots() {
     let mut world = World::new(terms(), 3);
