Reports without a list of columns are none, and do not end the program at start

Need: settings that are not known are passed over; a deployment whose probes bring reports without columns would have ended the program. A list that is none still ends it, naming the key.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -126,7 +126,8 @@
 /// The column of load reports that says how much work waits, where probes bring reports and one does: prompt
 /// tokens, by what the settings say of a column that has its meaning from the family, else shots.
 pub fn report(root: &Value) -> Result<Option<Report>, String> {
-    if at(root, "report.how").ok().and_then(Value::as_str) != Some("probe") {
+    let by_probe = at(root, "report.how").ok().and_then(Value::as_str) == Some("probe");
+    if !by_probe || at(root, "report.columns").is_err() {
         return Ok(None);
     }
     let columns = list(root, "report.columns")?;
