--- a/.ci/tests.sh
+++ b/.ci/tests.sh
@@ -4,11 +4,11 @@
 # TESTS, in place of cargo's run, is a command that prints what the tests say; the script's own test sets it.
 set -u
 red=${KNOWN_RED:-KNOWN-RED.txt}
-said=$(mktemp)
-trap 'rm -f "$said"' EXIT
 if [ ! -s "$red" ]; then
     exec ${TESTS:-cargo test --workspace --locked}
 fi
+said=$(mktemp)
+trap 'rm -f "$said"' EXIT
 lines=$(grep -c . "$red")
 if [ "$lines" -gt 3 ]; then
     echo "$red has $lines lines; at most three tests may be known to fail" >&2
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -88,14 +88,12 @@
             }
         }
         let Some(body) = &mut self.body else { return Ok(vec![]) };
-        let (mut objects, mut lines, pending) = (vec![], false, !self.object.is_empty());
+        let (mut lines, pending) = (false, !self.object.is_empty());
         while let Some(piece) = body.next(&mut self.arrived)? {
             lines |= piece.contains(&b'\n');
             self.object.extend_from_slice(&piece);
         }
-        if lines {
-            objects = whole_objects(&mut self.object)?;
-        }
+        let objects = if lines { whole_objects(&mut self.object)? } else { vec![] };
         if self.object.len() > OBJECT {
             return Err(Problem::BodyTooLarge(OBJECT as u64).into());
         }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -463,8 +463,7 @@
         let Some(s) = open.get_mut(id) else { return };
         let (track, mut to) = (s.arrival.track, Filed::default());
         if let Some(out) = s.out.as_ref().filter(|out| !out.started) {
-            let least = (s.contract - s.came) as f64 * DOUBTFUL;
-            to.doubt = Some(out.sent + least as Tenths);
+            to.doubt = Some(out.sent + ((s.contract - s.came) as f64 * DOUBTFUL) as Tenths);
         }
         let asks = |out: &Shot| out.reading && !out.withdrawn && s.place.is_none() && self.terms.places;
         if !s.ended && s.out.as_ref().is_none_or(asks) {
@@ -641,7 +640,8 @@
 
     /// Whether a writer in the cell, or beyond it through the gate, may grant.
     fn grants(&mut self, now: Tenths, cell: u16, ticket: Ticket) -> bool {
-        self.roster.writers.clone().iter().any(|&id| {
+        (0..self.roster.writers.len()).any(|n| {
+            let id = self.roster.writers[n];
             let near = self.workers[&id].list.cell == cell;
             !self.workers[&id].tight(now)
                 && (near || self.gate(now))
