What is held is released in one place, in time whatever attempts say nothing

Beside it: a release was given up when the next attempt was sent on a resting connection, dead or not; when 16 workers did not answer; and was tried at workers by their ids, of which half may be cut off. Change: crates/platform/src/held.rs in place of errands and of what was left behind: one entry a request from the moment in which something may be held, with its own clock, paid at once where nobody wants it and 200 ms before its time is over whatever is out; tried where it is held, then where a worker was heard last, in rounds until the time is over, 16 calls at most.

--- a/crates/host/src/books.rs
+++ b/crates/host/src/books.rs
@@ -374,6 +374,7 @@
             if !s.holds_nothing() {
                 self.let_go(id, ways);
             }
+            ways.closed(id);
             self.submissions.remove(id);
         }
     }
--- a/crates/host/src/ways.rs
+++ b/crates/host/src/ways.rs
@@ -52,6 +52,8 @@
     /// The shot has ended, whoever ended it.
     fn settled(&mut self, id: SubmissionId, s: &Submission<Self::Asked>, shot: &Shot, ending: Ending);
     fn answer(&mut self, id: SubmissionId, s: &Submission<Self::Asked>, answer: Answer);
+    /// The submission is over, nothing is out for it, and the books forget it.
+    fn closed(&mut self, _id: SubmissionId) {}
     fn probe(&mut self, nonce: u64, at: WorkerId);
     /// The probe of a worker was answered or given up.
     fn probed(&mut self, at: WorkerId);
--- a/crates/platform/src/entry.rs
+++ b/crates/platform/src/entry.rs
@@ -226,6 +226,7 @@
         let asked = Asked { client: link, trace: ask.trace, target, fields, body };
         let s = Submission::new(asked, ask.track, (ask.session, ask.prefix), tokens).waits(now, left);
         let id = self.books.submissions.coming();
+        tracing::debug!(id, %trace, link = link.0, "takes a request");
         self.clients.asked(link, trace, id);
         let (books, mut exit) = self.parts(now, out);
         books.submitted(now, s, None, &mut exit);
--- a/crates/platform/src/exit.rs
+++ b/crates/platform/src/exit.rs
@@ -1,6 +1,5 @@
 //! The books' words as calls to workers and answers to clients.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -12,16 +11,13 @@
 
 use crate::ask::Asked;
 use crate::clients::{text, Clients};
-use crate::errands::Errands;
 use crate::file::Terms;
+use crate::held::Held;
 use crate::pools::{Job, Pools};
 use crate::program::{key, Ring};
 use crate::watch::Watch;
 use crate::words;
 
-/// Microseconds in which a dialled connection is there, unless something is wrong on its way: some round trips
-/// and what the worker needs for it.
-pub const COMES_UP: Micros = 50_000;
 /// Microseconds: an answer on a place comes within 0.3 s, or after the read has ended.
 const PLACE: Micros = 1_000_000;
 
@@ -45,10 +41,8 @@
     pub terms: &'a Terms,
     pub clients: &'a mut Clients,
     pub pools: &'a mut Pools,
-    pub errands: &'a mut Errands,
+    pub held: &'a mut Held,
     pub watch: &'a mut Watch,
-    /// Submissions with a read that may have left a state behind, though its shot did not end well, and since when.
-    pub left_behind: &'a mut BTreeMap<SubmissionId, (Arc<str>, Micros)>,
     pub later: &'a mut Later,
     pub stopping: bool,
     pub now: Micros,
@@ -57,26 +51,17 @@
 
 impl Exit<'_> {
     /// Asks for a place; only called once the reader has the whole request.
-    pub fn place(&mut self, id: SubmissionId, trace: &str, at: WorkerId) {
+    pub fn place(&mut self, id: SubmissionId, trace: &Arc<str>, at: WorkerId) {
         let target = format!("{}{trace}", words::PLACES);
         let bytes = write::request("POST", &target, [("host", "worker")], Some(b""));
         let link = self.pools.call(self.now, at, Job::Place { id }, bytes, self.out);
         if let Some(conn) = link.and_then(|link| self.pools.get_mut(link).zip(Some(link))) {
             let (conn, link) = conn;
             conn.patience.set(self.now + PLACE, key(Ring::Worker(link)), self.out);
+            self.held.asked(self.now, id, trace, at, self.pools, self.out);
         }
     }
 
-    /// Frees all that is held for a submission: where it is held if that worker runs, else anywhere.
-    pub fn free(&mut self, id: SubmissionId, trace: Arc<str>, at: Option<WorkerId>) {
-        let mut to: Vec<WorkerId> = at.into_iter().filter(|w| self.pools.address(*w).is_some()).collect();
-        // Where a connection rests no handshake is needed.
-        let mut others: Vec<_> = self.pools.workers().filter(|w| !to.contains(w)).collect();
-        others.sort_by_key(|w| !self.pools.rests_at(*w));
-        to.extend(others);
-        self.errands.begin(self.now, id, trace, to.into_iter(), self.pools, self.out);
-    }
-
     /// An answer that is all there is to say, on a connection that goes on if it can.
     pub fn say(&mut self, link: Link, status: u16, after: Micros, what: &str) {
         let last = self.stopping || self.clients.get(link).is_none_or(|c| c.last);
@@ -101,7 +86,7 @@
 
     fn shoot(&mut self, id: SubmissionId, s: &Submission<Asked>, shot: &Shot, left: Micros) {
         let left = (left / 1_000).to_string();
-        let fields = s.asked.fields.iter().map(|(name, value)| (*name, value.as_str()));
+        let fields = s.asked.fields.iter().map(|(name, value)| (name.as_str(), value.as_str()));
         let fields = fields.chain([(words::LEFT, left.as_str())]);
         let bytes = write::request("POST", &s.asked.target, fields, Some(&s.asked.body));
         let track = self.terms.books.module.tracks.get(usize::from(s.track));
@@ -111,7 +96,7 @@
             self.later.endings.push((id, shot.number, Ending::NeverSent));
         }
         if self.pools.shot_is_up(id) {
-            self.errands.cancel(id, self.pools, self.out);
+            self.held.pause(self.now, id, self.pools, self.out);
         }
     }
 
@@ -134,8 +119,8 @@
         places: &[WorkerId],
         state: Option<WorkerId>,
     ) {
-        self.left_behind.remove(&id);
-        self.free(id, s.asked.trace.clone(), state.or(places.last().copied()));
+        let at = state.or(places.last().copied());
+        self.held.let_go(self.now, id, &s.asked.trace, at, self.pools, self.out);
     }
 
     fn withdraw(&mut self, id: SubmissionId, _shot: &Shot) -> bool {
@@ -147,13 +132,22 @@
     }
 
     fn settled(&mut self, id: SubmissionId, s: &Submission<Asked>, shot: &Shot, ending: Ending) {
-        self.pools.over(id);
-        if shot.reading && !ending.never_ran() {
-            self.left_behind.insert(id, (s.asked.trace.clone(), self.now));
-            self.out.ring(self.now + COMES_UP, key(Ring::CleanUp));
+        let sent = self.pools.over(id).unwrap_or(self.now);
+        let (trace, pools, out) = (&s.asked.trace, &mut *self.pools, &mut *self.out);
+        if ending == Ending::Read {
+            self.held.read(self.now, id, trace, shot.worker, pools, out);
+        } else if shot.reading && !ending.never_ran() {
+            self.held.read_badly((self.now, sent), id, trace, shot.worker, pools, out);
+        } else if ending != Ending::Honoured && !shot.started {
+            let spoke = matches!(ending, Ending::Full | Ending::Stateless | Ending::Fault);
+            self.held.stays(self.now, id, trace, (s.state, spoke), pools, out);
         }
     }
 
+    fn closed(&mut self, id: SubmissionId) {
+        self.held.unwanted(self.now, id, self.pools, self.out);
+    }
+
     fn answer(&mut self, id: SubmissionId, s: &Submission<Asked>, answer: Answer) {
         let link = s.asked.client;
         let Some(streams) = self.clients.streams(link, id) else { return };
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,9 +9,9 @@
 mod ask;
 mod clients;
 mod entry;
-mod errands;
 mod exit;
 mod file;
+mod held;
 mod list;
 mod patience;
 mod pools;
--- a/crates/platform/src/patience.rs
+++ b/crates/platform/src/patience.rs
@@ -13,6 +13,10 @@
 impl Patience {
     pub const ENDLESS: Patience = Patience { until: Micros::MAX, rung: None };
 
+    pub fn until(&self) -> Micros {
+        self.until
+    }
+
     /// Waits until then from now on.
     pub fn set(&mut self, until: Micros, key: u64, out: &mut Outbox) {
         self.until = until;
--- a/crates/platform/src/pools.rs
+++ b/crates/platform/src/pools.rs
@@ -33,8 +33,8 @@
     Place {
         id: SubmissionId,
     },
-    Errand {
-        number: u64,
+    Release {
+        id: SubmissionId,
     },
     Probe {
         nonce: u64,
@@ -89,7 +89,10 @@
     resting: BTreeMap<WorkerId, Vec<Link>>,
     /// Resting connections of all workers, the longest rest first.
     rests: BTreeSet<(Micros, Link)>,
-    shots: HashMap<SubmissionId, Link>,
+    /// The connection that each request's attempt is out on, and since when.
+    shots: HashMap<SubmissionId, (Link, Micros)>,
+    /// When each worker was last heard.
+    heard: HashMap<WorkerId, Micros>,
     places: BTreeMap<WorkerId, Address>,
     probes: HashMap<WorkerId, Link>,
     most: usize,
@@ -111,7 +114,7 @@
 
     /// The connection that a submission's shot is out on.
     pub fn shot(&self, id: SubmissionId) -> Option<Link> {
-        self.shots.get(&id).copied()
+        self.shots.get(&id).map(|(link, _)| *link)
     }
 
     /// How many shots are out on connections to each worker, and how many connections there are and rest.
@@ -125,16 +128,32 @@
 
     /// Whether a submission's shot has a connection that is there.
     pub fn shot_is_up(&self, id: SubmissionId) -> bool {
-        self.shots.get(&id).and_then(|link| self.conns.get(link)).is_some_and(|conn| conn.up)
+        self.shot(id).and_then(|link| self.conns.get(&link)).is_some_and(|conn| conn.up)
+    }
+
+    /// Whether a submission's attempt is out to be read.
+    pub fn reads(&self, id: SubmissionId) -> bool {
+        let job = self.shot(id).and_then(|link| self.conns.get(&link)).and_then(|conn| conn.job);
+        matches!(job, Some(Job::Shot { reading: true, .. }))
     }
 
-    pub fn over(&mut self, id: SubmissionId) {
-        self.shots.remove(&id);
+    /// A submission's attempt is over: when it went out, if it did.
+    pub fn over(&mut self, id: SubmissionId) -> Option<Micros> {
+        self.shots.remove(&id).map(|(_, sent)| sent)
+    }
+
+    /// Bytes have come from the worker on that connection.
+    pub fn hears(&mut self, now: Micros, link: Link) -> Option<&mut Conn> {
+        let conn = self.conns.get_mut(&link)?;
+        self.heard.insert(conn.worker, now);
+        Some(conn)
     }
 
-    /// Whether a call to the worker needs no new connection.
-    pub fn rests_at(&self, worker: WorkerId) -> bool {
-        self.resting.get(&worker).is_some_and(|links| !links.is_empty())
+    /// Workers that are not gone, the one that was heard last first.
+    pub fn heard_last(&self) -> impl Iterator<Item = WorkerId> {
+        let mut workers: Vec<_> = self.workers().collect();
+        workers.sort_by_key(|w| std::cmp::Reverse(self.heard.get(w).copied()));
+        workers.into_iter()
     }
 
     /// Where a worker is reached. Connections opened before its process started are dead: they come back.
@@ -147,6 +166,7 @@
     /// A worker is gone: nothing new reaches it, and what rests there is put away.
     pub fn gone(&mut self, worker: WorkerId, out: &mut Outbox) {
         self.places.remove(&worker);
+        self.heard.remove(&worker);
         for link in self.resting.remove(&worker).unwrap_or_default() {
             self.end(link, out);
         }
@@ -233,7 +253,7 @@
         (conn.place, conn.streams, conn.heads) = (None, false, 0);
         conn.patience.set(Micros::MAX, 0, out);
         if let Job::Shot { id, .. } = job {
-            self.shots.insert(id, link);
+            self.shots.insert(id, (link, now));
         }
         if let Job::Probe { .. } = job {
             self.probes.insert(worker, link);
--- a/crates/platform/src/program.rs
+++ b/crates/platform/src/program.rs
@@ -1,7 +1,6 @@
 //! The program: what happens on links goes to the books, then their words go out.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 use bytes::Bytes;
 use tideroute::interface::{Ending, Listing, Standing, SubmissionId};
@@ -12,9 +11,9 @@
 
 use crate::ask::Asked;
 use crate::clients::{At, Clients};
-use crate::errands::Errands;
-use crate::exit::{Exit, Later, COMES_UP};
+use crate::exit::{Exit, Later};
 use crate::file::{self, Terms};
+use crate::held::Held;
 use crate::list;
 use crate::pools::{Heard, Job, Pools};
 use crate::watch::Watch;
@@ -44,14 +43,13 @@
     Books(Timer),
     Client(Link),
     Worker(Link),
-    Errand(u64),
+    /// What is held for a request, by the short form of its id.
+    Held(u64),
     Watch,
     /// The time for new submissions after a signal to end.
     Grace,
     /// What is believed is told.
     Belief,
-    /// What a read left behind may be freed under a shot that does not come up.
-    CleanUp,
 }
 
 pub(crate) fn key(ring: Ring) -> u64 {
@@ -62,11 +60,10 @@
         Ring::Books(Timer::Shares) => (3, 0),
         Ring::Client(link) => (4, link.number()),
         Ring::Worker(link) => (5, link.number()),
-        Ring::Errand(number) => (6, number),
+        Ring::Held(id) => (6, id),
         Ring::Watch => (7, 0),
         Ring::Grace => (8, 0),
         Ring::Belief => (9, 0),
-        Ring::CleanUp => (10, 0),
     };
     kind << KIND | what
 }
@@ -76,9 +73,8 @@
     pub(crate) books: Books<Asked>,
     pub(crate) clients: Clients,
     pools: Pools,
-    errands: Errands,
+    held: Held,
     watch: Watch,
-    left_behind: BTreeMap<SubmissionId, (Arc<str>, Micros)>,
     later: Later,
     /// Since when a whole list is heard that is older than the one in force.
     stale: Option<Micros>,
@@ -95,11 +91,10 @@
         Platform {
             books: Books::new(terms.books.clone(), now),
             pools: Pools::new(terms.rooms.workers, terms.dial, terms.idle / REST),
+            held: Held::new(terms.release),
             terms,
             clients: Clients::default(),
-            errands: Errands::default(),
             watch: Watch::default(),
-            left_behind: BTreeMap::new(),
             later: Later::default(),
             stale: None,
             told: false,
@@ -120,9 +115,8 @@
             terms: &self.terms,
             clients: &mut self.clients,
             pools: &mut self.pools,
-            errands: &mut self.errands,
+            held: &mut self.held,
             watch: &mut self.watch,
-            left_behind: &mut self.left_behind,
             later: &mut self.later,
             stopping: self.stopping,
             now,
@@ -152,7 +146,7 @@
     }
 
     fn worker_heard(&mut self, now: Micros, link: Link, bytes: &Bytes, out: &mut Outbox) {
-        let Some(conn) = self.pools.get_mut(link) else { return };
+        let Some(conn) = self.pools.hears(now, link) else { return };
         if conn.job.is_none() {
             // Nothing was asked on it: whatever comes next could not be told from it.
             return self.pools.end(link, out);
@@ -211,6 +205,7 @@
         self.clients.begin(client);
         let (books, mut exit) = self.parts(now, out);
         books.started(now, id, &mut exit);
+        exit.held.taken(id, exit.pools, exit.out);
         if let Some(s) = books.submissions.get_mut(id) {
             // No other shot will need it.
             s.asked.body = Bytes::new();
@@ -236,13 +231,19 @@
                 self.settle(now, id, number, ending, out);
             }
             Job::Place { id } => {
-                // 204 and 404 tell nothing: a place may be held all the same, or nobody knows of one.
+                // With 204 a place may be held all the same, though nobody there knows of a read.
+                if matches!(status, 404 | 409) {
+                    self.held.no_place(id);
+                }
                 if matches!(status, 200 | 409) {
+                    if self.pools.reads(id) {
+                        self.held.rests(id, out);
+                    }
                     let (books, mut exit) = self.parts(now, out);
                     books.held(now, id, worker, status == 200, &mut exit);
                 }
             }
-            Job::Errand { number } => self.errands.done(number, Some(link), &mut self.pools, out),
+            Job::Release { id } => self.held.released(id, link, &mut self.pools, out),
             Job::Probe { nonce } => {
                 let column = self.terms.report.as_ref();
                 let amount = column.and_then(|c| c.amount(words::reported(&report, &c.name)?));
@@ -267,8 +268,9 @@
     fn came_to_nothing(&mut self, now: Micros, link: Link, job: Job, ending: Ending, out: &mut Outbox) {
         match job {
             Job::Shot { id, number, .. } => self.settle(now, id, number, ending, out),
+            Job::Place { id } if ending.never_ran() => self.held.no_place(id),
             Job::Place { .. } => {}
-            Job::Errand { number } => self.errands.lost(now, number, link, &mut self.pools, out),
+            Job::Release { id } => self.held.lost(now, id, link, &mut self.pools, out),
             Job::Probe { nonce } => {
                 let (books, mut exit) = self.parts(now, out);
                 books.probed(now, nonce, false, &mut exit);
@@ -346,23 +348,13 @@
         out.ring(now + TELLS, key(Ring::Belief));
     }
 
-    /// A read that did not end well may have left a state: it is let go once no shot is out and the books know of
-    /// none, unless an answer has begun, with which all else goes by itself. A shot whose connection does not come
-    /// up takes nothing: guards against a state that stays held while one worker after another is dialled in vain.
+    /// What a read that ended badly may have left is released at once where no attempt follows it.
     fn clean_up(&mut self, now: Micros, out: &mut Outbox) {
-        let mut free = vec![];
-        let (submissions, pools) = (&self.books.submissions, &self.pools);
-        self.left_behind.retain(|id, (trace, since)| {
-            let takes = pools.shot_is_up(*id) || now < *since + COMES_UP;
-            let stays = submissions.get(*id).is_some_and(|s| s.shot.is_some() && !s.streams() && takes);
-            let begun = submissions.get(*id).is_some_and(|s| s.streams());
-            if !stays && !begun {
-                free.push((*id, trace.clone()));
+        for id in self.held.doubtful() {
+            let wanted = |s: &tideroute_host::Submission<Asked>| s.shot.is_some() || s.state.is_some();
+            if !self.books.submissions.get(id).is_some_and(wanted) {
+                self.held.unwanted(now, id, &mut self.pools, out);
             }
-            stays
-        });
-        for (id, trace) in free {
-            self.parts(now, out).1.free(id, trace, None);
         }
     }
 }
@@ -387,12 +379,11 @@
         self.client_came(now, link, out);
     }
 
-    /// What an earlier shot left is replaced by what this one makes, and must not be freed under it.
-    fn opened(&mut self, _now: Micros, link: Link, out: &mut Outbox) {
+    fn opened(&mut self, now: Micros, link: Link, out: &mut Outbox) {
         let Some(conn) = self.pools.get_mut(link) else { return };
         conn.up = true;
         if let Some(Job::Shot { id, .. }) = conn.job {
-            self.errands.cancel(id, &mut self.pools, out);
+            self.held.pause(now, id, &mut self.pools, out);
         }
     }
 
@@ -464,7 +455,10 @@
             3 => Timer::Shares,
             4 => return self.client_rang(now, Link(what), out),
             5 => return self.worker_rang(now, Link::of_dial(what), out),
-            6 => return self.errands.rang(now, what, &mut self.pools, out),
+            6 => {
+                let id = self.books.submissions.long(what);
+                return self.held.rang(now, id, &mut self.pools, out);
+            }
             7 => {
                 if self.watch.rang(now, out) {
                     self.watch.begin(now, self.terms.discovery, self.books.version(), out);
@@ -537,7 +531,7 @@
     fn done(&self) -> bool {
         self.grace_over
             && self.clients.is_empty()
-            && self.errands.is_empty()
+            && self.held.is_empty()
             && self.books.submissions.is_empty()
     }
 }
--- /dev/null
+++ b/crates/platform/tests/held.rs
@@ -0,0 +1,180 @@
+//! What is held for a request is released in time, however the attempts before it end, on bytes in virtual time. The
+//! settings allow 1 s, and the protocol 300 ms more.
+
+mod common;
+
+use common::*;
+use tideroute_wire::link::{Link, Loss};
+
+const RELEASE: &str = "DELETE /internal/reservations/id ";
+const FREED: &str = "HTTP/1.1 204 No Content\r\n\r\n";
+
+/// A request that has just been read, and the link and place of its reader.
+fn read(class: &str) -> (Stage, Link, Link, usize) {
+    let mut stage = Stage::new();
+    let client = stage.come();
+    stage.say(client, ask("id", class));
+    let (reader, at) = stage.shot();
+    stage.calls("POST /internal");
+    stage.say(reader, READ);
+    (stage, client, reader, at)
+}
+
+/// Lets time pass in which workers answer probes: none is left for its silence alone.
+fn pass(stage: &mut Stage, time: u64) {
+    for _ in 0..time / 10 {
+        stage.pass(10 * MS);
+        stage.calls("GET /alive").into_iter().for_each(|(link, _)| stage.say(link, plain(200, "", "")));
+    }
+}
+
+#[test]
+fn a_state_is_released_in_time_though_an_attempt_is_out_of_which_nothing_is_heard() {
+    for class in ["safe", "keyed", "once"] {
+        let (mut stage, client, reader, _) = read(class);
+        let (writer, _) = stage.shot();
+        pass(&mut stage, 790);
+        assert!(stage.calls(RELEASE).is_empty(), "{class}: the attempt may take it yet");
+        // Guards against a connection that leads nowhere: the time runs on.
+        pass(&mut stage, 20);
+        assert_eq!(stage.call(RELEASE).0, reader, "{class}: where it is held, and no handshake is needed");
+        stage.say(reader, FREED);
+        // Whoever has the attempt after all may answer it.
+        stage.say(writer, stream());
+        assert_eq!(unchunked(&stage.text(client)), (EVENTS.concat(), true), "{class}");
+        stage.pass(2_000 * MS);
+        assert!(stage.calls(RELEASE).is_empty(), "{class}: once is enough");
+    }
+}
+
+#[test]
+fn dials_that_fail_do_not_begin_the_time_anew_and_a_workers_word_does() {
+    let (mut stage, _, _, _) = read("once");
+    stage.eager = false;
+    let mut waited = 0;
+    while let Some((writer, _)) = stage.calls("POST /v1").first().copied().filter(|_| waited < 750) {
+        stage.pass(250 * MS);
+        waited += 250;
+        stage.lose_as(writer, Loss::Unreached);
+    }
+    stage.pass((810 - waited) * MS);
+    assert!(!stage.calls(RELEASE).is_empty(), "after {waited} ms of dials");
+
+    let (mut stage, _, _, _) = read("safe");
+    stage.pass(400 * MS);
+    let (writer, _) = stage.shot();
+    stage.say(writer, NEVER_RAN);
+    assert!(stage.calls(RELEASE).is_empty());
+    let (_second, _) = stage.shot();
+    stage.pass(790 * MS);
+    assert!(stage.calls(RELEASE).is_empty(), "a worker has spoken 790 ms ago");
+    stage.pass(20 * MS);
+    stage.call(RELEASE);
+}
+
+#[test]
+fn a_state_that_outlives_a_release_is_released_again() {
+    let (mut stage, client, reader, _) = read("safe");
+    let (writer, _) = stage.shot();
+    stage.pass(810 * MS);
+    stage.call(RELEASE);
+    stage.say(reader, FREED);
+    // The attempt waited over there after all, with the state, which stays when it is turned away.
+    stage.say(writer, NEVER_RAN);
+    let (_second, _) = stage.shot();
+    stage.lose(client);
+    stage.pass(MS);
+    stage.call(RELEASE);
+}
+
+#[test]
+fn what_a_read_left_is_released_in_time_under_the_next_attempt_that_says_nothing() {
+    let mut stage = Stage::new();
+    let client = stage.come();
+    stage.say(client, ask("id", "safe"));
+    let (first, _) = stage.shot();
+    stage.calls("POST /internal");
+    stage.pass(100 * MS);
+    stage.lose(first);
+    // The next one has its connection at once: what it makes takes the turn of what was left.
+    let (_second, _) = stage.shot();
+    stage.pass(690 * MS);
+    assert!(stage.calls(RELEASE).is_empty());
+    stage.pass(20 * MS);
+    assert!(!stage.calls(RELEASE).is_empty(), "nothing is heard of it, and the first may have ended well");
+}
+
+#[test]
+fn a_place_of_which_nobody_spoke_is_given_back_in_time() {
+    for (answer, released) in [(None, true), (Some(FREED), true), (Some(""), false)] {
+        let mut stage = Stage::new();
+        let client = stage.come();
+        stage.say(client, ask("id", "safe"));
+        let (_reader, _) = stage.shot();
+        let (place, _) = stage.call("POST /internal/reservations/id ");
+        match answer {
+            Some("") => stage.say(place, plain(200, "", "")),
+            Some(unknown) => stage.say(place, unknown),
+            None => {}
+        }
+        pass(&mut stage, 810);
+        assert_eq!(!stage.calls(RELEASE).is_empty(), released, "{answer:?}");
+    }
+}
+
+#[test]
+fn nobody_can_be_told_for_a_while_and_it_goes_on_within_bounds_until_the_time_is_over() {
+    let (mut stage, client, reader, _) = read("safe");
+    let (writer, _) = stage.shot();
+    stage.lose(client);
+    stage.pass(MS);
+    assert!(stage.ended.contains_key(&writer));
+    let mut links = stage.calls(RELEASE).into_iter().map(|(link, _)| link).collect::<Vec<_>>();
+    assert_eq!(links, [reader]);
+    for _ in 0..12 {
+        stage.pass(100 * MS);
+        links.extend(stage.calls(RELEASE).into_iter().map(|(link, _)| link));
+        let out = links.iter().filter(|link| !stage.ended.contains_key(link)).count();
+        assert!(out <= 16, "{out} calls out");
+    }
+    assert!(links.len() > 20, "tried {} times, each worker more than once", links.len());
+    stage.pass(500 * MS);
+    links.extend(stage.calls(RELEASE).into_iter().map(|(link, _)| link));
+    assert!(links.iter().all(|link| stage.ended.contains_key(link)), "its time is over");
+}
+
+#[test]
+fn who_was_heard_last_is_told_first_where_the_holder_is_silent() {
+    let (mut stage, client, reader, at) = read("safe");
+    let (writer, _) = stage.shot();
+    // Another client's request is answered meanwhile, by others.
+    let other = stage.come();
+    stage.say(other, ask("other", "safe"));
+    let (second, heard) = stage.shot();
+    stage.say(second, READ);
+    stage.lose(client);
+    stage.pass(MS);
+    assert!(stage.ended.contains_key(&writer));
+    let asked: Vec<_> = stage.calls(RELEASE);
+    assert_eq!(asked, [(reader, at)]);
+    stage.pass(101 * MS);
+    if heard != at {
+        assert_eq!(stage.call(RELEASE).1, heard);
+    }
+}
+
+#[test]
+fn it_does_not_end_while_something_may_be_held() {
+    let (mut stage, client, reader, _) = read("safe");
+    let (writer, _) = stage.shot();
+    stage.stop();
+    stage.pass(700 * MS);
+    stage.lose(client);
+    stage.pass(MS);
+    assert!(stage.ended.contains_key(&writer));
+    use tideroute_wire::link::Program;
+    assert!(!stage.program.done(), "the state is still to be released");
+    stage.call(RELEASE);
+    stage.say(reader, FREED);
+    assert!(stage.program.done());
+}
