Fields of clients go on to workers, and with them the key of a repeat

Cause: crates/platform/src/words.rs, PASSED_ON. Change: all end-to-end fields go on (RFC 9110, 7.6.1), framing and the time left are ours. Test: fields_of_a_client_go_on_to_both_workers..., seen to fail before.

--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -12,6 +12,20 @@
     pub body: u64,
 }
 
+/// Fields that are for one hop alone.
+const ONE_HOP: [&str; 10] = [
+    "connection",
+    "content-length",
+    "expect",
+    "keep-alive",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
 /// Fields of one head; names are small.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Fields(Vec<(String, String)>);
@@ -68,6 +82,13 @@
         self.all(name).next().is_some()
     }
 
+    /// Those that go on to the next hop with the message: not the ones meant for this connection (RFC 9110, 7.6.1),
+    /// nor what frames the body, which is framed anew.
+    pub fn end_to_end(&self) -> impl Iterator<Item = (&str, &str)> {
+        let goes = |name: &str| !ONE_HOP.contains(&name) && !self.lists("connection", name);
+        self.0.iter().filter(move |(name, _)| goes(name)).map(|(name, value)| (name.as_str(), value.as_str()))
+    }
+
     /// Whether a list of words, which may be spread over several fields, has this one.
     fn lists(&self, name: &str, word: &str) -> bool {
         self.all(name).flat_map(|value| value.split(',')).any(|w| w.trim().eq_ignore_ascii_case(word))
--- a/crates/platform/src/ask.rs
+++ b/crates/platform/src/ask.rs
@@ -20,7 +20,7 @@
     pub trace: Arc<str>,
     pub target: String,
     /// Fields that go on to workers.
-    pub fields: Vec<(&'static str, String)>,
+    pub fields: Vec<(String, String)>,
     /// Kept while another shot may need it.
     pub body: Bytes,
 }
@@ -35,7 +35,7 @@
     pub prompt_tokens: Option<u32>,
     pub left: Micros,
     pub target: String,
-    pub fields: Vec<(&'static str, String)>,
+    pub fields: Vec<(String, String)>,
 }
 
 /// Why a request is not taken, with the status that says so.
@@ -60,7 +60,9 @@
             (None, true) => return Err(Refusal(BAD, "x-object must be there once at most")),
         };
         let (prefix, prompt_tokens) = sizes(fields)?;
-        let passed = |name: &&'static str| Some((*name, fields.one(name)?.to_string()));
+        // Workers are told anew how long the router waits; all else is theirs to understand, as the key by which they
+        // know a repeat again.
+        let passed = fields.end_to_end().filter(|(name, _)| *name != words::LEFT);
         Ok(Ask {
             trace: trace.into(),
             track: track as u8,
@@ -68,7 +70,7 @@
             prefix,
             prompt_tokens,
             left: left.saturating_mul(1_000).min(DAY),
-            fields: words::PASSED_ON.iter().filter_map(passed).collect(),
+            fields: passed.map(|(name, value)| (name.to_string(), value.to_string())).collect(),
             target: request.target,
         })
     }
--- a/crates/platform/src/words.rs
+++ b/crates/platform/src/words.rs
@@ -16,9 +16,6 @@
 pub const PLACES: &str = "/internal/reservations/";
 pub const WATCH: &str = "/discovery/hosts?watch=1&after=";
 
-/// Fields of a client that go on to workers as they came.
-pub const PASSED_ON: [&str; 7] = ["host", "content-type", TRACE, TRACK, SESSION, SIZES, "x-second-try"];
-
 /// Letters of a trace id: so many, of the kind that a path can hold too.
 const LONGEST_TRACE: usize = 128;
 
--- a/crates/platform/tests/shots.rs
+++ b/crates/platform/tests/shots.rs
@@ -54,6 +54,31 @@
     assert_eq!(stage.shot().0, reader);
 }
 
+#[test]
+fn fields_of_a_client_go_on_to_both_workers_but_for_those_of_its_connection() {
+    let mut stage = Stage::new();
+    let client = stage.come();
+    let more =
+        "Idempotency-Key: 29-55\r\nX-Customer: a\r\nX-Customer: b\r\nConnection: keep-alive, x-hop\r\n\
+                X-Hop: 1\r\nTE: trailers\r\nKeep-Alive: timeout=5\r\nHost:";
+    stage.say(client, ask("id", "keyed").replacen("Host:", more, 1));
+    for answer in [READ.to_string(), stream()] {
+        let (worker, _) = stage.shot();
+        let asked = stage.text(worker);
+        let asked = &asked[asked.rfind("POST /v1").expect("an attempt")..];
+        for there in ["\r\nidempotency-key: 29-55\r\n", "\r\nx-customer: a\r\nx-customer: b\r\n"] {
+            assert!(asked.contains(there), "{there:?} in {asked}");
+        }
+        for gone in ["x-hop", "keep-alive", "\r\nte:", "\r\nconnection:"] {
+            assert!(!asked.contains(gone), "{gone:?} in {asked}");
+        }
+        assert_eq!(asked.matches("content-length:").count(), 1, "{asked}");
+        assert_eq!(asked.matches("x-expires-in-ms:").count(), 1, "{asked}");
+        stage.say(worker, answer);
+    }
+    assert_eq!(stage.statuses(client), [200]);
+}
+
 #[test]
 fn cut_at_every_byte_all_is_the_same() {
     let (asked, answer) = (ask("id", "safe"), format!("HTTP/1.1 103 Early\r\nlink: a\r\n\r\n{}", stream()));
