Where no places are allowed, writers are asked by probes how many prompts wait there

By the debug logs of 318 routers the writers of cells 10 and 4 took 3.1 and 2.6 s to a first token in the middle, those of the 14 other cells 0.04 s; hot texts have their homes there, cell 10 has 4 readers on 2 writers: 52 and 29 attempts for each unit of size, elsewhere 5 to 15. Ruled out: readers (p50 0.1 to 0.4 s everywhere), refusals (the door shut on those waits), the network. Cause: a writer is known to be full by its 'no' to a place only (src/choice.rs, tight); this deployment allows no places, and a router that sees a writer once in minutes learns nothing from its own attempts. Its deployment's probes bring prompts waiting. Change: with a read the writers of its cell are probed, four at most; one with over 4,000 tokens waiting (SPILL) has said no. Test: lessons, where_no_places_are_allowed_....

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -175,8 +175,7 @@
 
     pub fn listed(&mut self, now: Tenths, list: Listing) {
         self.relisted = true;
-        let role = self.terms.roles.get(usize::from(list.kind)).copied();
-        let Some(role) = role else { return };
+        let Some(&role) = self.terms.roles.get(usize::from(list.kind)) else { return };
         let worker = self.workers.entry(list.worker).or_insert_with(|| Worker {
             list,
             fresh_from: list.started,
@@ -327,7 +326,10 @@
 
     /// A probed worker says how much it works on or has waiting, in the unit of the terms.
     pub fn told(&mut self, now: Tenths, worker: WorkerId, amount: f64) {
-        self.workers.entry(worker).and_modify(|w| w.told = (now, amount));
+        // Exception to places: where none may be asked for, prompts that wait at a writer are its 'no'.
+        let no = !self.terms.places && self.terms.in_tokens && amount > SPILL;
+        let Some(w) = self.workers.get_mut(&worker) else { return };
+        (w.told, w.denied) = ((now, amount), if no && w.role != Role::Reader { now } else { w.denied });
     }
 
     pub fn decide(&mut self, now: Tenths) -> Option<Decision> {
@@ -748,9 +750,7 @@
                 best = best.filter(|(least, _)| has + margin > *least).or(Some((has, *id)));
             } else if now + LOOK < s.contract.min(s.since + 3 * LOOK) {
                 awaited = true;
-                let probed = std::mem::replace(&mut w.probing, true);
-                w.asked |= !probed;
-                self.ready.extend((!probed).then_some(Decision::Probe { worker: *id }));
+                self.inquire(*id);
             }
         }
         best.map(|(_, id)| id).or(found.first().copied()).filter(|_| !awaited)
@@ -841,13 +841,22 @@
         found.or_else(|| self.least(now, ticket, near, open)).or_else(|| self.least(now, ticket, far, open))
     }
 
-    /// Asks for a place at the next writer of the reader's cell while the prompt is read.
+    /// Asks a worker how much it has.
+    fn inquire(&mut self, worker: WorkerId) {
+        let Some(w) = self.workers.get_mut(&worker).filter(|w| !w.probing && w.alive()) else { return };
+        (w.probing, w.asked) = (true, true);
+        self.ready.push_back(Decision::Probe { worker });
+    }
+
+    /// Asks for a place at the next writer of the reader's cell while the prompt is read; where none may be asked
+    /// for, all of them how much they have.
     fn ask(&mut self, now: Tenths, s: &mut Submission) {
-        let Some(out) = s.out.as_ref().filter(|o| o.reading && !o.withdrawn) else { return };
-        if s.place.is_some() || !self.terms.places {
-            return;
-        }
+        let may = s.place.is_none() && (self.terms.places || self.terms.asks && self.terms.in_tokens);
+        let Some(out) = s.out.as_ref().filter(|o| may && o.reading && !o.withdrawn) else { return };
         let Some(Listing { cell, zone, .. }) = self.workers.get(&out.worker).map(|w| w.list) else { return };
+        if !self.terms.places {
+            return self.roster.near(cell).to_vec().into_iter().take(ASKS).for_each(|id| self.inquire(id));
+        }
         let asked = s.asked.clone();
         let fits = |w: &Worker| !asked.contains(&w.list.worker) && !w.tight(now);
         let ticket = (s.arrival.id, s.arrival.track);
@@ -880,11 +889,8 @@
 
     /// Rule 2: whether the track lets the submission run again now, somewhere.
     fn may_repeat(&self, now: Tenths, s: &Submission) -> bool {
-        s.ran.is_none_or(|(first, _)| match self.terms.tracks[usize::from(s.arrival.track)].repeat {
-            Repeat::Replayable => true,
-            Repeat::SingleUse => false,
-            Repeat::Referenced { window, .. } => now < first + window,
-        })
+        let repeat = self.terms.tracks[usize::from(s.arrival.track)].repeat;
+        s.ran.is_none_or(|(first, _)| repeat.allows(now - first))
     }
 
     /// And whether it may at this worker.
@@ -927,12 +933,7 @@
     /// The final answer: a turn-back where its promise is true, else an abandonment.
     fn end(&mut self, s: &mut Submission) {
         let id = s.arrival.id;
-        let harmless = s.ran.is_none()
-            || match self.terms.tracks[usize::from(s.arrival.track)].repeat {
-                Repeat::Replayable => true,
-                Repeat::SingleUse => false,
-                Repeat::Referenced { group, .. } => group == Group::All,
-            };
+        let harmless = s.ran.is_none() || self.terms.tracks[usize::from(s.arrival.track)].repeat.anywhere();
         if s.state.is_some() || s.place.is_some() {
             self.let_go(s);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -40,6 +40,22 @@
     SingleUse,
 }
 
+impl Repeat {
+    /// Whether an attempt may follow so long after the first one that may have run.
+    pub fn allows(self, after: Tenths) -> bool {
+        match self {
+            Repeat::Replayable => true,
+            Repeat::SingleUse => false,
+            Repeat::Referenced { window, .. } => after < window,
+        }
+    }
+
+    /// Whether a further attempt is harmless wherever it runs, so that a client may be told to come again.
+    pub fn anywhere(self) -> bool {
+        matches!(self, Repeat::Replayable | Repeat::Referenced { group: Group::All, .. })
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Ending {
     Honoured,
--- a/tests/lessons.rs
+++ b/tests/lessons.rs
@@ -449,6 +449,27 @@
     order
 }
 
+#[test]
+fn where_no_places_are_allowed_a_state_goes_past_writers_of_its_cell_that_say_prompts_wait() {
+    for (places, waiting, near) in [(false, 5_000.0, false), (false, 3_000.0, true), (true, 5_000.0, true)] {
+        let mut world = World::new(Terms { asks: true, in_tokens: true, places, ..terms() }, 12);
+        let id = world.arrive(0, 1, 1_000.0, LEFT);
+        let first = world.probes[0];
+        tell(&mut world, first, 0.0);
+        let reader = at(&world, id);
+        assert_eq!(reader, first);
+        let asked = std::mem::take(&mut world.probes);
+        let writers: Vec<_> = asked.iter().filter(|w| cell(&world, **w) == cell(&world, reader)).collect();
+        assert_eq!((asked.len() == writers.len(), writers.is_empty()), (true, places), "{asked:?}");
+        for writer in asked {
+            tell(&mut world, writer, waiting);
+        }
+        world.pass(50 * MS);
+        world.settle(id, Ending::Read);
+        assert_eq!(cell(&world, at(&world, id)) == cell(&world, reader), near, "{places} {waiting}");
+    }
+}
+
 #[test]
 fn of_readers_that_are_asked_the_first_is_taken_unless_another_is_clearly_emptier() {
     // Sizes are four: four shots are one for the size. The others are asked only where that can matter.
