What crosses an ending: places under way, dials to who drains, slow clients, last words, full tables

Calls that have not left are taken back; an answer that comes behind releases again. * A connection is still being dialled to a worker that is told to drain, or is gone: the request leaves once it comes up, up to 250 ms later, of a grace of 250 ms at one customer. It is ended, and the attempt was never sent (pools.rs listed). * A worker that moved without a new start kept its old connections (pools.rs listed). * A stream whose client reads slowly passed for silent after 4.5 s, though nothing was read from its worker (program.rs crowded). Its time rests; a client that reads nothing for 15 s is ended. * A connection closed with much left to send had half a second in all; now two seconds since it last got on (reactor close). * Where no descriptor is left, the loop turned without a pause over a door that is ready (reactor accept); it looks again after 50 ms. the_end_keeps_what_it_owes answered no place and asked to be done: what was asked may be held, so it now answers, and asserts that it is not done before. Two tests of resting connections, whose workers answer no place, play without places.

--- a/crates/platform/src/exit.rs
+++ b/crates/platform/src/exit.rs
@@ -58,7 +58,7 @@
         if let Some(conn) = link.and_then(|link| self.pools.get_mut(link).zip(Some(link))) {
             let (conn, link) = conn;
             conn.patience.set(self.now + PLACE, key(Ring::Worker(link)), self.out);
-            self.held.asked(self.now, id, trace, at, self.pools, self.out);
+            self.held.asked(self.now, id, trace, (at, link), self.pools, self.out);
         }
     }
 
@@ -85,6 +85,10 @@
     type Asked = Asked;
 
     fn shoot(&mut self, id: SubmissionId, s: &Submission<Asked>, shot: &Shot, left: Micros) {
+        if !shot.reading {
+            // A place comes too late now.
+            self.held.unasked(id, self.pools, self.out);
+        }
         let left = (left / 1_000).to_string();
         let fields = s.asked.fields.iter().map(|(name, value)| (name.as_str(), value.as_str()));
         let fields = fields.chain([(words::LEFT, left.as_str())]);
@@ -145,7 +149,7 @@
     }
 
     fn closed(&mut self, id: SubmissionId) {
-        self.held.unwanted(self.now, id, self.pools, self.out);
+        self.held.over(self.now, id, self.pools, self.out);
     }
 
     fn answer(&mut self, id: SubmissionId, s: &Submission<Asked>, answer: Answer) {
--- a/crates/platform/src/held.rs
+++ b/crates/platform/src/held.rs
@@ -39,12 +39,28 @@
     at: Option<WorkerId>,
     /// Since when its time runs; it rests while an attempt is known to be at a worker that runs.
     since: Option<Micros>,
-    /// Nothing but a place that was asked for, of which no answer has come.
+    /// Nothing but what a place that was asked for may hold.
     asked: bool,
+    /// Calls that ask for a place and are out: what they hold they may hold after a release has passed them.
+    asking: Vec<Link>,
+    /// Nobody will want it again.
+    over: bool,
     patience: Patience,
     release: Option<Release>,
 }
 
+/// What has come of a call that asked for a place.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Place {
+    Held,
+    /// By a worker that knows of the read.
+    Refused,
+    /// It never came there, or did nothing.
+    None,
+    /// It may be held.
+    Unknown,
+}
+
 /// A release under way.
 struct Release {
     /// Workers yet to be tried in this round.
@@ -84,6 +100,8 @@
             at: None,
             since: None,
             asked: false,
+            asking: vec![],
+            over: false,
             patience: Patience::ENDLESS,
             release: None,
         })
@@ -133,35 +151,66 @@
         entry.patience.set((now + COMES_UP).min(entry.patience.until()), key(Ring::Held(short(id))), out);
     }
 
-    /// The call that asks for a place goes out.
+    /// The call that asks for a place goes out on that link.
     pub fn asked(
         &mut self,
         now: Micros,
         id: SubmissionId,
         trace: &Arc<str>,
-        at: WorkerId,
+        (at, on): (WorkerId, Link),
         pools: &mut Pools,
         out: &mut Outbox,
     ) {
-        if !self.entries.contains_key(&id) {
-            let entry = self.entry(id, trace);
+        let new = !self.entries.contains_key(&id);
+        let entry = self.entry(id, trace);
+        entry.asking.push(on);
+        if new {
             (entry.at, entry.asked) = (Some(at), true);
             self.runs(id, now, pools, out);
         }
     }
 
-    /// No place is held by the call that asked for one.
-    pub fn no_place(&mut self, id: SubmissionId) {
-        if self.entries.get(&id).is_some_and(|e| e.asked) {
+    /// That call is over; `reading` if its read is out.
+    pub fn answered(
+        &mut self,
+        now: Micros,
+        id: SubmissionId,
+        on: Link,
+        (place, reading): (Place, bool),
+        pools: &mut Pools,
+        out: &mut Outbox,
+    ) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        entry.asking.retain(|link| *link != on);
+        entry.asked &= matches!(place, Place::Refused | Place::None);
+        let known = matches!(place, Place::Held | Place::Refused);
+        if entry.asked && entry.asking.is_empty() && matches!(place, Place::Refused | Place::None) {
+            stop(entry, None, pools, out);
             self.entries.remove(&id);
+        } else if entry.over && matches!(place, Place::Held | Place::Unknown) {
+            // A release may have been there before it.
+            self.runs(id, now, pools, out);
+            self.unwanted(now, id, pools, out);
+        } else if known && reading && entry.release.is_none() {
+            // The read is out at a worker that runs: the time rests.
+            entry.since = None;
+            entry.patience.set(Micros::MAX, key(Ring::Held(short(id))), out);
         }
     }
 
-    /// The answer on a place shows that the read is out at a worker that runs: the time rests.
-    pub fn rests(&mut self, id: SubmissionId, out: &mut Outbox) {
-        if let Some(entry) = self.entries.get_mut(&id).filter(|e| e.release.is_none()) {
-            (entry.since, entry.asked) = (None, false);
-            entry.patience.set(Micros::MAX, key(Ring::Held(short(id))), out);
+    /// No place is wanted any more: calls for one that have not left never do.
+    pub fn unasked(&mut self, id: SubmissionId, pools: &mut Pools, out: &mut Outbox) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        entry.asking.retain(|link| {
+            let left = pools.get_mut(*link).is_some_and(|conn| conn.written);
+            if !left {
+                pools.end(*link, out);
+            }
+            left
+        });
+        if entry.asked && entry.asking.is_empty() {
+            stop(entry, None, pools, out);
+            self.entries.remove(&id);
         }
     }
 
@@ -186,17 +235,35 @@
     }
 
     /// Events have begun, with which all that is held goes by itself.
-    pub fn taken(&mut self, id: SubmissionId, pools: &mut Pools, out: &mut Outbox) {
-        if let Some(mut entry) = self.entries.remove(&id) {
-            stop(&mut entry, None, pools, out);
-        }
+    pub fn taken(&mut self, now: Micros, id: SubmissionId, pools: &mut Pools, out: &mut Outbox) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        entry.over = true;
+        self.paid(now, id, None, pools, out);
     }
 
-    /// A worker has answered a release, on that link: nothing is held any more.
-    pub fn released(&mut self, id: SubmissionId, on: Link, pools: &mut Pools, out: &mut Outbox) {
-        if let Some(mut entry) = self.entries.remove(&id) {
-            tracing::debug!(id, "what was held is released");
-            stop(&mut entry, Some(on), pools, out);
+    /// A worker has answered a release, on that link.
+    pub fn released(&mut self, now: Micros, id: SubmissionId, on: Link, pools: &mut Pools, out: &mut Outbox) {
+        tracing::debug!(id, "what was held is released");
+        self.paid(now, id, Some(on), pools, out);
+    }
+
+    /// Nothing is held any more, but for what a call for a place under way may hold yet.
+    fn paid(&mut self, now: Micros, id: SubmissionId, on: Option<Link>, pools: &mut Pools, out: &mut Outbox) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        stop(entry, on, pools, out);
+        entry.asked = true;
+        self.unasked(id, pools, out);
+        self.runs(id, now, pools, out);
+    }
+
+    /// The request is over, and nobody wants what is held for it.
+    pub fn over(&mut self, now: Micros, id: SubmissionId, pools: &mut Pools, out: &mut Outbox) {
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.over = true;
+            // What comes of a call for a place is waited for, as long as its time lasts.
+            if !entry.asked {
+                self.unwanted(now, id, pools, out);
+            }
         }
     }
 
@@ -212,6 +279,7 @@
 
     /// Nobody wants what is held. Without an entry there is nothing to do.
     pub fn unwanted(&mut self, now: Micros, id: SubmissionId, pools: &mut Pools, out: &mut Outbox) {
+        self.unasked(id, pools, out);
         let Some(entry) = self.entries.get_mut(&id).filter(|e| e.release.is_none()) else { return };
         let since = *entry.since.get_or_insert(now);
         let until = (since + self.allowed).max(now + AHEAD) + BEYOND;
--- a/crates/platform/src/pools.rs
+++ b/crates/platform/src/pools.rs
@@ -51,6 +51,8 @@
 
 pub struct Conn {
     pub worker: WorkerId,
+    /// Where it was dialled.
+    to: Address,
     pub job: Option<Job>,
     /// The connection is there, and not only dialled.
     pub up: bool,
@@ -156,11 +158,21 @@
         workers.into_iter()
     }
 
-    /// Where a worker is reached. Connections opened before its process started are dead: they come back.
-    pub fn listed(&mut self, worker: WorkerId, at: Address, started: Micros) -> Vec<Link> {
+    /// Where a worker is reached. Connections that can't serve any more come back: those opened before its process
+    /// started, those that rest where it no longer is, and, to one that takes nothing new, those under way with what is
+    /// new: their first byte might leave after its grace.
+    pub fn listed(&mut self, worker: WorkerId, at: Address, started: Micros, takes: bool) -> Vec<Link> {
         self.places.insert(worker, at);
-        let dead = |c: &Conn| c.worker == worker && c.opened < started;
-        self.conns.iter().filter(|(_, c)| dead(c)).map(|(link, _)| *link).collect()
+        let dead = |c: &Conn| {
+            c.opened < started || c.job.is_none() && c.to != at || !takes && !c.up && c.brings_new()
+        };
+        self.conns.iter().filter(|(_, c)| c.worker == worker && dead(c)).map(|(link, _)| *link).collect()
+    }
+
+    /// Connections under way, with what is new, to workers that are gone.
+    pub fn under_way_to_none(&self) -> Vec<Link> {
+        let lost = |c: &Conn| !c.up && c.brings_new() && !self.places.contains_key(&c.worker);
+        self.conns.iter().filter(|(_, c)| lost(c)).map(|(link, _)| *link).collect()
     }
 
     /// A worker is gone: nothing new reaches it, and what rests there is put away.
@@ -242,7 +254,7 @@
                     self.end(oldest, out);
                 }
                 let link = out.dial(at, self.dial);
-                self.conns.insert(link, Conn::new(worker, now));
+                self.conns.insert(link, Conn::new(worker, at, now));
                 link
             }
         };
@@ -305,9 +317,10 @@
 }
 
 impl Conn {
-    fn new(worker: WorkerId, now: Micros) -> Conn {
+    fn new(worker: WorkerId, to: Address, now: Micros) -> Conn {
         Conn {
             worker,
+            to,
             job: None,
             up: false,
             written: false,
@@ -325,6 +338,11 @@
         }
     }
 
+    /// Whether its call is one that a worker which drains must not get.
+    fn brings_new(&self) -> bool {
+        matches!(self.job, Some(Job::Shot { .. } | Job::Place { .. }))
+    }
+
     pub fn heard(&mut self, bytes: &Bytes) {
         self.arrived.extend_from_slice(bytes);
     }
--- a/crates/platform/src/program.rs
+++ b/crates/platform/src/program.rs
@@ -13,7 +13,7 @@
 use crate::clients::{At, Clients};
 use crate::exit::{Exit, Later};
 use crate::file::{self, Terms};
-use crate::held::Held;
+use crate::held::{Held, Place};
 use crate::list;
 use crate::pools::{Heard, Job, Pools};
 use crate::watch::Watch;
@@ -26,6 +26,8 @@
 /// Microseconds without a byte after which a stream is taken for dead. Its client must not be left waiting for
 /// five seconds; a worker that takes an answer back into its queue may well be silent for some.
 const SILENCE: Micros = 4_500_000;
+/// Microseconds for which a client may read nothing of its stream, as long as one may stand idle: then it is ended.
+const STALLED: Micros = 15_000_000;
 /// A resting connection is put away after this part of the time for which its worker would keep it.
 const REST: Micros = 2;
 /// Bytes in which a stream's first event must end.
@@ -141,6 +143,9 @@
         let names = self.terms.names.clone();
         list::hear_line(line, &names, &mut Page { platform: self, now, out })?;
         self.books.page_over();
+        for link in self.pools.under_way_to_none() {
+            self.worker_ends(now, link, out);
+        }
         self.told = true;
         Ok(())
     }
@@ -205,7 +210,7 @@
         self.clients.begin(client);
         let (books, mut exit) = self.parts(now, out);
         books.started(now, id, &mut exit);
-        exit.held.taken(id, exit.pools, exit.out);
+        exit.held.taken(now, id, exit.pools, exit.out);
         if let Some(s) = books.submissions.get_mut(id) {
             // No other shot will need it.
             s.asked.body = Bytes::new();
@@ -231,19 +236,22 @@
                 self.settle(now, id, number, ending, out);
             }
             Job::Place { id } => {
-                // With 204 a place may be held all the same, though nobody there knows of a read.
-                if matches!(status, 404 | 409) {
-                    self.held.no_place(id);
-                }
-                if matches!(status, 200 | 409) {
-                    if self.pools.reads(id) {
-                        self.held.rests(id, out);
-                    }
+                let place = match status {
+                    200 => Place::Held,
+                    409 => Place::Refused,
+                    404 => Place::None,
+                    _ if never_ran => Place::None,
+                    // With 204 too, though nobody there knows of a read.
+                    _ => Place::Unknown,
+                };
+                let reading = self.pools.reads(id);
+                self.held.answered(now, id, link, (place, reading), &mut self.pools, out);
+                if matches!(place, Place::Held | Place::Refused) {
                     let (books, mut exit) = self.parts(now, out);
-                    books.held(now, id, worker, status == 200, &mut exit);
+                    books.held(now, id, worker, place == Place::Held, &mut exit);
                 }
             }
-            Job::Release { id } => self.held.released(id, link, &mut self.pools, out),
+            Job::Release { id } => self.held.released(now, id, link, &mut self.pools, out),
             Job::Probe { nonce } => {
                 let column = self.terms.report.as_ref();
                 let amount = column.and_then(|c| c.amount(words::reported(&report, &c.name)?));
@@ -268,8 +276,10 @@
     fn came_to_nothing(&mut self, now: Micros, link: Link, job: Job, ending: Ending, out: &mut Outbox) {
         match job {
             Job::Shot { id, number, .. } => self.settle(now, id, number, ending, out),
-            Job::Place { id } if ending.never_ran() => self.held.no_place(id),
-            Job::Place { .. } => {}
+            Job::Place { id } => {
+                let place = if ending.never_ran() { Place::None } else { Place::Unknown };
+                self.held.answered(now, id, link, (place, false), &mut self.pools, out);
+            }
             Job::Release { id } => self.held.lost(now, id, link, &mut self.pools, out),
             Job::Probe { nonce } => {
                 let (books, mut exit) = self.parts(now, out);
@@ -312,6 +322,12 @@
         self.came_to_nothing(now, link, job, ending, out);
     }
 
+    /// By what the list says, what was out on a connection has broken, or must never come to be.
+    fn worker_ends(&mut self, now: Micros, link: Link, out: &mut Outbox) {
+        self.worker_lost(now, link, out);
+        out.cut(link);
+    }
+
     /// The wait on a connection to a worker may be over.
     fn worker_rang(&mut self, now: Micros, link: Link, out: &mut Outbox) {
         let Some(conn) = self.pools.get_mut(link) else { return };
@@ -324,6 +340,11 @@
                 tracing::debug!(worker = ?conn.worker, "a stream is silent");
                 self.spoilt(now, link, out);
             }
+            Some(job @ Job::Place { .. }) => {
+                let ending = if conn.written { Ending::Broken } else { Ending::NeverSent };
+                self.pools.end(link, out);
+                self.came_to_nothing(now, link, job, ending, out);
+            }
             _ => self.pools.end(link, out),
         }
     }
@@ -436,11 +457,16 @@
     }
 
     /// A client that reads slowly slows its own stream only.
-    fn crowded(&mut self, _now: Micros, link: Link, crowded: bool, out: &mut Outbox) {
+    fn crowded(&mut self, now: Micros, link: Link, crowded: bool, out: &mut Outbox) {
         let Some(client) = self.clients.get(link) else { return };
         if let At::Answer(id, ..) = client.at {
             if let Some(worker) = self.pools.shot(id) {
                 out.hush(worker, crowded);
+                // Nothing is read from the worker meanwhile: it is the client that is waited for.
+                let until = now + if crowded { STALLED } else { SILENCE };
+                if let Some(conn) = self.pools.get_mut(worker) {
+                    conn.patience.set(until, key(Ring::Worker(worker)), out);
+                }
             }
         }
     }
@@ -573,10 +599,9 @@
         }
         let started = listing.started.max(0) as Micros * 100;
         p.books.entry(self.now, listing);
-        for link in p.pools.listed(listing.worker, at, started) {
-            // Its process is another one now: what was out there has broken.
-            p.worker_lost(self.now, link, self.out);
-            self.out.cut(link);
+        let takes = listing.standing == Standing::Ready;
+        for link in p.pools.listed(listing.worker, at, started, takes) {
+            p.worker_ends(self.now, link, self.out);
         }
     }
 }
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -89,6 +89,13 @@
         Stage::with(&file())
     }
 
+    /// One whose settings allow no places.
+    pub fn without_places() -> Stage {
+        let mut file = file();
+        file["settings"]["family_info"]["ahead"] = false.into();
+        Stage::with(&file)
+    }
+
     pub fn with(file: &serde_json::Value) -> Stage {
         let terms = tideroute_platform::read(file.to_string().as_bytes()).expect("a sound configuration");
         let mut stage = Stage {
--- a/crates/platform/tests/held.rs
+++ b/crates/platform/tests/held.rs
@@ -9,13 +9,12 @@
 const RELEASE: &str = "DELETE /internal/reservations/id ";
 const FREED: &str = "HTTP/1.1 204 No Content\r\n\r\n";
 
-/// A request that has just been read, and the link and place of its reader.
+/// A request that has just been read, with no place asked for, and the link and place of its reader.
 fn read(class: &str) -> (Stage, Link, Link, usize) {
-    let mut stage = Stage::new();
+    let mut stage = Stage::without_places();
     let client = stage.come();
     stage.say(client, ask("id", class));
     let (reader, at) = stage.shot();
-    stage.calls("POST /internal");
     stage.say(reader, READ);
     (stage, client, reader, at)
 }
@@ -122,6 +121,84 @@
     }
 }
 
+/// A request whose client has gone while the call for a place is out; what was released of it is answered for.
+fn left_while_a_place_is_asked_for(written: bool) -> (Stage, Link) {
+    let mut stage = Stage::new();
+    stage.eager = written;
+    let client = stage.come();
+    stage.say(client, ask("id", "safe"));
+    let (reader, _) = stage.shot();
+    stage.written(reader);
+    let (place, _) = stage.call("POST /internal/reservations/id ");
+    stage.eager = true;
+    stage.lose(client);
+    stage.pass(MS);
+    let (release, _) = stage.call(RELEASE);
+    stage.say(release, FREED);
+    (stage, place)
+}
+
+#[test]
+fn a_place_granted_behind_its_release_is_released_again() {
+    for answer in [plain(200, "", ""), FREED.into()] {
+        let (mut stage, place) = left_while_a_place_is_asked_for(true);
+        stage.pass(50 * MS);
+        assert!(stage.calls(RELEASE).is_empty());
+        stage.say(place, &answer);
+        stage.call(RELEASE);
+    }
+    // What was refused, or never came there, is none.
+    let (mut stage, place) = left_while_a_place_is_asked_for(true);
+    stage.say(place, plain(409, "", ""));
+    stage.pass(2_000 * MS);
+    assert!(stage.calls(RELEASE).is_empty());
+    // Nobody says what came of it: it is released again within its time.
+    let (mut stage, _) = left_while_a_place_is_asked_for(true);
+    stage.pass(810 * MS);
+    assert!(!stage.calls(RELEASE).is_empty());
+}
+
+#[test]
+fn a_call_for_a_place_that_has_not_left_never_does_once_nobody_wants_it() {
+    let (mut stage, place) = left_while_a_place_is_asked_for(false);
+    assert!(stage.ended.contains_key(&place), "it is taken back");
+    stage.pass(2_000 * MS);
+    assert!(stage.calls(RELEASE).is_empty(), "and nothing is held by it");
+    use tideroute_wire::link::Program;
+    stage.stop();
+    stage.pass(700 * MS);
+    assert!(stage.program.done());
+    // The same when the attempt that writes goes out.
+    let mut stage = Stage::new();
+    stage.eager = false;
+    let client = stage.come();
+    stage.say(client, ask("id", "safe"));
+    let (reader, _) = stage.shot();
+    stage.written(reader);
+    let (place, _) = stage.call("POST /internal/reservations/id ");
+    stage.say(reader, READ);
+    stage.shot();
+    assert!(stage.ended.contains_key(&place), "it would come too late");
+}
+
+#[test]
+fn a_place_that_may_come_to_be_held_under_a_stream_is_released() {
+    let mut stage = Stage::new();
+    let client = stage.come();
+    stage.say(client, ask("id", "safe"));
+    let (reader, _) = stage.shot();
+    let (place, _) = stage.call("POST /internal/reservations/id ");
+    stage.say(reader, READ);
+    let (writer, _) = stage.shot();
+    stage.say(writer, format!("{HEAD}{}", chunk(EVENTS[0])));
+    assert!(stage.calls(RELEASE).is_empty());
+    stage.say(place, FREED);
+    let (release, _) = stage.call(RELEASE);
+    stage.say(release, FREED);
+    stage.say(writer, format!("{}{}0\r\n\r\n", chunk(EVENTS[1]), chunk(EVENTS[2])));
+    assert_eq!(unchunked(&stage.text(client)), (EVENTS.concat(), true));
+}
+
 #[test]
 fn nobody_can_be_told_for_a_while_and_it_goes_on_within_bounds_until_the_time_is_over() {
     let (mut stage, client, reader, _) = read("safe");
--- a/crates/platform/tests/list.rs
+++ b/crates/platform/tests/list.rs
@@ -204,6 +204,60 @@
     assert_ne!(stage.shot().1, at, "it is read elsewhere: that one is cold");
 }
 
+#[test]
+fn what_is_under_way_to_a_worker_that_drains_or_is_gone_never_leaves() {
+    let gone = |whole: bool, worker: usize| {
+        let mut page = list(5);
+        let servers = page["servers"].as_array_mut().expect("a list");
+        if whole {
+            servers.remove(worker);
+        } else {
+            *servers = vec![json!({"id": WORKERS[worker].0, "state": "DELETED"})];
+            page["full"] = false.into();
+        }
+        page
+    };
+    let drains =
+        |worker: usize| json!({"version": 5, "full": false, "servers": [entry(worker, "DRAINING", 0)]});
+    for told in [&drains as &dyn Fn(usize) -> serde_json::Value, &|w| gone(false, w), &|w| gone(true, w)] {
+        let mut stage = Stage::new();
+        let client = stage.come();
+        stage.eager = false;
+        stage.say(client, ask("id", "once"));
+        let (reader, at) = stage.shot();
+        stage.discover(&told(at));
+        assert!(stage.ended.contains_key(&reader), "its first byte might leave after the grace");
+        let (second, other) = stage.shot();
+        assert_ne!(at, other);
+        // The same of a place, once the read is at its reader.
+        stage.written(second);
+        let (place, writer) = stage.call("POST /internal/reservations/id ");
+        let mut page = told(writer);
+        page["version"] = 6.into();
+        let (watch, _) = stage.watch();
+        let line = format!("{page}\n");
+        stage.say(watch, format!("{:x}\r\n{line}\r\n", line.len()));
+        assert!(stage.ended.contains_key(&place));
+        // What has left runs to its end.
+        assert!(!stage.ended.contains_key(&second));
+    }
+}
+
+#[test]
+fn what_rests_where_a_worker_no_longer_is_is_not_used_again() {
+    let mut stage = Stage::without_places();
+    let client = stage.come();
+    stage.say(client, ask("a", "safe"));
+    let (reader, at) = stage.shot();
+    stage.say(reader, READ);
+    let (writer, _) = stage.shot();
+    stage.say(writer, stream());
+    let mut moved = entry(at, "SERVING", 0);
+    moved["addr"] = "127.0.1.77:80".into();
+    stage.discover(&json!({"version": 5, "full": false, "servers": [moved]}));
+    assert!(stage.ended.contains_key(&reader));
+}
+
 #[test]
 fn a_new_configuration_moves_the_watch_and_disturbs_nothing() {
     let mut stage = Stage::new();
@@ -258,6 +312,11 @@
     assert!(!done(&stage), "a stream is open");
     stage.say(writer, format!("{}0\r\n\r\n", chunk(EVENTS[1])));
     assert!(unchunked(&stage.text(open)).1);
+    assert!(!done(&stage), "nobody has said what became of the places");
+    for (place, _) in stage.calls("POST /internal/reservations/") {
+        assert!(!done(&stage));
+        stage.say(place, plain(409, "", ""));
+    }
     assert!(done(&stage));
 }
 
--- a/crates/platform/tests/shots.rs
+++ b/crates/platform/tests/shots.rs
@@ -377,9 +377,28 @@
     assert!(stage.hushed.is_empty());
 }
 
+#[test]
+fn a_client_that_reads_nothing_for_a_while_does_not_make_its_stream_a_silent_one() {
+    let (mut stage, client, writer) = writing("once");
+    stage.say(writer, format!("{HEAD}{}", chunk(EVENTS[0])));
+    stage.crowded(client, true);
+    stage.pass(6_000 * MS);
+    assert!(!stage.ended.contains_key(&writer), "nothing was read from it: that is no silence");
+    stage.crowded(client, false);
+    stage.pass(4_000 * MS);
+    stage.say(writer, format!("{}{}0\r\n\r\n", chunk(EVENTS[1]), chunk(EVENTS[2])));
+    assert_eq!(unchunked(&stage.text(client)), (EVENTS.concat(), true));
+    // One that never reads again does not keep its worker for ever.
+    let (mut stage, client, writer) = writing("once");
+    stage.say(writer, format!("{HEAD}{}", chunk(EVENTS[0])));
+    stage.crowded(client, true);
+    stage.pass(15_100 * MS);
+    assert!(stage.ended.contains_key(&writer) && stage.ended.contains_key(&client));
+}
+
 #[test]
 fn connections_are_put_away_long_before_their_worker_would() {
-    let mut stage = Stage::new();
+    let mut stage = Stage::without_places();
     let client = stage.come();
     stage.say(client, ask("id", "safe"));
     let (reader, _) = stage.shot();
@@ -394,7 +413,7 @@
 
 #[test]
 fn a_rest_that_broke_a_connection_is_trusted_no_more_for_a_while() {
-    let mut stage = Stage::new();
+    let mut stage = Stage::without_places();
     let client = stage.come();
     // A read and its writing, both connections resting afterwards.
     let asked = |trace: &str| ask(trace, "safe").replace("prefix=5c0f,", "");
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -28,8 +28,11 @@
 
 /// Connections taken at a door in one turn, so that a flood of them leaves time for those that are there.
 const ACCEPTS: usize = 64;
-/// Microseconds: how long a closed connection may take to send its last words.
+/// Microseconds in which a closed connection has to get on with its last words, and a raw one, whose peer may be slow.
 const LAST_WORDS: Micros = 500_000;
+const RAW_LAST_WORDS: Micros = 2_000_000;
+/// Microseconds until a door is looked at again where a connection could not be taken for want of descriptors.
+const WANTING: Micros = 50_000;
 /// Microseconds a tick of the wheel: as fine as the decisions' own clock.
 const TICK: Micros = 100;
 /// Keys of the poller: doors come first, then those for datagrams, then the signals, then connections.
@@ -108,6 +111,8 @@
 enum Ring {
     Program(u64),
     Patience(Link),
+    /// A door is looked at again.
+    Door(usize),
     Fail,
 }
 
@@ -314,6 +319,7 @@
                         self.carry_out(&mut out);
                     }
                     Ring::Patience(link) => self.out_of_patience(link),
+                    Ring::Door(door) => self.look_at(door, true),
                     Ring::Fail => panic!("told to fail"),
                 }
             }
@@ -538,11 +544,9 @@
         } else {
             self.note_end(place);
         }
-        let until = self.now() + LAST_WORDS;
         let conn = &mut self.conns[place];
         if conn.stage == Stage::Open && conn.waiting() > 0 {
-            conn.stage = Stage::Closing { until };
-            self.wheel.set(until / TICK + 1, Ring::Patience(link));
+            self.speaks_its_last(place);
             self.dirty.push(place);
             self.watch(place);
         } else if conn.stage == Stage::Open {
@@ -552,6 +556,15 @@
         }
     }
 
+    /// What is still to be sent has so long again.
+    fn speaks_its_last(&mut self, place: usize) {
+        let now = self.now();
+        let conn = &mut self.conns[place];
+        let until = now + if conn.raw { RAW_LAST_WORDS } else { LAST_WORDS };
+        conn.stage = Stage::Closing { until };
+        self.wheel.set(until / TICK + 1, Ring::Patience(conn.link));
+    }
+
     /// Tells the poller what the connection waits for.
     fn watch(&mut self, place: usize) {
         let conn = &mut self.conns[place];
@@ -593,6 +606,9 @@
         if self.conns[place].raw && before > 0 && waiting == 0 {
             self.news.push_back(News::Drained(self.conns[place].link));
         }
+        if closing && waiting < before {
+            self.speaks_its_last(place);
+        }
         self.watch(place);
     }
 
@@ -675,6 +691,16 @@
         }
     }
 
+    /// Has the poller look at an open door, or not.
+    fn look_at(&mut self, door: usize, look: bool) {
+        let Some(door_there) = self.doors.get(door).filter(|d| d.is_open()) else { return };
+        let Some(listener) = &door_there.listener else { return };
+        let interest = Event::new(door, look, false);
+        if let Err(problem) = self.poller.modify_with_mode(listener, interest, PollMode::Level) {
+            tracing::error!(%problem, "a door could not be watched");
+        }
+    }
+
     fn note_joined(&mut self, links: [Link; 2]) {
         let conns = links.map(|link| self.places.get(&link).map(|&place| &self.conns[place].stream));
         let [Some(one), Some(two)] = conns else { return };
@@ -705,6 +731,11 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(problem) => {
                     tracing::warn!(%problem, "a connection could not be taken");
+                    // Guards against a door that is ready over and over while nobody can be taken there.
+                    if matches!(problem.raw_os_error(), Some(libc::EMFILE | libc::ENFILE | libc::ENOBUFS)) {
+                        self.look_at(door, false);
+                        self.wheel.set((self.now() + WANTING) / TICK, Ring::Door(door));
+                    }
                     return;
                 }
             };
