--- a/crates/platform/src/exit.rs
+++ b/crates/platform/src/exit.rs
@@ -144,7 +144,8 @@
             self.held.read_badly((self.now, sent), id, trace, shot.worker, pools, out);
         } else if ending != Ending::Honoured && !shot.started {
             let spoke = matches!(ending, Ending::Full | Ending::Stateless | Ending::Fault);
-            self.held.stays(self.now, id, trace, (s.state, spoke), pools, out);
+            let reached = !matches!(ending, Ending::Unreachable | Ending::NeverSent);
+            self.held.stays(self.now, id, trace, (s.state, reached, spoke), pools, out);
         }
     }
 
--- a/crates/platform/src/file.rs
+++ b/crates/platform/src/file.rs
@@ -14,13 +14,16 @@
 /// Microseconds: what an answer and a request need on their way between a client and its router.
 const TRAVEL: Micros = 5_000;
 
+/// Letters of a value that a message shows.
+const FOUND: usize = 60;
+
 /// Why a configuration can't be used: which field, and what was expected there.
 #[derive(Debug, thiserror::Error, PartialEq, Eq)]
 pub enum Unusable {
     #[error("it is no JSON: {0}")]
     Json(String),
-    #[error("{field}: expected {expected}")]
-    Field { field: &'static str, expected: &'static str },
+    #[error("{field}: expected {expected}, found {found}")]
+    Field { field: &'static str, expected: &'static str, found: String },
     #[error("settings: {0}")]
     Settings(String),
     #[error("known: {0}")]
@@ -50,8 +53,11 @@
 /// Reads the file.
 pub fn read(text: &[u8]) -> Result<Terms, Unusable> {
     let root: Value = serde_json::from_slice(text).map_err(|e| Unusable::Json(e.to_string()))?;
-    let field = |field, expected| Unusable::Field { field, expected };
     let at = |path: &str| path.split('.').try_fold(&root, |value, key| value.get(key));
+    let field = |field, expected| {
+        let found = at(field).map_or("nothing".to_string(), |v| v.to_string().chars().take(FOUND).collect());
+        Unusable::Field { field, expected, found }
+    };
     let word = |path: &'static str, expected| at(path).and_then(Value::as_str).ok_or(field(path, expected));
     let whole = |path: &'static str, least: u64, expected| {
         let number = at(path).and_then(Value::as_u64).filter(|n| *n >= least);
--- a/crates/platform/src/held.rs
+++ b/crates/platform/src/held.rs
@@ -181,13 +181,14 @@
         out: &mut Outbox,
     ) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
+        // An answer to an earlier call may be of an earlier read.
+        let known = entry.asking.last() == Some(&on) && matches!(place, Place::Held | Place::Refused);
         entry.asking.retain(|link| *link != on);
         entry.asked &= matches!(place, Place::Refused | Place::None);
-        let known = matches!(place, Place::Held | Place::Refused);
         if entry.asked && entry.asking.is_empty() && matches!(place, Place::Refused | Place::None) {
             stop(entry, None, pools, out);
             self.entries.remove(&id);
-        } else if entry.over && matches!(place, Place::Held | Place::Unknown) {
+        } else if (entry.over || entry.release.is_some()) && matches!(place, Place::Held | Place::Unknown) {
             // A release may have been there before it.
             self.runs(id, now, pools, out);
             self.unwanted(now, id, pools, out);
@@ -195,6 +196,9 @@
             // The read is out at a worker that runs: the time rests.
             entry.since = None;
             entry.patience.set(Micros::MAX, key(Ring::Held(short(id))), out);
+        } else if place == Place::Unknown && entry.since.is_none() {
+            // Nobody there knows of the read that was taken to be out.
+            self.runs(id, now, pools, out);
         }
     }
 
@@ -215,13 +219,13 @@
     }
 
     /// An attempt has ended that left a state, or what else is held, where it was; `spoke` if its worker said so,
-    /// with which the time begins anew. Otherwise nothing shows that the attempt ever reached one.
+    /// with which the time begins anew, and `reached` if it may have come there.
     pub fn stays(
         &mut self,
         now: Micros,
         id: SubmissionId,
         trace: &Arc<str>,
-        (state, spoke): (Option<WorkerId>, bool),
+        (state, reached, spoke): (Option<WorkerId>, bool, bool),
         pools: &mut Pools,
         out: &mut Outbox,
     ) {
@@ -229,8 +233,13 @@
             let entry = self.entry(id, trace);
             entry.at = state;
         }
-        if self.entries.get(&id).is_some_and(|e| spoke || e.since.is_none()) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        if spoke || entry.since.is_none() {
             self.runs(id, now, pools, out);
+        } else if reached && entry.release.is_some() {
+            // The release may have come while the attempt still waited with the state, which it frees not then.
+            stop(entry, None, pools, out);
+            self.unwanted(now, id, pools, out);
         }
     }
 
--- a/crates/platform/src/program.rs
+++ b/crates/platform/src/program.rs
@@ -244,7 +244,8 @@
                     // With 204 too, though nobody there knows of a read.
                     _ => Place::Unknown,
                 };
-                let reading = self.pools.reads(id);
+                let asked = self.books.submissions.get(id).and_then(|s| s.places.last());
+                let reading = asked == Some(&worker) && self.pools.reads(id);
                 self.held.answered(now, id, link, (place, reading), &mut self.pools, out);
                 if matches!(place, Place::Held | Place::Refused) {
                     let (books, mut exit) = self.parts(now, out);
--- a/crates/platform/tests/list.rs
+++ b/crates/platform/tests/list.rs
@@ -332,22 +332,41 @@
 #[test]
 fn a_configuration_that_lacks_something_says_what() {
     for (path, value, told) in [
-        ("/listen", json!("here"), "listen: expected an IPv4 address with a port"),
-        ("/discovery", json!(null), "discovery: expected an IPv4 address with a port"),
-        ("/seed", json!("xyz"), "seed: expected hexadecimal digits"),
-        ("/limits/sockets", json!(12), "limits.sockets: expected a number of descriptors, 64 or more"),
-        ("/limits/memory_mb", json!(-1), "limits.memory_mb: expected megabytes, 16 or more"),
-        ("/settings/kinds", json!("a"), "settings.kinds: expected a list of names"),
+        ("/listen", json!("here"), "listen: expected an IPv4 address with a port, found \"here\""),
+        ("/discovery", json!(null), "discovery: expected an IPv4 address with a port, found null"),
+        ("/seed", json!("xyz"), "seed: expected hexadecimal digits, found \"xyz\""),
+        (
+            "/limits/sockets",
+            json!(12),
+            "limits.sockets: expected a number of descriptors, 64 or more, found 12",
+        ),
+        ("/limits/memory_mb", json!(-1), "limits.memory_mb: expected megabytes, 16 or more, found -1"),
+        ("/settings/kinds", json!("a"), "settings.kinds: expected a list of names, found \"a\""),
         (
             "/settings/caps/dial_timeout_ms",
             json!(null),
-            "settings.caps.dial_timeout_ms: expected milliseconds",
+            "settings.caps.dial_timeout_ms: expected milliseconds, found null",
         ),
         (
             "/settings/invariants/cold_share",
             json!("x"),
             "settings: invariants.cold_share in the settings is not a number of 0 or more",
         ),
+        (
+            "/settings/classes/0/on_time_ms",
+            json!(null),
+            "settings: classes[0].on_time_ms in the settings is null: a number over 0 is needed",
+        ),
+        (
+            "/settings/classes/1/hard_limit_ms",
+            json!(0),
+            "settings: classes[1].hard_limit_ms in the settings is 0: a number over 0 is needed",
+        ),
+        (
+            "/settings/classes/2/key_ttl_ms",
+            json!(0.0),
+            "settings: classes[2].key_ttl_ms in the settings is 0.0: a number over 0 is needed",
+        ),
         ("/known/servers/0/addr", json!("x"), "known: addr is missing or is not what it should be"),
     ] {
         let mut bad = file();
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -25,6 +25,15 @@
     number.ok_or_else(|| format!("{path} in the settings is not a number of 0 or more"))
 }
 
+/// A number of a class that leaves room for something.
+fn over_zero(class: &Value, place: usize, key: &str) -> Result<f64, String> {
+    let found = class.get(key);
+    found.and_then(Value::as_f64).filter(|n| *n > 0.0).ok_or_else(|| {
+        let found = found.map_or("missing".to_string(), Value::to_string);
+        format!("classes[{place}].{key} in the settings is {found}: a number over 0 is needed")
+    })
+}
+
 /// Off where the settings lack it.
 fn flag(root: &Value, path: &str) -> Result<bool, String> {
     let Ok(flag) = at(root, path) else { return Ok(false) };
@@ -76,7 +85,10 @@
 
 /// What holds for a class. Its repeats have to arrive while the first is remembered, so that the time which a
 /// connection may take to come up is none in which to send one.
-fn track(class: &Value, per_thousand_us: f64, comes_up_ms: f64) -> Result<Track, String> {
+fn track(place: usize, class: &Value, per_thousand_us: f64, comes_up_ms: f64) -> Result<Track, String> {
+    if class.get("hard_limit_ms").is_some() {
+        over_zero(class, place, "hard_limit_ms")?;
+    }
     let repeat = match word(class, "idempotency")? {
         "pure" => Repeat::Replayable,
         "token" => Repeat::Referenced {
@@ -86,14 +98,14 @@
                 "cell" => Group::Cell,
                 other => return Err(format!("dedup_scope {other:?} in the settings is unknown")),
             },
-            window: tenths((number(class, "key_ttl_ms")? - comes_up_ms).max(0.0)),
+            window: tenths((over_zero(class, place, "key_ttl_ms")? - comes_up_ms).max(0.0)),
         },
         "side_effect" => Repeat::SingleUse,
         other => return Err(format!("idempotency {other:?} in the settings is unknown")),
     };
     Ok(Track {
         repeat,
-        contract: tenths(number(class, "on_time_ms")?),
+        contract: tenths(over_zero(class, place, "on_time_ms")?),
         per_thousand: tenths(per_thousand_us / 1000.0),
         earnings: number(class, "worth")?,
     })
@@ -162,7 +174,8 @@
         tracks: classes
             .iter()
             .zip(stretches)
-            .map(|(c, us)| track(c, us, comes_up))
+            .enumerate()
+            .map(|(n, (c, us))| track(n, c, us, comes_up))
             .collect::<Result<_, _>>()?,
         roles: roles(root, writers_read)?,
         places: flag(root, "family_info.ahead")?,
