--- a/crates/platform/src/rooms.rs
+++ b/crates/platform/src/rooms.rs
@@ -26,7 +26,7 @@
 
 impl Rooms {
     /// From the limits of the configuration, descriptors and megabytes. The clients' part is the smaller one:
-    /// places, errands and probes go out beside the shots.
+    /// places, releases and probes go out beside the shots.
     pub fn new(sockets: usize, memory_mb: usize) -> Rooms {
         let lingering = (sockets / RESERVE).max(4);
         let rest = sockets.saturating_sub(OWN + lingering).max(8);
