--- a/crates/command/tests/endings.rs
+++ b/crates/command/tests/endings.rs
@@ -453,6 +453,60 @@
     }
 }
 
+#[test]
+fn a_stream_whose_client_does_not_read_for_longer_than_a_silent_one_may_last_goes_on() {
+    let mut rig = Rig::new("stalls", without_places);
+    let (mut slow, _, mut writer) = rig.read("stalls", "once");
+    writer.say(HEAD);
+    let mut pours = writer.stream.try_clone().expect("a handle");
+    // The writer writes until nobody takes any more, then the rest once its client reads again.
+    let event = format!("data: {}\n\n", "x".repeat(60_000));
+    let poured = std::thread::spawn(move || {
+        for _ in 0..400 {
+            pours.write_all(chunk(&event).as_bytes()).expect("the router goes on");
+        }
+        pours.write_all(b"0\r\n\r\n").expect("the router goes on");
+    });
+    let began = Instant::now();
+    until(|| (began.elapsed() > Duration::from_secs(6)).then_some(()));
+    let whole = answer(&mut slow);
+    poured.join().expect("all was taken");
+    assert!(whole.ends_with("0\r\n\r\n") && whole.len() > 400 * 60_000);
+}
+
+#[test]
+fn fields_of_a_client_reach_both_workers() {
+    let mut rig = Rig::new("fields", without_places);
+    let mut client = rig.client();
+    let asked = ask("fields", "keyed").replacen("Host:", "Idempotency-Key: 29-55\r\nHost:", 1);
+    client.write_all(asked.as_bytes()).expect("written");
+    for answer in [READ.to_string(), common::stream()] {
+        let mut call = rig.call(ATTEMPT);
+        assert!(call.text.contains("\r\nidempotency-key: 29-55\r\n"), "{}", call.text);
+        call.say(answer);
+    }
+}
+
+#[test]
+fn a_worker_that_moved_is_reached_where_it_is() {
+    let mut rig = Rig::new("moved", without_places);
+    let mut first = rig.ask("first", "safe");
+    let mut reader = rig.call(ATTEMPT);
+    reader.say(READ);
+    rig.call(ATTEMPT).say(common::stream());
+    answer(&mut first);
+    let there = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut change = rig.change(5, reader.at, "SERVING");
+    change["servers"][0]["addr"] = json!(there.local_addr().expect("an address").to_string());
+    listen(there, 50, rig._sender.clone());
+    let told = Instant::now();
+    rig.discover(&change);
+    reader.ends();
+    assert!(told.elapsed() < Duration::from_secs(1), "at once, and not when it has rested for long");
+    let _again = rig.ask("again", "safe");
+    assert_eq!(rig.call(ATTEMPT).at, 50, "the same text is at home there");
+}
+
 #[test]
 fn the_end_closes_what_rests_serves_what_comes_and_runs_streams_to_their_end() {
     let mut rig = Rig::new("term", without_places);
