--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -220,6 +220,11 @@
         self.settle();
     }
 
+    /// When the next timer rings.
+    pub fn next_timer(&self) -> Option<Micros> {
+        self.rings.first().map(|(at, _)| *at)
+    }
+
     /// Lets time pass; timers ring when they are due.
     pub fn pass(&mut self, time: Micros) {
         let until = self.now + time;
