Root cause of duplicate: fleets whose writers read never asked whether a repeat is known there

Lines: src/choice.rs, `reader_for`: where no worker only reads and writers read (family_info.writers_read, no reader listed), it returned the emptiest worker and left out `may_run`, which each other path asks.

Change: that path looks among the workers that know a repeat; `writer_for` too, so that a request goes on within its group and does not wait for a worker that it may not have. Test: tests/settings.rs `a_keyed_request_that_may_have_run_stays_in_its_cell_where_writers_read` (fails before).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -114,7 +114,7 @@
     state: Option<WorkerId>,
     since: Tenths,
     /// When and where the first shot went that may have run.
-    ran: Option<(Tenths, WorkerId)>,
+    ran: Option<(Tenths, Listing)>,
     let_go: bool,
     let_in: bool,
     ended: bool,
@@ -248,7 +248,7 @@
         submission.since = now;
         submission.ended |= terminal;
         if !out.reading && !ending.never_ran() && submission.ran.is_none() {
-            submission.ran = Some((out.sent, out.worker));
+            submission.ran = Some((out.sent, out.list));
         }
         let held_there = submission.place.is_some_and(|(w, held)| held && w == out.worker);
         if ending == Ending::Read {
@@ -764,7 +764,9 @@
         }
         let ticket = (s.arrival.id, s.arrival.track);
         if self.roster.readers.is_empty() && self.terms.writers_read {
-            let any = self.least(now, ticket, (false, u16::MAX, 0), |w| now >= w.denied + DENIAL);
+            let (repeat, ran) = (self.repeat(s), s.ran);
+            let fits = |w: &Worker| now >= w.denied + DENIAL && repeat.is_known(ran, &w.list);
+            let any = self.least(now, ticket, (false, u16::MAX, 0), fits);
             return any.into_iter().collect();
         }
         self.shut = true;
@@ -873,7 +875,8 @@
     }
 
     fn send(&mut self, now: Tenths, s: &mut Submission, worker: WorkerId, reading: bool, cross: bool) {
-        s.out = Some(Shot { number: s.shots, worker, reading, sent: now, cross, ..Shot::default() });
+        let list = self.workers.get(&worker).map(|w| w.list).unwrap_or_default();
+        s.out = Some(Shot { number: s.shots, worker, list, reading, sent: now, cross, ..Shot::default() });
         s.shots += 1;
         if let Some(w) = self.workers.get_mut(&worker) {
             w.told.1 += self.terms.amount(s.arrival.prompt);
@@ -889,22 +892,17 @@
 
     /// Rule 2: whether the track lets the submission run again now, somewhere.
     fn may_repeat(&self, now: Tenths, s: &Submission) -> bool {
-        let repeat = self.terms.tracks[usize::from(s.arrival.track)].repeat;
-        s.ran.is_none_or(|(first, _)| repeat.allows(now - first))
+        s.ran.is_none_or(|(first, _)| self.repeat(s).allows(now - first))
     }
 
-    /// And whether it may at this worker.
+    /// And whether it may at this worker: one that knows a repeat of what may have run.
     fn may_run(&self, now: Tenths, s: &Submission, worker: WorkerId) -> bool {
-        let Some((_, ran_at)) = s.ran else { return true };
-        let (Some(there), Some(here)) = (self.workers.get(&ran_at), self.workers.get(&worker)) else {
-            return false;
-        };
-        let together = match self.terms.tracks[usize::from(s.arrival.track)].repeat {
-            Repeat::Referenced { group: Group::Zone, .. } => there.list.zone == here.list.zone,
-            Repeat::Referenced { group: Group::Cell, .. } => there.list.cell == here.list.cell,
-            _ => true,
-        };
-        together && self.may_repeat(now, s)
+        let knows = self.workers.get(&worker).is_some_and(|w| self.repeat(s).is_known(s.ran, &w.list));
+        s.ran.is_none() || knows && self.may_repeat(now, s)
+    }
+
+    fn repeat(&self, s: &Submission) -> Repeat {
+        self.terms.tracks[usize::from(s.arrival.track)].repeat
     }
 
     /// The usual way to a first token: read and wait at the writer.
@@ -933,7 +931,7 @@
     /// The final answer: a turn-back where its promise is true, else an abandonment.
     fn end(&mut self, s: &mut Submission) {
         let id = s.arrival.id;
-        let harmless = s.ran.is_none() || self.terms.tracks[usize::from(s.arrival.track)].repeat.anywhere();
+        let harmless = s.ran.is_none() || self.repeat(s).anywhere();
         if s.state.is_some() || s.place.is_some() {
             self.let_go(s);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -50,6 +50,16 @@
         }
     }
 
+    /// Whether a worker knows a repeat of what may have run first, at a worker that was listed so when it was sent.
+    pub fn is_known(self, first: Option<(Tenths, Listing)>, here: &Listing) -> bool {
+        let Some((_, there)) = first else { return true };
+        match self {
+            Repeat::Referenced { group: Group::Zone, .. } => there.zone == here.zone,
+            Repeat::Referenced { group: Group::Cell, .. } => there.cell == here.cell,
+            _ => true,
+        }
+    }
+
     /// Whether a further attempt is harmless wherever it runs, so that a client may be told to come again.
     pub fn anywhere(self) -> bool {
         matches!(self, Repeat::Replayable | Repeat::Referenced { group: Group::All, .. })
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -4,13 +4,15 @@
 
 use foldhash::fast::FixedState;
 
-use crate::interface::{SubmissionId, Tenths, WorkerId};
+use crate::interface::{Listing, SubmissionId, Tenths, WorkerId};
 
 /// What is out of a submission.
 #[derive(Default)]
 pub struct Shot {
     pub number: u16,
     pub worker: WorkerId,
+    /// The worker as it was listed when the shot went out.
+    pub list: Listing,
     pub reading: bool,
     pub sent: Tenths,
     pub started: bool,
