--- a/crates/host/src/books.rs
+++ b/crates/host/src/books.rs
@@ -189,10 +189,14 @@
         self.module.dropped(tenths(now), id);
         self.tenancy.iter_mut().for_each(|t| t.shares.left(now, Ticket(id)));
         self.stirred = true;
-        if let Some(shot) = s.shot.as_ref().filter(|shot| shot.started) {
-            let number = shot.number;
+        let Some(shot) = &s.shot else { return };
+        let number = shot.number;
+        if shot.started {
             ways.withdraw(id, shot);
             self.settle(now, id, number, Ending::Withdrawn, ways);
+        } else if ways.recall(id, shot) {
+            // Guards against a connection that comes up only now, and an attempt that begins for nobody.
+            self.settle(now, id, number, Ending::NeverSent, ways);
         }
     }
 
@@ -275,9 +279,10 @@
         }
     }
 
-    /// The client's time is up: a shot that has not begun to answer has timed out.
+    /// The client's time is up: a shot that has not begun to answer has timed out, also where its client has gone and
+    /// nothing may be called back.
     fn cut_off(&mut self, now: Micros, id: SubmissionId, ways: &mut impl Ways<Asked = A>) {
-        let Some(s) = self.submissions.get(id).filter(|s| !s.over && !s.streams()) else { return };
+        let Some(s) = self.submissions.get(id).filter(|s| !s.streams()) else { return };
         let Some(shot) = &s.shot else {
             self.stirred = true;
             return;
--- a/crates/host/src/ways.rs
+++ b/crates/host/src/ways.rs
@@ -49,6 +49,10 @@
     );
     /// Nobody waits for the shot any more. Whether it never left comes back: then it has not run.
     fn withdraw(&mut self, id: SubmissionId, shot: &Shot) -> bool;
+    /// Takes a shot back that has not left yet; whether it had not. One that has left goes on.
+    fn recall(&mut self, _id: SubmissionId, _shot: &Shot) -> bool {
+        false
+    }
     /// The shot has ended, whoever ended it.
     fn settled(&mut self, id: SubmissionId, s: &Submission<Self::Asked>, shot: &Shot, ending: Ending);
     fn answer(&mut self, id: SubmissionId, s: &Submission<Self::Asked>, answer: Answer);
--- a/crates/platform/src/exit.rs
+++ b/crates/platform/src/exit.rs
@@ -12,7 +12,7 @@
 use crate::ask::Asked;
 use crate::clients::{text, Clients};
 use crate::file::Terms;
-use crate::held::Held;
+use crate::held::{Context, Held};
 use crate::pools::{Job, Pools};
 use crate::program::{key, Ring};
 use crate::watch::Watch;
@@ -50,16 +50,50 @@
 }
 
 impl Exit<'_> {
+    /// What is held, and what is needed to do something for it.
+    fn held(&mut self) -> (&mut Held, Context<'_>) {
+        let context = Context { now: self.now, pools: &mut *self.pools, out: &mut *self.out };
+        (&mut *self.held, context)
+    }
+
     /// Asks for a place; only called once the reader has the whole request.
     pub fn place(&mut self, id: SubmissionId, trace: &Arc<str>, at: WorkerId) {
+        // Guards against a worker that was told to drain while the reader's connection came up.
+        if !self.pools.takes(at) {
+            return;
+        }
         let target = format!("{}{trace}", words::PLACES);
         let bytes = write::request("POST", &target, [("host", "worker")], Some(b""));
-        let link = self.pools.call(self.now, at, Job::Place { id }, bytes, self.out);
-        if let Some(conn) = link.and_then(|link| self.pools.get_mut(link).zip(Some(link))) {
-            let (conn, link) = conn;
+        let Some(link) = self.pools.call(self.now, at, Job::Place { id }, bytes, self.out) else { return };
+        if let Some(conn) = self.pools.get_mut(link) {
             conn.patience.set(self.now + PLACE, key(Ring::Worker(link)), self.out);
-            self.held.asked(self.now, id, trace, (at, link), self.pools, self.out);
         }
+        let (held, mut context) = self.held();
+        held.asked(id, trace, (at, link), &mut context);
+    }
+
+    /// Probes the reader of a request, whose answer is a sign of life.
+    pub fn ask_for_sign(&mut self, id: SubmissionId, reader: WorkerId) {
+        let bytes = write::request("GET", words::ALIVE, [("host", "worker")], None);
+        let Some(link) = self.pools.call(self.now, reader, Job::Liveness { id }, bytes, self.out) else {
+            return;
+        };
+        if let Some(conn) = self.pools.get_mut(link) {
+            conn.patience.set(self.now + self.terms.dial, key(Ring::Worker(link)), self.out);
+        }
+    }
+
+    /// An attempt leaves on its connection, which is up: it tells how long its client waits from now.
+    pub fn attempt(&mut self, link: Link, s: &Submission<Asked>) {
+        let left = (s.cut_off.saturating_sub(self.now) / 1_000).to_string();
+        let fields = s.asked.fields.iter().map(|(name, value)| (name.as_str(), value.as_str()));
+        let fields = fields.chain([(words::LEFT, left.as_str())]);
+        self.out.send(link, write::request("POST", &s.asked.target, fields, Some(&s.asked.body)));
+    }
+
+    /// Whether a shot's last byte has left; of one whose connection is not known nothing shows that it has not.
+    fn has_left(&mut self, link: Link) -> bool {
+        self.pools.get_mut(link).is_none_or(|conn| conn.written)
     }
 
     /// An answer that is all there is to say, on a connection that goes on if it can.
@@ -84,23 +118,22 @@
 impl Ways for Exit<'_> {
     type Asked = Asked;
 
-    fn shoot(&mut self, id: SubmissionId, s: &Submission<Asked>, shot: &Shot, left: Micros) {
+    fn shoot(&mut self, id: SubmissionId, s: &Submission<Asked>, shot: &Shot, _left: Micros) {
         if !shot.reading {
             // A place comes too late now.
-            self.held.unasked(id, self.pools, self.out);
+            let (held, mut context) = self.held();
+            held.unasked(id, &mut context);
         }
-        let left = (left / 1_000).to_string();
-        let fields = s.asked.fields.iter().map(|(name, value)| (name.as_str(), value.as_str()));
-        let fields = fields.chain([(words::LEFT, left.as_str())]);
-        let bytes = write::request("POST", &s.asked.target, fields, Some(&s.asked.body));
         let track = self.terms.books.module.tracks.get(usize::from(s.track));
         let once = !shot.reading && track.is_some_and(|t| t.repeat == Repeat::SingleUse);
         let job = Job::Shot { id, number: shot.number, reading: shot.reading, once };
-        if self.pools.call(self.now, shot.worker, job, bytes, self.out).is_none() {
-            self.later.endings.push((id, shot.number, Ending::NeverSent));
-        }
+        let Some(link) = self.pools.begin(self.now, shot.worker, job, self.out) else {
+            return self.later.endings.push((id, shot.number, Ending::NeverSent));
+        };
         if self.pools.shot_is_up(id) {
-            self.held.pause(self.now, id, self.pools, self.out);
+            self.attempt(link, s);
+            let (held, mut context) = self.held();
+            held.pause(id, &mut context);
         }
     }
 
@@ -124,33 +157,43 @@
         state: Option<WorkerId>,
     ) {
         let at = state.or(places.last().copied());
-        self.held.let_go(self.now, id, &s.asked.trace, at, self.pools, self.out);
+        let (held, mut context) = self.held();
+        held.let_go(id, &s.asked.trace, at, &mut context);
     }
 
     fn withdraw(&mut self, id: SubmissionId, _shot: &Shot) -> bool {
         let Some(link) = self.pools.shot(id) else { return true };
-        // Of one that is not known any more nothing shows that it never ran.
-        let written = self.pools.get_mut(link).is_none_or(|c| c.written);
+        let left = self.has_left(link);
         self.pools.end(link, self.out);
-        !written
+        !left
+    }
+
+    fn recall(&mut self, id: SubmissionId, shot: &Shot) -> bool {
+        let left = self.pools.shot(id).is_some_and(|link| self.has_left(link));
+        !left && self.withdraw(id, shot)
     }
 
     fn settled(&mut self, id: SubmissionId, s: &Submission<Asked>, shot: &Shot, ending: Ending) {
         let sent = self.pools.over(id).unwrap_or(self.now);
-        let (trace, pools, out) = (&s.asked.trace, &mut *self.pools, &mut *self.out);
+        let trace = &s.asked.trace;
+        let (held, mut context) = self.held();
+        let failed = ending != Ending::Honoured && !shot.started;
+        // One that was sent with no state waiting for it has read the prompt itself.
+        let read = shot.reading || s.state.is_none();
         if ending == Ending::Read {
-            self.held.read(self.now, id, trace, shot.worker, pools, out);
-        } else if shot.reading && !ending.never_ran() {
-            self.held.read_badly((self.now, sent), id, trace, shot.worker, pools, out);
-        } else if ending != Ending::Honoured && !shot.started {
+            held.read(id, trace, shot.worker, &mut context);
+        } else if failed && read && !ending.never_ran() {
+            held.read_badly(id, trace, (shot.worker, sent), &mut context);
+        } else if failed {
             let spoke = matches!(ending, Ending::Full | Ending::Stateless | Ending::Fault);
             let reached = !matches!(ending, Ending::Unreachable | Ending::NeverSent);
-            self.held.stays(self.now, id, trace, (s.state, reached, spoke), pools, out);
+            held.stays(id, trace, (s.state, reached, spoke), &mut context);
         }
     }
 
     fn closed(&mut self, id: SubmissionId) {
-        self.held.over(self.now, id, self.pools, self.out);
+        let (held, mut context) = self.held();
+        held.over(id, &mut context);
     }
 
     fn answer(&mut self, id: SubmissionId, s: &Submission<Asked>, answer: Answer) {
--- a/crates/platform/src/held.rs
+++ b/crates/platform/src/held.rs
@@ -3,7 +3,10 @@
 //! An entry stands from the moment in which something may be held until a worker shows that nothing is: events have
 //! begun, a worker that runs has answered a release, or one has said that it never held anything. It is paid in one
 //! way whatever ended before it: at once where nobody wants it any more, else early enough before its time is over.
-//! That time runs on while an attempt is out of which nothing is heard, for a connection may lead nowhere.
+//! That time runs on while an attempt is out of which nothing is heard, for a connection may lead nowhere. It rests
+//! while a read is known to be out: as long as its reader gives signs of life or, where it may not be probed, the
+//! writer that holds the place is asked for it again and still knows of the read. What an attempt waits with is released again and again, for it outlives
+//! a release and may outlive the attempt.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -30,25 +33,70 @@
 const COMES_UP: Micros = 50_000;
 /// Microseconds before the end of its time at which what is held is released, whatever is out for it.
 const AHEAD: Micros = 200_000;
+/// Times that the pause between two releases is doubled at most.
+const ROUNDS: u32 = 6;
+/// Microseconds in which a reader that runs answers a probe, and a writer that knows of a read a call for its place.
+const ANSWERS: Micros = 150_000;
+/// Microseconds for which a machine that vanishes is away at least: a sign of life is asked for so often that one falls
+/// into that time.
+const AWAY: Micros = 1_000_000;
 /// Microseconds that the protocol allows beyond the settings' time.
 const BEYOND: Micros = 300_000;
 
+/// How the time of an entry goes.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Clock {
+    /// It has run since then.
+    Runs(Micros),
+    /// It rests: a read was known to be out then. Whether a sign of that has been asked for since.
+    Rests { since: Micros, asked: bool },
+}
+
 struct Entry {
     trace: Arc<str>,
     /// Where it is held, as far as is known.
     at: Option<WorkerId>,
-    /// Since when its time runs; it rests while an attempt is known to be at a worker that runs.
-    since: Option<Micros>,
+    clock: Clock,
     /// Nothing but what a place that was asked for may hold.
     asked: bool,
     /// Calls that ask for a place and are out: what they hold they may hold after a release has passed them.
     asking: Vec<Link>,
+    /// Releases that were answered while such calls were out: from the third each waits twice as long as the one before.
+    rounds: u32,
     /// Nobody will want it again.
     over: bool,
     patience: Patience,
     release: Option<Release>,
 }
 
+impl Entry {
+    /// Since when its time runs, if it does.
+    fn since(&self) -> Option<Micros> {
+        match self.clock {
+            Clock::Runs(since) => Some(since),
+            Clock::Rests { .. } => None,
+        }
+    }
+
+    /// A read is known to be out now: the time rests.
+    fn rests(&mut self, now: Micros, allowed: Micros, key: u64, out: &mut Outbox) {
+        self.clock = Clock::Rests { since: now, asked: false };
+        self.patience.set(unsure_at(now, allowed), key, out);
+    }
+
+    /// When what is held since then has to be released, of the time allowed for it.
+    fn due(&self, since: Micros, allowed: Micros) -> Micros {
+        since + ((allowed - AHEAD.min(allowed / 4)) << self.rounds.saturating_sub(1))
+    }
+}
+
+/// When something is done for what is held, and on which connections.
+pub struct Context<'a> {
+    pub now: Micros,
+    pub pools: &'a mut Pools,
+    pub out: &'a mut Outbox,
+}
+
 /// What has come of a call that asked for a place.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Place {
@@ -76,13 +124,15 @@
     entries: BTreeMap<SubmissionId, Entry>,
     /// Requests of which a read has just ended badly.
     doubtful: Vec<SubmissionId>,
+    /// Requests of which it has to be asked whether their reads are still out.
+    unsure: Vec<SubmissionId>,
     /// The time allowed, by the settings.
     allowed: Micros,
 }
 
 impl Held {
     pub fn new(allowed: Micros) -> Held {
-        Held { entries: BTreeMap::new(), doubtful: vec![], allowed }
+        Held { entries: BTreeMap::new(), doubtful: vec![], unsure: vec![], allowed }
     }
 
     pub fn is_empty(&self) -> bool {
@@ -94,13 +144,26 @@
         std::mem::take(&mut self.doubtful)
     }
 
-    fn entry(&mut self, id: SubmissionId, trace: &Arc<str>) -> &mut Entry {
+    /// Requests of which it has to be asked now whether their reads are still out, with their trace ids.
+    pub fn unsure(&mut self) -> Vec<(SubmissionId, Arc<str>)> {
+        let unsure = std::mem::take(&mut self.unsure);
+        unsure.into_iter().filter_map(|id| Some((id, self.entries.get(&id)?.trace.clone()))).collect()
+    }
+
+    /// The reader of a request has given a sign of life.
+    pub fn reader_lives(&mut self, id: SubmissionId, at: &mut Context) {
+        let Some(entry) = self.entries.get_mut(&id).filter(|e| e.since().is_none()) else { return };
+        entry.rests(at.now, self.allowed, key(Ring::Held(short(id))), at.out);
+    }
+
+    fn entry(&mut self, now: Micros, id: SubmissionId, trace: &Arc<str>) -> &mut Entry {
         self.entries.entry(id).or_insert_with(|| Entry {
             trace: trace.clone(),
             at: None,
-            since: None,
+            clock: Clock::Runs(now),
             asked: false,
             asking: vec![],
+            rounds: 0,
             over: false,
             patience: Patience::ENDLESS,
             release: None,
@@ -108,112 +171,103 @@
     }
 
     /// The time runs since then, and a release under way, which may have come too early, is none.
-    fn runs(&mut self, id: SubmissionId, since: Micros, pools: &mut Pools, out: &mut Outbox) {
-        let due = due(since, self.allowed);
+    fn runs(&mut self, id: SubmissionId, since: Micros, at: &mut Context) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
-        stop(entry, None, pools, out);
-        entry.since = Some(since);
-        entry.patience.set(due, key(Ring::Held(short(id))), out);
+        stop(entry, None, at);
+        entry.clock = Clock::Runs(since);
+        entry.patience.set(entry.due(since, self.allowed), key(Ring::Held(short(id))), at.out);
     }
 
     /// A read has ended well: its state takes the turn of whatever was held before.
-    pub fn read(
-        &mut self,
-        now: Micros,
-        id: SubmissionId,
-        trace: &Arc<str>,
-        at: WorkerId,
-        pools: &mut Pools,
-        out: &mut Outbox,
-    ) {
-        let entry = self.entry(id, trace);
-        (entry.at, entry.asked) = (Some(at), false);
-        self.runs(id, now, pools, out);
+    pub fn read(&mut self, id: SubmissionId, trace: &Arc<str>, worker: WorkerId, at: &mut Context) {
+        let entry = self.entry(at.now, id, trace);
+        (entry.at, entry.asked, entry.rounds) = (Some(worker), false, 0);
+        self.runs(id, at.now, at);
     }
 
-    /// A read that went out then has ended badly: it may have ended well over there at any time since.
+    /// An attempt that read the prompt and went out then has ended badly: the read may have ended well over there at
+    /// any time since.
     pub fn read_badly(
         &mut self,
-        (now, sent): (Micros, Micros),
         id: SubmissionId,
         trace: &Arc<str>,
-        at: WorkerId,
-        pools: &mut Pools,
-        out: &mut Outbox,
+        (worker, sent): (WorkerId, Micros),
+        at: &mut Context,
     ) {
-        let entry = self.entry(id, trace);
-        (entry.at, entry.asked) = (Some(at), false);
-        let since = entry.since.map_or(sent, |since| since.min(sent));
+        let known = self.entries.get(&id).and_then(Entry::since);
+        let entry = self.entry(sent, id, trace);
+        (entry.at, entry.asked, entry.rounds) = (Some(worker), false, 0);
         self.doubtful.push(id);
-        self.runs(id, since, pools, out);
+        self.runs(id, known.map_or(sent, |since| since.min(sent)), at);
         // The next attempt takes nothing while it does not come up.
-        let entry = self.entry(id, trace);
-        entry.patience.set((now + COMES_UP).min(entry.patience.until()), key(Ring::Held(short(id))), out);
+        if let Some(entry) = self.entries.get_mut(&id) {
+            let until = (at.now + COMES_UP).min(entry.patience.until());
+            entry.patience.set(until, key(Ring::Held(short(id))), at.out);
+        }
     }
 
-    /// The call that asks for a place goes out on that link.
+    /// The call that asks a worker for a place goes out on that link.
     pub fn asked(
         &mut self,
-        now: Micros,
         id: SubmissionId,
         trace: &Arc<str>,
-        (at, on): (WorkerId, Link),
-        pools: &mut Pools,
-        out: &mut Outbox,
+        (worker, on): (WorkerId, Link),
+        at: &mut Context,
     ) {
         let new = !self.entries.contains_key(&id);
-        let entry = self.entry(id, trace);
+        let entry = self.entry(at.now, id, trace);
         entry.asking.push(on);
+        entry.rounds = 0;
         if new {
-            (entry.at, entry.asked) = (Some(at), true);
-            self.runs(id, now, pools, out);
+            (entry.at, entry.asked) = (Some(worker), true);
+            self.runs(id, at.now, at);
         }
     }
 
     /// That call is over; `reading` if its read is out.
     pub fn answered(
         &mut self,
-        now: Micros,
         id: SubmissionId,
         on: Link,
         (place, reading): (Place, bool),
-        pools: &mut Pools,
-        out: &mut Outbox,
+        at: &mut Context,
     ) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         // An answer to an earlier call may be of an earlier read.
         let known = entry.asking.last() == Some(&on) && matches!(place, Place::Held | Place::Refused);
+        let none = matches!(place, Place::Refused | Place::None);
         entry.asking.retain(|link| *link != on);
-        entry.asked &= matches!(place, Place::Refused | Place::None);
-        if entry.asked && entry.asking.is_empty() && matches!(place, Place::Refused | Place::None) {
-            stop(entry, None, pools, out);
+        entry.asked &= none;
+        if entry.asked && entry.asking.is_empty() {
+            stop(entry, None, at);
             self.entries.remove(&id);
-        } else if (entry.over || entry.release.is_some()) && matches!(place, Place::Held | Place::Unknown) {
+        } else if (entry.over || entry.release.is_some()) && !none {
             // A release may have been there before it.
-            self.runs(id, now, pools, out);
-            self.unwanted(now, id, pools, out);
+            self.runs(id, at.now, at);
+            self.unwanted(id, at);
         } else if known && reading && entry.release.is_none() {
             // The read is out at a worker that runs: the time rests.
-            entry.since = None;
-            entry.patience.set(Micros::MAX, key(Ring::Held(short(id))), out);
-        } else if place == Place::Unknown && entry.since.is_none() {
-            // Nobody there knows of the read that was taken to be out.
-            self.runs(id, now, pools, out);
+            entry.rests(at.now, self.allowed, key(Ring::Held(short(id))), at.out);
+        } else if !none {
+            // It may be held from now on; of a read that was taken to be out nobody there knows.
+            entry.rounds = 0;
+            let since = entry.since().unwrap_or(at.now);
+            self.runs(id, since, at);
         }
     }
 
     /// No place is wanted any more: calls for one that have not left never do.
-    pub fn unasked(&mut self, id: SubmissionId, pools: &mut Pools, out: &mut Outbox) {
+    pub fn unasked(&mut self, id: SubmissionId, at: &mut Context) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         entry.asking.retain(|link| {
-            let left = pools.get_mut(*link).is_some_and(|conn| conn.written);
+            let left = at.pools.get_mut(*link).is_some_and(|conn| conn.written);
             if !left {
-                pools.end(*link, out);
+                at.pools.end(*link, at.out);
             }
             left
         });
         if entry.asked && entry.asking.is_empty() {
-            stop(entry, None, pools, out);
+            stop(entry, None, at);
             self.entries.remove(&id);
         }
     }
@@ -222,158 +276,178 @@
     /// with which the time begins anew, and `reached` if it may have come there.
     pub fn stays(
         &mut self,
-        now: Micros,
         id: SubmissionId,
         trace: &Arc<str>,
         (state, reached, spoke): (Option<WorkerId>, bool, bool),
-        pools: &mut Pools,
-        out: &mut Outbox,
+        at: &mut Context,
     ) {
+        let new = !self.entries.contains_key(&id);
         if state.is_some() {
-            let entry = self.entry(id, trace);
-            entry.at = state;
+            self.entry(at.now, id, trace).at = state;
         }
         let Some(entry) = self.entries.get_mut(&id) else { return };
-        if spoke || entry.since.is_none() {
-            self.runs(id, now, pools, out);
+        if new || spoke || entry.since().is_none() {
+            self.runs(id, at.now, at);
         } else if reached && entry.release.is_some() {
             // The release may have come while the attempt still waited with the state, which it frees not then.
-            stop(entry, None, pools, out);
-            self.unwanted(now, id, pools, out);
+            stop(entry, None, at);
+            self.unwanted(id, at);
         }
     }
 
     /// Events have begun, with which all that is held goes by itself.
-    pub fn taken(&mut self, now: Micros, id: SubmissionId, pools: &mut Pools, out: &mut Outbox) {
+    pub fn taken(&mut self, id: SubmissionId, at: &mut Context) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         entry.over = true;
-        self.paid(now, id, None, pools, out);
+        self.paid(id, None, at);
     }
 
-    /// A worker has answered a release, on that link.
-    pub fn released(&mut self, now: Micros, id: SubmissionId, on: Link, pools: &mut Pools, out: &mut Outbox) {
+    /// A worker has answered a release, on that link. It frees nothing that an attempt waits with.
+    pub fn released(&mut self, id: SubmissionId, on: Link, at: &mut Context) {
         tracing::debug!(id, "what was held is released");
-        self.paid(now, id, Some(on), pools, out);
+        if !at.pools.writes(id) {
+            return self.paid(id, Some(on), at);
+        }
+        if let Some(entry) = self.entries.get_mut(&id) {
+            stop(entry, Some(on), at);
+            self.runs(id, at.now, at);
+        }
     }
 
     /// Nothing is held any more, but for what a call for a place under way may hold yet.
-    fn paid(&mut self, now: Micros, id: SubmissionId, on: Option<Link>, pools: &mut Pools, out: &mut Outbox) {
+    fn paid(&mut self, id: SubmissionId, on: Option<Link>, at: &mut Context) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
-        stop(entry, on, pools, out);
-        entry.asked = true;
-        self.unasked(id, pools, out);
-        self.runs(id, now, pools, out);
+        stop(entry, on, at);
+        (entry.asked, entry.rounds) = (true, (entry.rounds + 1).min(ROUNDS));
+        self.unasked(id, at);
+        self.runs(id, at.now, at);
     }
 
     /// The request is over, and nobody wants what is held for it.
-    pub fn over(&mut self, now: Micros, id: SubmissionId, pools: &mut Pools, out: &mut Outbox) {
+    pub fn over(&mut self, id: SubmissionId, at: &mut Context) {
         if let Some(entry) = self.entries.get_mut(&id) {
             entry.over = true;
             // What comes of a call for a place is waited for, as long as its time lasts.
             if !entry.asked {
-                self.unwanted(now, id, pools, out);
+                self.unwanted(id, at);
             }
         }
     }
 
     /// The next attempt is there. What it makes takes the turn of what is held, and must not be released under it,
     /// unless the time is over.
-    pub fn pause(&mut self, now: Micros, id: SubmissionId, pools: &mut Pools, out: &mut Outbox) {
-        let Some(since) = self.entries.get(&id).and_then(|e| e.since) else { return };
-        let due = due(since, self.allowed);
-        let Some(entry) = self.entries.get_mut(&id).filter(|_| now < due) else { return };
-        stop(entry, None, pools, out);
-        entry.patience.set(due, key(Ring::Held(short(id))), out);
+    pub fn pause(&mut self, id: SubmissionId, at: &mut Context) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let Some(due) = entry.since().map(|since| entry.due(since, self.allowed)) else { return };
+        if at.now >= due {
+            return;
+        }
+        stop(entry, None, at);
+        entry.patience.set(due, key(Ring::Held(short(id))), at.out);
     }
 
     /// Nobody wants what is held. Without an entry there is nothing to do.
-    pub fn unwanted(&mut self, now: Micros, id: SubmissionId, pools: &mut Pools, out: &mut Outbox) {
-        self.unasked(id, pools, out);
+    pub fn unwanted(&mut self, id: SubmissionId, at: &mut Context) {
+        self.unasked(id, at);
         let Some(entry) = self.entries.get_mut(&id).filter(|e| e.release.is_none()) else { return };
-        let since = *entry.since.get_or_insert(now);
-        let until = (since + self.allowed).max(now + AHEAD) + BEYOND;
-        tracing::debug!(id, at = ?entry.at, held = now - since, "releases what is held");
-        entry.release = Some(Release { left: round(entry.at, pools), calls: 0, out: VecDeque::new(), until });
-        self.go(now, id, 1, pools, out);
+        let since = entry.since().unwrap_or(at.now);
+        entry.clock = Clock::Runs(since);
+        let until = (since + self.allowed).max(at.now + AHEAD) + BEYOND;
+        tracing::debug!(id, at = ?entry.at, held = at.now - since, "releases what is held");
+        let left = round(entry.at, at.pools);
+        entry.release = Some(Release { left, calls: 0, out: VecDeque::new(), until });
+        self.go(id, 1, at);
     }
 
     /// The same of what the books know to be held, there as far as they know.
-    pub fn let_go(
-        &mut self,
-        now: Micros,
-        id: SubmissionId,
-        trace: &Arc<str>,
-        at: Option<WorkerId>,
-        pools: &mut Pools,
-        out: &mut Outbox,
-    ) {
-        let entry = self.entry(id, trace);
-        entry.at = at.or(entry.at);
-        self.unwanted(now, id, pools, out);
+    pub fn let_go(&mut self, id: SubmissionId, trace: &Arc<str>, worker: Option<WorkerId>, at: &mut Context) {
+        let entry = self.entry(at.now, id, trace);
+        entry.at = worker.or(entry.at);
+        self.unwanted(id, at);
     }
 
     /// Makes so many calls more, and sets the time for those after them.
-    fn go(&mut self, now: Micros, id: SubmissionId, more: usize, pools: &mut Pools, out: &mut Outbox) {
+    fn go(&mut self, id: SubmissionId, more: usize, at: &mut Context) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         let Some(release) = &mut entry.release else { return };
-        if now >= release.until {
+        if at.now >= release.until {
             tracing::warn!(id, calls = release.calls, "nobody could be told to release what is held");
-            stop(entry, None, pools, out);
-            self.entries.remove(&id);
-            return;
+            return self.paid(id, None, at);
         }
+        let target = format!("{}{}", words::PLACES, entry.trace);
+        let bytes = write::request("DELETE", &target, [("host", "worker")], None);
         for _ in 0..more.min(CALLS) {
-            let target = format!("{}{}", words::PLACES, entry.trace);
-            let bytes = write::request("DELETE", &target, [("host", "worker")], None);
             let mut called = None;
             while let Some(worker) = called.is_none().then(|| release.left.pop_front()).flatten() {
-                called = pools.call(now, worker, Job::Release { id }, bytes.clone(), out);
+                called = at.pools.call(at.now, worker, Job::Release { id }, bytes.clone(), at.out);
                 tracing::debug!(id, ?worker, called = called.is_some(), "tells to release");
             }
             let Some(link) = called else { break };
             release.calls += 1;
             release.out.push_back(link);
             if release.out.len() > CALLS {
-                release.out.pop_front().into_iter().for_each(|oldest| pools.end(oldest, out));
+                release.out.pop_front().into_iter().for_each(|oldest| at.pools.end(oldest, at.out));
             }
         }
-        entry.patience.set(now + TRY, key(Ring::Held(short(id))), out);
+        entry.patience.set(at.now + TRY, key(Ring::Held(short(id))), at.out);
     }
 
     /// The time of an entry is over, or a worker has not answered in time: the next ones are asked too.
-    pub fn rang(&mut self, now: Micros, id: SubmissionId, pools: &mut Pools, out: &mut Outbox) {
+    pub fn rang(&mut self, id: SubmissionId, at: &mut Context) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
-        if !entry.patience.over(now, key(Ring::Held(short(id))), out) {
+        if !entry.patience.over(at.now, key(Ring::Held(short(id))), at.out) {
             return;
         }
-        let Some(release) = &mut entry.release else {
-            let due = entry.since.map_or(now, |since| due(since, self.allowed));
-            if now < due && pools.shot_is_up(id) {
-                return entry.patience.set(due, key(Ring::Held(short(id))), out);
-            }
-            return self.unwanted(now, id, pools, out);
-        };
+        let Some(release) = &mut entry.release else { return self.comes_due(id, at) };
         if release.left.is_empty() {
-            release.left = round(entry.at, pools);
+            release.left = round(entry.at, at.pools);
         }
         let more = release.calls.max(1);
-        self.go(now, id, more, pools, out);
+        self.go(id, more, at);
+    }
+
+    /// The time of an entry that is not being released is over, or has to be looked at.
+    fn comes_due(&mut self, id: SubmissionId, at: &mut Context) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let next = match entry.clock {
+            Clock::Runs(since) if at.pools.shot_is_up(id) => entry.due(since, self.allowed),
+            Clock::Runs(_) => at.now,
+            Clock::Rests { since, asked } => {
+                let since = since.max(at.pools.reader_heard(id));
+                let renewal = unsure_at(since, self.allowed);
+                let asks = !asked && at.now >= renewal;
+                if asks {
+                    self.unsure.push(id);
+                }
+                entry.clock = Clock::Rests { since, asked: asked || asks };
+                if asked || asks {
+                    // What the protocol allows beyond the time is left for the release.
+                    since + self.allowed.min(AWAY)
+                } else {
+                    renewal
+                }
+            }
+        };
+        if at.now >= next {
+            return self.unwanted(id, at);
+        }
+        entry.patience.set(next, key(Ring::Held(short(id))), at.out);
     }
 
     /// A connection with a release on it came to nothing.
-    pub fn lost(&mut self, now: Micros, id: SubmissionId, link: Link, pools: &mut Pools, out: &mut Outbox) {
+    pub fn lost(&mut self, id: SubmissionId, link: Link, at: &mut Context) {
         let Some(release) = self.entries.get_mut(&id).and_then(|e| e.release.as_mut()) else { return };
         release.out.retain(|l| *l != link);
         // A round that is over is begun anew by time alone, or refusals would follow each other without a pause.
         if release.out.is_empty() && !release.left.is_empty() {
-            self.go(now, id, 1, pools, out);
+            self.go(id, 1, at);
         }
     }
 }
 
-/// When what is held since then has to be released, of the time allowed for it.
-fn due(since: Micros, allowed: Micros) -> Micros {
-    since + allowed - AHEAD.min(allowed / 2)
+/// When it has to be asked whether a read that was out then still is, so that the answer is there in time.
+fn unsure_at(since: Micros, allowed: Micros) -> Micros {
+    since + allowed.min(AWAY) - ANSWERS.min(allowed / 2)
 }
 
 /// Who is told, in order: where it is held, then who was heard last, for one call at any worker that runs will do.
@@ -383,7 +457,7 @@
 }
 
 /// Ends the calls that are out, but for the one that was answered.
-fn stop(entry: &mut Entry, answered: Option<Link>, pools: &mut Pools, out: &mut Outbox) {
+fn stop(entry: &mut Entry, answered: Option<Link>, at: &mut Context) {
     let calls = entry.release.take().map(|r| r.out).unwrap_or_default();
-    calls.into_iter().filter(|link| Some(*link) != answered).for_each(|link| pools.end(link, out));
+    calls.into_iter().filter(|link| Some(*link) != answered).for_each(|link| at.pools.end(link, at.out));
 }
--- a/crates/platform/src/pools.rs
+++ b/crates/platform/src/pools.rs
@@ -1,7 +1,7 @@
 //! Connections to workers. Each carries one call at a time; one whose call ended well rests until the next, and is
 //! put away long before its worker would.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use bytes::{Bytes, BytesMut};
 use tideroute::interface::{SubmissionId, WorkerId};
@@ -20,6 +20,11 @@
 /// Heads of status 1xx ahead of an answer.
 const AHEAD: u8 = 16;
 
+/// Microseconds after which a worker that has said nothing on a call for a place is taken for gone.
+const HANGS: Micros = 20_000_000;
+/// Calls for places that are long in being answered take this part of all connections at most.
+const LATE_PART: usize = 8;
+
 /// What a connection is there for now.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Job {
@@ -39,6 +44,10 @@
     Probe {
         nonce: u64,
     },
+    /// Asks the reader of a request for a sign of life.
+    Liveness {
+        id: SubmissionId,
+    },
 }
 
 /// An answer of which the head is there.
@@ -60,6 +69,8 @@
     pub written: bool,
     /// It has carried a call before this one.
     pub used: bool,
+    /// By then its last byte has left, or it is given up.
+    pub leaves_by: Micros,
     /// The writer that is asked for a place once the request is written.
     pub place: Option<WorkerId>,
     /// The events pass on to the client.
@@ -68,6 +79,8 @@
     pub first: BytesMut,
     pub patience: Patience,
     opened: Micros,
+    /// When it last brought something.
+    heard: Micros,
     rests_since: Micros,
     /// How long it had rested before this call.
     pub rested: Micros,
@@ -96,10 +109,14 @@
     /// When each worker was last heard.
     heard: HashMap<WorkerId, Micros>,
     places: BTreeMap<WorkerId, Address>,
+    /// Those of them that take nothing new.
+    drains: BTreeSet<WorkerId>,
     probes: HashMap<WorkerId, Link>,
     most: usize,
     dial: Micros,
     idle: Micros,
+    /// Calls for places that workers are long in answering, the oldest first.
+    late: VecDeque<Link>,
     /// Connections that have rested longer are not trusted, since when; none after `idle` of that.
     doubt: Option<(Micros, Micros)>,
 }
@@ -135,8 +152,33 @@
 
     /// Whether a submission's attempt is out to be read.
     pub fn reads(&self, id: SubmissionId) -> bool {
-        let job = self.shot(id).and_then(|link| self.conns.get(&link)).and_then(|conn| conn.job);
-        matches!(job, Some(Job::Shot { reading: true, .. }))
+        self.attempt(id).is_some_and(|(_, reading)| reading)
+    }
+
+    /// The worker that reads it.
+    pub fn reader(&self, id: SubmissionId) -> Option<WorkerId> {
+        self.attempt(id).filter(|(_, reading)| *reading).map(|(conn, _)| conn.worker)
+    }
+
+    /// Whether it is out to be answered.
+    pub fn writes(&self, id: SubmissionId) -> bool {
+        self.attempt(id).is_some_and(|(_, reading)| !reading)
+    }
+
+    fn attempt(&self, id: SubmissionId) -> Option<(&Conn, bool)> {
+        let conn = self.conns.get(&self.shot(id)?)?;
+        match conn.job {
+            Some(Job::Shot { reading, .. }) => Some((conn, reading)),
+            _ => None,
+        }
+    }
+
+    /// When the worker of a submission's attempt was last heard, on connections that were there before the attempt, 0 if
+    /// it never was: a process that has started since would be heard on later ones only.
+    pub fn reader_heard(&self, id: SubmissionId) -> Micros {
+        let (Some((_, sent)), Some((attempt, _))) = (self.shots.get(&id), self.attempt(id)) else { return 0 };
+        let before = self.conns.values().filter(|c| c.worker == attempt.worker && c.opened <= *sent);
+        before.map(|c| c.heard).max().unwrap_or(0)
     }
 
     /// A submission's attempt is over: when it went out, if it did.
@@ -147,6 +189,7 @@
     /// Bytes have come from the worker on that connection.
     pub fn hears(&mut self, now: Micros, link: Link) -> Option<&mut Conn> {
         let conn = self.conns.get_mut(&link)?;
+        conn.heard = now;
         self.heard.insert(conn.worker, now);
         Some(conn)
     }
@@ -163,6 +206,11 @@
     /// new: their first byte might leave after its grace.
     pub fn listed(&mut self, worker: WorkerId, at: Address, started: Micros, takes: bool) -> Vec<Link> {
         self.places.insert(worker, at);
+        if takes {
+            self.drains.remove(&worker);
+        } else {
+            self.drains.insert(worker);
+        }
         let dead = |c: &Conn| {
             c.opened < started || c.job.is_none() && c.to != at || !takes && !c.up && c.brings_new()
         };
@@ -178,6 +226,7 @@
     /// A worker is gone: nothing new reaches it, and what rests there is put away.
     pub fn gone(&mut self, worker: WorkerId, out: &mut Outbox) {
         self.places.remove(&worker);
+        self.drains.remove(&worker);
         self.heard.remove(&worker);
         for link in self.resting.remove(&worker).unwrap_or_default() {
             self.end(link, out);
@@ -189,6 +238,11 @@
         self.places.remove(&worker);
     }
 
+    /// Whether something new may go to a worker.
+    pub fn takes(&self, worker: WorkerId) -> bool {
+        self.places.contains_key(&worker) && !self.drains.contains(&worker)
+    }
+
     pub fn address(&self, worker: WorkerId) -> Option<Address> {
         self.places.get(&worker).copied()
     }
@@ -219,6 +273,23 @@
         self.doubt.filter(|(_, since)| now < since + self.idle).map_or(self.idle, |(rest, _)| rest)
     }
 
+    /// A call for a place has not been answered in time. Its worker may hang and grant it later, so it is waited for;
+    /// the call that has waited longest comes back where so many wait that others would lack the connections.
+    pub fn is_late(&mut self, now: Micros, link: Link, out: &mut Outbox) -> Option<Link> {
+        if self.late.contains(&link) {
+            self.late.retain(|l| *l != link);
+            return Some(link);
+        }
+        self.late.retain(|l| self.conns.get(l).is_some_and(|c| matches!(c.job, Some(Job::Place { .. }))));
+        self.late.push_back(link);
+        self.get_mut(link)?.patience.set(now + HANGS, key(Ring::Worker(link)), out);
+        if self.late.len() > self.most / LATE_PART {
+            self.late.pop_front()
+        } else {
+            None
+        }
+    }
+
     /// Takes the connection to a worker that rested last, if it can be trusted.
     fn rested(&mut self, now: Micros, worker: WorkerId, out: &mut Outbox) -> Option<Link> {
         let link = self.resting.get_mut(&worker).and_then(Vec::pop)?;
@@ -241,36 +312,48 @@
         bytes: Bytes,
         out: &mut Outbox,
     ) -> Option<Link> {
+        let link = self.begin(now, worker, job, out)?;
+        out.send(link, bytes);
+        Some(link)
+    }
+
+    /// Takes a connection for a call whose bytes are still to be sent: an attempt's once it is up, for they tell how
+    /// long there is.
+    pub fn begin(&mut self, now: Micros, worker: WorkerId, job: Job, out: &mut Outbox) -> Option<Link> {
         // Whether a request on an old connection that breaks has run is never known. One that may run but once
         // goes on a new one.
         let fresh = matches!(job, Job::Shot { once: true, .. });
         let rested = if fresh { None } else { self.rested(now, worker, out) };
         let link = match rested {
             Some(link) => link,
-            None => {
-                let at = self.address(worker)?;
-                if self.conns.len() >= self.most {
-                    let (_, oldest) = *self.rests.first()?;
-                    self.end(oldest, out);
-                }
-                let link = out.dial(at, self.dial);
-                self.conns.insert(link, Conn::new(worker, at, now));
-                link
-            }
+            None => self.dial(now, worker, out)?,
         };
+        let leaves_by = now + self.dial;
         let conn = self.conns.get_mut(&link)?;
         self.rests.remove(&(conn.rests_since, link));
         (conn.job, conn.written, conn.used) = (Some(job), false, rested.is_some());
         conn.rested = if conn.used { now - conn.rests_since } else { 0 };
         (conn.place, conn.streams, conn.heads) = (None, false, 0);
+        conn.leaves_by = leaves_by;
         conn.patience.set(Micros::MAX, 0, out);
         if let Job::Shot { id, .. } = job {
+            conn.patience.set(leaves_by, key(Ring::Worker(link)), out);
             self.shots.insert(id, (link, now));
         }
         if let Job::Probe { .. } = job {
             self.probes.insert(worker, link);
         }
-        out.send(link, bytes);
+        Some(link)
+    }
+
+    fn dial(&mut self, now: Micros, worker: WorkerId, out: &mut Outbox) -> Option<Link> {
+        let at = self.address(worker)?;
+        if self.conns.len() >= self.most {
+            let (_, oldest) = *self.rests.first()?;
+            self.end(oldest, out);
+        }
+        let link = out.dial(at, self.dial);
+        self.conns.insert(link, Conn::new(worker, at, now));
         Some(link)
     }
 
@@ -281,8 +364,8 @@
         let coming = conn.coming.take();
         conn.first = BytesMut::new();
         let gone = !self.places.contains_key(&conn.worker);
-        // Bytes behind the answer were not asked for.
-        if gone || coming.is_none_or(|c| c.last) || !conn.arrived.is_empty() {
+        // Bytes behind the answer were not asked for; those of a request that was answered early may still leave.
+        if gone || coming.is_none_or(|c| c.last) || !conn.arrived.is_empty() || !conn.written {
             self.end(link, out);
         } else {
             conn.arrived = BytesMut::new();
@@ -325,11 +408,13 @@
             up: false,
             written: false,
             used: false,
+            leaves_by: Micros::MAX,
             place: None,
             streams: false,
             first: BytesMut::new(),
             patience: Patience::ENDLESS,
             opened: now,
+            heard: 0,
             rests_since: 0,
             rested: 0,
             arrived: BytesMut::new(),
--- a/crates/platform/src/program.rs
+++ b/crates/platform/src/program.rs
@@ -13,7 +13,7 @@
 use crate::clients::{At, Clients};
 use crate::exit::{Exit, Later};
 use crate::file::{self, Terms};
-use crate::held::{Held, Place};
+use crate::held::{Context, Held, Place};
 use crate::list;
 use crate::pools::{Heard, Job, Pools};
 use crate::watch::Watch;
@@ -133,6 +133,11 @@
         !self.stopping && listed && (self.told || self.now >= self.began + READY)
     }
 
+    /// What is held, and what is needed to do something for it.
+    fn held<'a>(&'a mut self, now: Micros, out: &'a mut Outbox) -> (&'a mut Held, Context<'a>) {
+        (&mut self.held, Context { now, pools: &mut self.pools, out })
+    }
+
     fn settle(&mut self, now: Micros, id: SubmissionId, number: u16, ending: Ending, out: &mut Outbox) {
         let (books, mut exit) = self.parts(now, out);
         books.settle(now, id, number, ending, &mut exit);
@@ -186,9 +191,16 @@
     /// Passes a piece of a stream on; its start only once a first event is whole. False if that is none.
     fn events(&mut self, now: Micros, link: Link, piece: Bytes, out: &mut Outbox) -> bool {
         let Some(conn) = self.pools.get_mut(link) else { return true };
-        let Some(Job::Shot { id, .. }) = conn.job else { return true };
+        let Some(Job::Shot { id, number, .. }) = conn.job else { return true };
         conn.patience.set(now + SILENCE, key(Ring::Worker(link)), out);
-        let Some(client) = self.books.submissions.get(id).map(|s| s.asked.client) else { return true };
+        let Some(s) = self.books.submissions.get(id) else { return true };
+        if s.over {
+            // Nobody reads it: it ends like a stream whose client goes.
+            self.pools.end(link, out);
+            self.settle(now, id, number, Ending::Withdrawn, out);
+            return true;
+        }
+        let client = s.asked.client;
         if conn.streams {
             out.send(client, write::chunk(&piece));
             return true;
@@ -210,7 +222,8 @@
         self.clients.begin(client);
         let (books, mut exit) = self.parts(now, out);
         books.started(now, id, &mut exit);
-        exit.held.taken(now, id, exit.pools, exit.out);
+        let mut context = Context { now, pools: exit.pools, out: exit.out };
+        exit.held.taken(id, &mut context);
         if let Some(s) = books.submissions.get_mut(id) {
             // No other shot will need it.
             s.asked.body = Bytes::new();
@@ -246,13 +259,21 @@
                 };
                 let asked = self.books.submissions.get(id).and_then(|s| s.places.last());
                 let reading = asked == Some(&worker) && self.pools.reads(id);
-                self.held.answered(now, id, link, (place, reading), &mut self.pools, out);
+                let (held, mut context) = self.held(now, out);
+                held.answered(id, link, (place, reading), &mut context);
                 if matches!(place, Place::Held | Place::Refused) {
                     let (books, mut exit) = self.parts(now, out);
                     books.held(now, id, worker, place == Place::Held, &mut exit);
                 }
             }
-            Job::Release { id } => self.held.released(now, id, link, &mut self.pools, out),
+            Job::Release { id } => {
+                let (held, mut context) = self.held(now, out);
+                held.released(id, link, &mut context);
+            }
+            Job::Liveness { id } => {
+                let (held, mut context) = self.held(now, out);
+                held.reader_lives(id, &mut context);
+            }
             Job::Probe { nonce } => {
                 let column = self.terms.report.as_ref();
                 let amount = column.and_then(|c| c.amount(words::reported(&report, &c.name)?));
@@ -279,9 +300,14 @@
             Job::Shot { id, number, .. } => self.settle(now, id, number, ending, out),
             Job::Place { id } => {
                 let place = if ending.never_ran() { Place::None } else { Place::Unknown };
-                self.held.answered(now, id, link, (place, false), &mut self.pools, out);
+                let (held, mut context) = self.held(now, out);
+                held.answered(id, link, (place, false), &mut context);
             }
-            Job::Release { id } => self.held.lost(now, id, link, &mut self.pools, out),
+            Job::Release { id } => {
+                let (held, mut context) = self.held(now, out);
+                held.lost(id, link, &mut context);
+            }
+            Job::Liveness { .. } => {}
             Job::Probe { nonce } => {
                 let (books, mut exit) = self.parts(now, out);
                 books.probed(now, nonce, false, &mut exit);
@@ -336,20 +362,37 @@
             return;
         }
         match conn.job {
+            Some(job @ Job::Shot { .. }) if !conn.written && conn.silent() => {
+                tracing::debug!(worker = ?conn.worker, "an attempt has not left in time");
+                self.pools.end(link, out);
+                self.came_to_nothing(now, link, job, Ending::Unreachable, out);
+            }
             // Also one whose first event is not whole: its request may have run.
             Some(Job::Shot { .. }) => {
                 tracing::debug!(worker = ?conn.worker, "a stream is silent");
                 self.spoilt(now, link, out);
             }
-            Some(job @ Job::Place { .. }) => {
-                let ending = if conn.written { Ending::Broken } else { Ending::NeverSent };
+            Some(job @ Job::Place { .. }) if !conn.written => {
                 self.pools.end(link, out);
-                self.came_to_nothing(now, link, job, ending, out);
+                self.came_to_nothing(now, link, job, Ending::NeverSent, out);
+            }
+            Some(Job::Place { .. }) => {
+                if let Some(oldest) = self.pools.is_late(now, link, out) {
+                    self.forget_place(now, oldest, out);
+                }
             }
             _ => self.pools.end(link, out),
         }
     }
 
+    /// A call for a place is waited for no longer: it may be held.
+    fn forget_place(&mut self, now: Micros, link: Link, out: &mut Outbox) {
+        if let Some(job @ Job::Place { .. }) = self.pools.get_mut(link).and_then(|conn| conn.job) {
+            self.pools.end(link, out);
+            self.came_to_nothing(now, link, job, Ending::Broken, out);
+        }
+    }
+
     /// Tells, where the log asks for it, what the books believe is out at each worker and what is out on
     /// connections; the two never differ between turns, or one of them is wrong.
     fn tell_belief(&mut self, now: Micros, out: &mut Outbox) {
@@ -370,12 +413,28 @@
         out.ring(now + TELLS, key(Ring::Belief));
     }
 
+    /// Asks for signs that reads under which places are held are still out: of the reader where it may be probed, else
+    /// of the writer, which is asked for the place again.
+    fn ask_for_signs(&mut self, now: Micros, out: &mut Outbox) {
+        for (id, trace) in self.held.unsure() {
+            let place = self.books.submissions.get(id).and_then(|s| s.places.last().copied());
+            let (Some(reader), Some(place)) = (self.pools.reader(id), place) else { continue };
+            let (_, mut exit) = self.parts(now, out);
+            if exit.terms.books.module.probes {
+                exit.ask_for_sign(id, reader);
+            } else {
+                exit.place(id, &trace, place);
+            }
+        }
+    }
+
     /// What a read that ended badly may have left is released at once where no attempt follows it.
     fn clean_up(&mut self, now: Micros, out: &mut Outbox) {
         for id in self.held.doubtful() {
             let wanted = |s: &tideroute_host::Submission<Asked>| s.shot.is_some() || s.state.is_some();
             if !self.books.submissions.get(id).is_some_and(wanted) {
-                self.held.unwanted(now, id, &mut self.pools, out);
+                let (held, mut context) = self.held(now, out);
+                held.unwanted(id, &mut context);
             }
         }
     }
@@ -404,9 +463,19 @@
     fn opened(&mut self, now: Micros, link: Link, out: &mut Outbox) {
         let Some(conn) = self.pools.get_mut(link) else { return };
         conn.up = true;
-        if let Some(Job::Shot { id, .. }) = conn.job {
-            self.held.pause(now, id, &mut self.pools, out);
+        let leaves_by = conn.leaves_by;
+        let Some(job @ Job::Shot { id, .. }) = conn.job else { return };
+        if now > leaves_by {
+            // Guards against a loop that comes to it late.
+            self.pools.end(link, out);
+            return self.came_to_nothing(now, link, job, Ending::Unreachable, out);
         }
+        let (books, mut exit) = self.parts(now, out);
+        if let Some(s) = books.submissions.get(id) {
+            exit.attempt(link, s);
+        }
+        let (held, mut context) = self.held(now, out);
+        held.pause(id, &mut context);
     }
 
     fn heard(&mut self, now: Micros, link: Link, bytes: &Bytes, out: &mut Outbox) {
@@ -437,6 +506,9 @@
         let Some(conn) = self.pools.get_mut(link) else { return };
         conn.written = true;
         let (place, job) = (conn.place.take(), conn.job);
+        if conn.silent() && matches!(job, Some(Job::Shot { .. })) {
+            conn.patience.set(Micros::MAX, key(Ring::Worker(link)), out);
+        }
         if let (Some(at), Some(Job::Shot { id, .. })) = (place, job) {
             let trace = self.books.submissions.get(id).map(|s| s.asked.trace.clone());
             if let Some(trace) = trace {
@@ -484,7 +556,8 @@
             5 => return self.worker_rang(now, Link::of_dial(what), out),
             6 => {
                 let id = self.books.submissions.long(what);
-                return self.held.rang(now, id, &mut self.pools, out);
+                let (held, mut context) = self.held(now, out);
+                return held.rang(id, &mut context);
             }
             7 => {
                 if self.watch.rang(now, out) {
@@ -521,6 +594,7 @@
             }
         }
         self.clean_up(now, out);
+        self.ask_for_signs(now, out);
     }
 
     fn reread(&mut self, now: Micros, file: &Bytes, out: &mut Outbox) {
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -82,6 +82,8 @@
     pub eager: bool,
     /// How much of what was sent each worker's link has been asked for already.
     taken: BTreeMap<Link, usize>,
+    /// Connections under way that were taken for an attempt's: its bytes leave once they are up.
+    attempts: BTreeSet<Link>,
 }
 
 impl Stage {
@@ -112,6 +114,7 @@
             unwritten: BTreeSet::new(),
             eager: true,
             taken: BTreeMap::new(),
+            attempts: BTreeSet::new(),
         };
         stage.program.begin(stage.now, &mut stage.out);
         stage.settle();
@@ -148,12 +151,13 @@
             let dials = std::mem::take(&mut self.unopened);
             let (up, later): (Vec<_>, Vec<_>) = dials.into_iter().partition(|_| self.eager);
             self.unopened.extend(later.into_iter().filter(|link| !self.ended.contains_key(link)));
+            let opened = !up.is_empty();
             up.into_iter().for_each(|link| self.program.opened(self.now, link, &mut self.out));
             let written = std::mem::take(&mut self.unwritten);
             let (now, later): (Vec<_>, Vec<_>) =
                 written.into_iter().partition(|l| self.eager || !l.dialled());
             self.unwritten.extend(later);
-            if now.is_empty() {
+            if now.is_empty() && !opened {
                 return;
             }
             now.into_iter().for_each(|link| self.program.drained(self.now, link, &mut self.out));
@@ -268,8 +272,25 @@
         calls[0]
     }
 
+    /// Attempts that were not taken yet, also those whose connections are under way: nothing is sent on them before
+    /// they are up.
+    pub fn attempts(&mut self) -> Vec<(Link, usize)> {
+        let mut found = self.calls("POST /v1/chat");
+        found.retain(|(link, _)| !self.attempts.remove(link));
+        let at = |to: &Address| (to[2] == 1).then(|| usize::from(to[3]) - 1);
+        let under_way =
+            self.unopened.iter().filter(|l| !self.sent.contains_key(l) && !self.attempts.contains(l));
+        let under_way = under_way.filter_map(|link| Some((*link, at(self.dialled.get(link)?)?)));
+        found.extend(under_way);
+        self.attempts.extend(found.iter().map(|(link, _)| *link).filter(|l| self.unopened.contains(l)));
+        found
+    }
+
+    /// The one such attempt.
     pub fn shot(&mut self) -> (Link, usize) {
-        self.call("POST /v1/chat")
+        let attempts = self.attempts();
+        assert_eq!(attempts.len(), 1, "attempts: {attempts:?}");
+        attempts[0]
     }
 
     /// The link of the watch at discovery, if there is one now.
--- a/crates/platform/tests/customers/checker.rs
+++ b/crates/platform/tests/customers/checker.rs
@@ -215,6 +215,10 @@
         self.requests[request].state.is_some()
     }
 
+    pub fn has_place(&self, request: usize, worker: usize) -> bool {
+        self.requests[request].place == Some(worker)
+    }
+
     /// Whether an attempt that answers it has to read its prompt first.
     pub fn wants_state(&self, request: usize) -> bool {
         !self.has_state(request) && !self.requests[request].begun
--- a/crates/platform/tests/customers/world.rs
+++ b/crates/platform/tests/customers/world.rs
@@ -17,6 +17,8 @@
 const END_MS: u64 = 9_000;
 /// Milliseconds that a client waits at most, so that a world ends.
 const LONGEST_WAIT_MS: u64 = 3_000;
+/// A machine that is away for less has kept its connections, or resets them (docs/assumptions.md).
+const AWAY: Micros = 1_000 * MS;
 /// Milliseconds after a signal to end in which clients still come.
 const STILL_COMES: Micros = 500 * MS;
 
@@ -72,6 +74,7 @@
 #[derive(Default)]
 struct Server {
     vanished: bool,
+    vanished_at: Micros,
     hangs_until: Micros,
     /// Counts its starts: what an earlier one was at is gone.
     start: u64,
@@ -210,7 +213,7 @@
             self.routers.iter_mut().for_each(|r| r.stage.pass(at.saturating_sub(r.stage.now)));
             self.look();
             if event <= at {
-                let Some(Reverse((_, _, start, event))) = self.queue.pop() else { return None };
+                let Reverse((_, _, start, event)) = self.queue.pop()?;
                 self.step(start, event);
                 self.look();
             }
@@ -446,11 +449,14 @@
             Event::PlaceAnswered(on, request, knew) => self.place_answered(on, request, knew),
             Event::Vanish(worker) => {
                 self.servers[worker].vanished = true;
+                self.servers[worker].vanished_at = self.now;
                 self.checker.worker_died(self.now, worker);
             }
             Event::Return(worker) => {
-                if self.servers[worker].vanished {
-                    self.starts_again(worker, 0.5);
+                let server = &self.servers[worker];
+                if server.vanished {
+                    let resets = if self.now < server.vanished_at + AWAY { 1.0 } else { 0.5 };
+                    self.starts_again(worker, resets);
                 }
             }
             Event::Hang(worker, until) => self.servers[worker].hangs_until = until,
@@ -572,8 +578,8 @@
     }
 
     fn place_answered(&mut self, on: Connection, request: usize, knew: bool) {
-        let held = self.chance(0.6);
         let worker = self.worker(on).unwrap_or(0);
+        let held = self.checker.has_place(request, worker) || self.chance(0.6);
         if held && self.worker(on).is_some() {
             self.checker.holds_place(self.now, request, worker);
         }
--- a/crates/platform/tests/held.rs
+++ b/crates/platform/tests/held.rs
@@ -51,7 +51,7 @@
     let (mut stage, _, _, _) = read("once");
     stage.eager = false;
     let mut waited = 0;
-    while let Some((writer, _)) = stage.calls("POST /v1").first().copied().filter(|_| waited < 750) {
+    while let Some((writer, _)) = stage.attempts().first().copied().filter(|_| waited < 750) {
         stage.pass(250 * MS);
         waited += 250;
         stage.lose_as(writer, Loss::Unreached);
@@ -105,8 +105,11 @@
 
 #[test]
 fn a_place_of_which_nobody_spoke_is_given_back_in_time() {
-    for (answer, released) in [(None, true), (Some(FREED), true), (Some(""), false)] {
-        let mut stage = Stage::new();
+    // One that is known to be held is kept as long as its reader gives signs of life.
+    for (answer, alive, released) in
+        [(None, true, true), (Some(FREED), true, true), (Some(""), true, false), (Some(""), false, true)]
+    {
+        let (mut stage, old) = with_an_older_connection_to_the_reader();
         let client = stage.come();
         stage.say(client, ask("id", "safe"));
         let (_reader, _) = stage.shot();
@@ -116,11 +119,74 @@
             Some(unknown) => stage.say(place, unknown),
             None => {}
         }
-        pass(&mut stage, 810);
-        assert_eq!(!stage.calls(RELEASE).is_empty(), released, "{answer:?}");
+        stage.pass(400 * MS);
+        if alive {
+            stage.say(old, "HTTP/1.1 102 Processing\r\n\r\n");
+        }
+        stage.pass(610 * MS);
+        assert_eq!(!stage.calls(RELEASE).is_empty(), released, "{answer:?}, alive: {alive}");
+        stage.pass(400 * MS);
+        assert!(!stage.calls(RELEASE).is_empty() || released, "{answer:?}: silent again for its time");
     }
 }
 
+/// A router with a read under way at the one reader, whose connection was there before what follows.
+fn with_an_older_connection_to_the_reader() -> (Stage, Link) {
+    let mut stage = Stage::with(&one_of_each());
+    let client = stage.come();
+    stage.say(client, ask("older", "safe"));
+    let (old, _) = stage.shot();
+    let (place, _) = stage.call("POST /internal/reservations/older ");
+    stage.say(place, plain(200, "", ""));
+    (stage, old)
+}
+
+/// A configuration with one reader and one writer.
+fn one_of_each() -> serde_json::Value {
+    let mut file = file();
+    let mut known = list(4);
+    known["servers"].as_array_mut().expect("a list").retain(|s| s["id"] == "r1" || s["id"] == "w1");
+    file["known"] = known;
+    file["settings"]["caps"]["probing"] = false.into();
+    file
+}
+
+#[test]
+fn a_place_is_kept_under_a_long_read_whose_reader_answers_probes_and_for_no_longer() {
+    let mut file = file();
+    // Guards against a call back that would hide what is looked at.
+    file["settings"]["classes"][0]["on_time_ms"] = 4_000.0.into();
+    let mut stage = Stage::with(&file);
+    let client = stage.come();
+    stage.say(client, ask_for("id", "safe", 5_000, "{}"));
+    let (_reader, _) = stage.shot();
+    let (place, _) = stage.call("POST /internal/reservations/id ");
+    stage.say(place, plain(200, "", ""));
+    pass(&mut stage, 2_500);
+    assert!(stage.calls(RELEASE).is_empty(), "its reader runs");
+    stage.pass(1_300 * MS);
+    assert!(!stage.calls(RELEASE).is_empty(), "it is silent");
+}
+
+#[test]
+fn a_place_is_asked_for_again_under_a_long_read_where_nobody_may_be_probed() {
+    let mut stage = Stage::with(&one_of_each());
+    let client = stage.come();
+    stage.say(client, ask("id", "safe"));
+    let (_reader, _) = stage.shot();
+    let (mut place, _) = stage.call("POST /internal/reservations/id ");
+    for _ in 0..3 {
+        stage.say(place, plain(200, "", ""));
+        stage.pass(900 * MS);
+        (place, _) = stage.call("POST /internal/reservations/id ");
+    }
+    assert!(stage.calls(RELEASE).is_empty(), "the writer knows of the read");
+    // Nobody there knows of it any more.
+    stage.say(place, FREED);
+    stage.pass(1_300 * MS);
+    assert!(!stage.calls(RELEASE).is_empty());
+}
+
 /// A request whose client has gone while the call for a place is out; what was released of it is answered for.
 fn left_while_a_place_is_asked_for(written: bool) -> (Stage, Link) {
     let mut stage = Stage::new();
--- a/crates/platform/tests/shots.rs
+++ b/crates/platform/tests/shots.rs
@@ -150,7 +150,7 @@
         }
         stage.lose_as(writer, loss);
         stage.pass(300 * MS);
-        assert_eq!(stage.calls("POST /v1/chat").len(), 1, "it is tried again");
+        assert_eq!(stage.attempts().len(), 1, "it is tried again");
         assert!(stage.statuses(client).is_empty());
     }
 }
@@ -263,7 +263,7 @@
     let client = stage.come();
     stage.say(client, ask("id", "safe"));
     let (reader, _) = stage.shot();
-    stage.calls("POST /internal");
+    let (place, _) = stage.call("POST /internal");
     stage.lose(client);
     stage.pass(20 * MS);
     assert!(stage.ended.contains_key(&reader));
@@ -273,6 +273,8 @@
     let (second, _) = stage.call("DELETE /internal/reservations/id ");
     stage.say(second, "HTTP/1.1 204 No Content\r\n\r\n");
     assert!(stage.ended.contains_key(&free), "the one that is silent is not waited for");
+    // No place was held: nothing is left to be released.
+    stage.say(place, plain(409, "", ""));
     stage.pass(3_000 * MS);
     assert!(stage.calls("DELETE").is_empty());
 }
