Release again what outlives a release: workers see the end of an attempt later than routers make it

Lines: held.rs `released` took the first answer for the last word. Change: an entry stays while a worker whose attempt this side has ended was not heard since; it is told itself 50 ms later, and the release is repeated within the time allowed until it is heard, for 20 s at most (3.5 s after a signal to end).

--- a/crates/platform/src/exit.rs
+++ b/crates/platform/src/exit.rs
@@ -189,6 +189,9 @@
             let reached = !matches!(ending, Ending::Unreachable | Ending::NeverSent);
             held.stays(id, trace, (s.state, reached, spoke), &mut context);
         }
+        if matches!(ending, Ending::Withdrawn | Ending::TimedOut) {
+            held.gave_up(id, shot.worker, context.now);
+        }
     }
 
     fn closed(&mut self, id: SubmissionId) {
--- a/crates/platform/src/held.rs
+++ b/crates/platform/src/held.rs
@@ -31,6 +31,8 @@
 /// Microseconds in which a dialled connection is there, unless something is wrong on its way: some round trips
 /// and what the worker needs for it.
 const COMES_UP: Micros = 50_000;
+/// Microseconds in which a worker sees that a connection to it was ended: a round trip between zones and a busy loop.
+const SEES: Micros = 50_000;
 /// Microseconds before the end of its time at which what is held is released, whatever is out for it.
 const AHEAD: Micros = 200_000;
 /// Times that the pause between two releases is doubled at most.
@@ -63,6 +65,8 @@
     asking: Vec<Link>,
     /// Releases that were answered while such calls were out: from the third each waits twice as long as the one before.
     rounds: u32,
+    /// Attempts that this side has ended, until their workers have seen that.
+    given_up: Vec<GivenUp>,
     /// Nobody will want it again.
     over: bool,
     patience: Patience,
@@ -97,6 +101,28 @@
     pub out: &'a mut Outbox,
 }
 
+/// An attempt that this side has ended. Its worker may learn of that behind a release that was sent later, or first end
+/// well what it was at, after a hang: what it then holds outlives that release.
+struct GivenUp {
+    worker: WorkerId,
+    when: Micros,
+    /// The worker has been heard since.
+    heard: bool,
+}
+
+impl GivenUp {
+    /// Whether a release that began then, and that some worker has answered, leaves something of it.
+    fn outlives(&mut self, began: Micros, answered_by: WorkerId, at: &Context) -> bool {
+        let seen = self.when + SEES;
+        if began >= seen && (self.heard || answered_by == self.worker) {
+            return false;
+        }
+        // It runs, and has seen the end by now: one more release will do.
+        self.heard = began >= seen && at.pools.heard_since(self.worker, seen);
+        true
+    }
+}
+
 /// What has come of a call that asked for a place.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Place {
@@ -111,6 +137,7 @@
 
 /// A release under way.
 struct Release {
+    began: Micros,
     /// Workers yet to be tried in this round.
     left: VecDeque<WorkerId>,
     /// Calls made, and those of them that are out, the oldest first.
@@ -164,6 +191,7 @@
             asked: false,
             asking: vec![],
             rounds: 0,
+            given_up: vec![],
             over: false,
             patience: Patience::ENDLESS,
             release: None,
@@ -200,9 +228,13 @@
         self.doubtful.push(id);
         self.runs(id, known.map_or(sent, |since| since.min(sent)), at);
         // The next attempt takes nothing while it does not come up.
+        self.looks_again(id, COMES_UP, at);
+    }
+
+    /// This side has ended an attempt at a worker.
+    pub fn gave_up(&mut self, id: SubmissionId, worker: WorkerId, now: Micros) {
         if let Some(entry) = self.entries.get_mut(&id) {
-            let until = (at.now + COMES_UP).min(entry.patience.until());
-            entry.patience.set(until, key(Ring::Held(short(id))), at.out);
+            entry.given_up.push(GivenUp { worker, when: now, heard: false });
         }
     }
 
@@ -238,7 +270,7 @@
         let none = matches!(place, Place::Refused | Place::None);
         entry.asking.retain(|link| *link != on);
         entry.asked &= none;
-        if entry.asked && entry.asking.is_empty() {
+        if entry.asked && entry.asking.is_empty() && entry.given_up.is_empty() {
             stop(entry, None, at);
             self.entries.remove(&id);
         } else if (entry.over || entry.release.is_some()) && !none {
@@ -266,7 +298,7 @@
             }
             left
         });
-        if entry.asked && entry.asking.is_empty() {
+        if entry.asked && entry.asking.is_empty() && entry.given_up.is_empty() {
             stop(entry, None, at);
             self.entries.remove(&id);
         }
@@ -303,14 +335,31 @@
     }
 
     /// A worker has answered a release, on that link. It frees nothing that an attempt waits with.
-    pub fn released(&mut self, id: SubmissionId, on: Link, at: &mut Context) {
+    pub fn released(&mut self, id: SubmissionId, (worker, on): (WorkerId, Link), at: &mut Context) {
         tracing::debug!(id, "what was held is released");
-        if !at.pools.writes(id) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let began = entry.release.as_ref().map_or(at.now, |release| release.began);
+        let hangs = at.pools.hangs;
+        entry.given_up.retain(|given_up| at.now < given_up.when + hangs);
+        entry.given_up.retain_mut(|given_up| given_up.outlives(began, worker, at));
+        if entry.given_up.is_empty() && !at.pools.writes(id) {
             return self.paid(id, Some(on), at);
         }
+        stop(entry, Some(on), at);
+        // Its own answer shows that it has seen the end of its attempt.
+        entry.at = entry.given_up.first().map(|given_up| given_up.worker).or(entry.at);
+        let soon = entry.given_up.iter().any(|given_up| given_up.heard || began < given_up.when + SEES);
+        self.runs(id, at.now, at);
+        if soon {
+            self.looks_again(id, SEES, at);
+        }
+    }
+
+    /// The entry is looked at after so long, if that is not done before.
+    fn looks_again(&mut self, id: SubmissionId, after: Micros, at: &mut Context) {
         if let Some(entry) = self.entries.get_mut(&id) {
-            stop(entry, Some(on), at);
-            self.runs(id, at.now, at);
+            let until = (at.now + after).min(entry.patience.until());
+            entry.patience.set(until, key(Ring::Held(short(id))), at.out);
         }
     }
 
@@ -318,7 +367,8 @@
     fn paid(&mut self, id: SubmissionId, on: Option<Link>, at: &mut Context) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         stop(entry, on, at);
-        (entry.asked, entry.rounds) = (true, (entry.rounds + 1).min(ROUNDS));
+        entry.asked = true;
+        entry.rounds = if entry.asking.is_empty() { 0 } else { (entry.rounds + 1).min(ROUNDS) };
         self.unasked(id, at);
         self.runs(id, at.now, at);
     }
@@ -355,7 +405,7 @@
         let until = (since + self.allowed).max(at.now + AHEAD) + BEYOND;
         tracing::debug!(id, at = ?entry.at, held = at.now - since, "releases what is held");
         let left = round(entry.at, at.pools);
-        entry.release = Some(Release { left, calls: 0, out: VecDeque::new(), until });
+        entry.release = Some(Release { began: at.now, left, calls: 0, out: VecDeque::new(), until });
         self.go(id, 1, at);
     }
 
@@ -372,6 +422,8 @@
         let Some(release) = &mut entry.release else { return };
         if at.now >= release.until {
             tracing::warn!(id, calls = release.calls, "nobody could be told to release what is held");
+            let hangs = at.pools.hangs;
+            entry.given_up.retain(|given_up| at.now < given_up.when + hangs);
             return self.paid(id, None, at);
         }
         let target = format!("{}{}", words::PLACES, entry.trace);
--- a/crates/platform/src/pools.rs
+++ b/crates/platform/src/pools.rs
@@ -20,8 +20,10 @@
 /// Heads of status 1xx ahead of an answer.
 const AHEAD: u8 = 16;
 
-/// Microseconds after which a worker that has said nothing on a call for a place is taken for gone.
+/// Microseconds after which a worker that says nothing is taken for gone, and not only to hang.
 const HANGS: Micros = 20_000_000;
+/// The same after a signal to end, which leaves little more.
+const HANGS_AT_END: Micros = 3_500_000;
 /// Calls for places that are long in being answered take this part of all connections at most.
 const LATE_PART: usize = 8;
 
@@ -115,6 +117,8 @@
     most: usize,
     dial: Micros,
     idle: Micros,
+    /// A worker that says nothing for so long is taken for gone.
+    pub hangs: Micros,
     /// Calls for places that workers are long in answering, the oldest first.
     late: VecDeque<Link>,
     /// Connections that have rested longer are not trusted, since when; none after `idle` of that.
@@ -124,7 +128,7 @@
 impl Pools {
     /// At most so many connections; how long a dial may take, and how long a connection rests.
     pub fn new(most: usize, dial: Micros, idle: Micros) -> Pools {
-        Pools { most, dial, idle, ..Pools::default() }
+        Pools { most, dial, idle, hangs: HANGS, ..Pools::default() }
     }
 
     pub fn get_mut(&mut self, link: Link) -> Option<&mut Conn> {
@@ -194,6 +198,11 @@
         Some(conn)
     }
 
+    /// Whether a worker was heard at that time or later.
+    pub fn heard_since(&self, worker: WorkerId, time: Micros) -> bool {
+        self.heard.get(&worker).is_some_and(|heard| *heard >= time)
+    }
+
     /// Workers that are not gone, the one that was heard last first.
     pub fn heard_last(&self) -> impl Iterator<Item = WorkerId> {
         let mut workers: Vec<_> = self.workers().collect();
@@ -282,7 +291,8 @@
         }
         self.late.retain(|l| self.conns.get(l).is_some_and(|c| matches!(c.job, Some(Job::Place { .. }))));
         self.late.push_back(link);
-        self.get_mut(link)?.patience.set(now + HANGS, key(Ring::Worker(link)), out);
+        let until = now + self.hangs;
+        self.get_mut(link)?.patience.set(until, key(Ring::Worker(link)), out);
         if self.late.len() > self.most / LATE_PART {
             self.late.pop_front()
         } else {
@@ -290,6 +300,16 @@
         }
     }
 
+    /// The router is to end: workers that hang are waited for no longer than that allows.
+    pub fn ends(&mut self, now: Micros, out: &mut Outbox) {
+        self.hangs = HANGS_AT_END;
+        for &link in &self.late {
+            if let Some(conn) = self.conns.get_mut(&link) {
+                conn.patience.set(now + HANGS_AT_END, key(Ring::Worker(link)), out);
+            }
+        }
+    }
+
     /// Takes the connection to a worker that rested last, if it can be trusted.
     fn rested(&mut self, now: Micros, worker: WorkerId, out: &mut Outbox) -> Option<Link> {
         let link = self.resting.get_mut(&worker).and_then(Vec::pop)?;
--- a/crates/platform/src/program.rs
+++ b/crates/platform/src/program.rs
@@ -268,7 +268,7 @@
             }
             Job::Release { id } => {
                 let (held, mut context) = self.held(now, out);
-                held.released(id, link, &mut context);
+                held.released(id, (worker, link), &mut context);
             }
             Job::Liveness { id } => {
                 let (held, mut context) = self.held(now, out);
@@ -351,8 +351,14 @@
 
     /// By what the list says, what was out on a connection has broken, or must never come to be.
     fn worker_ends(&mut self, now: Micros, link: Link, out: &mut Outbox) {
+        let attempt =
+            self.pools.get_mut(link).filter(|conn| conn.written).map(|conn| (conn.worker, conn.job));
         self.worker_lost(now, link, out);
         out.cut(link);
+        // Guards against a process that did get it, on a connection that came up behind its start.
+        if let Some((worker, Some(Job::Shot { id, .. }))) = attempt {
+            self.held.gave_up(id, worker, now);
+        }
     }
 
     /// The wait on a connection to a worker may be over.
@@ -626,6 +632,7 @@
             self.clients.lose(link);
             out.close(link, "the router ends");
         }
+        self.pools.ends(now, out);
         out.ring(now + GRACE, key(Ring::Grace));
     }
 
