--- a/crates/platform/src/entry.rs
+++ b/crates/platform/src/entry.rs
@@ -96,11 +96,17 @@
         client.last = true;
         client.wasted += bytes + std::mem::take(&mut client.arrived).len();
         let without_end = client.wasted > WASTED;
+        let streams = matches!(client.at, At::Answer(.., true));
         self.clients.count(link);
         if without_end {
+            let why = "sends without end while its request is open";
             counter!("tideroute_clients_sent_away_total").increment(1);
             self.client_gone(now, link, out);
-            out.close(link, "sends without end while its request is open");
+            // The request that is open was read: it gets an answer.
+            if !streams {
+                out.send(link, said(400, 0, why, true));
+            }
+            out.close(link, why);
         }
     }
 
--- a/crates/platform/src/exit.rs
+++ b/crates/platform/src/exit.rs
@@ -11,9 +11,10 @@
 
 use crate::ask::Asked;
 use crate::clients::{text, Clients};
+use crate::conn::Job;
 use crate::file::Terms;
 use crate::held::{Context, Held};
-use crate::pools::{Job, Pools};
+use crate::pools::Pools;
 use crate::program::{key, Ring};
 use crate::watch::Watch;
 use crate::words;
--- a/crates/platform/src/held.rs
+++ b/crates/platform/src/held.rs
@@ -14,14 +14,19 @@
 use tideroute::interface::{SubmissionId, WorkerId};
 use tideroute_host::short;
 use tideroute_http::write;
-use tideroute_wire::link::{Link, Outbox};
+use tideroute_wire::link::Link;
 use tideroute_wire::Micros;
 
+use crate::conn::Job;
 use crate::patience::Patience;
-use crate::pools::{Job, Pools};
 use crate::program::{key, Ring};
 use crate::words;
 
+mod entry;
+
+use entry::{round, stop, unsure_at, Clock, Entry, GivenUp, Release, AHEAD, AWAY, SEES};
+pub use entry::{Context, Place};
+
 /// Microseconds after which a worker that has not answered is not waited for alone: some round trips and a
 /// handshake, and short enough that several can be tried within any release time.
 const TRY: Micros = 100_000;
@@ -31,122 +36,11 @@
 /// Microseconds in which a dialled connection is there, unless something is wrong on its way: some round trips
 /// and what the worker needs for it.
 const COMES_UP: Micros = 50_000;
-/// Microseconds in which a worker sees that a connection to it was ended: a round trip between zones and a busy loop.
-const SEES: Micros = 50_000;
-/// Microseconds before the end of its time at which what is held is released, whatever is out for it.
-const AHEAD: Micros = 200_000;
 /// Times that the pause between two releases is doubled at most.
 const ROUNDS: u32 = 6;
-/// Microseconds in which a reader that runs answers a probe, and a writer that knows of a read a call for its place.
-const ANSWERS: Micros = 150_000;
-/// Microseconds for which a machine that vanishes is away at least: a sign of life is asked for so often that one falls
-/// into that time.
-const AWAY: Micros = 1_000_000;
 /// Microseconds that the protocol allows beyond the settings' time.
 const BEYOND: Micros = 300_000;
 
-/// How the time of an entry goes.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Clock {
-    /// It has run since then.
-    Runs(Micros),
-    /// It rests: a read was known to be out then. Whether a sign of that has been asked for since.
-    Rests { since: Micros, asked: bool },
-}
-
-struct Entry {
-    trace: Arc<str>,
-    /// Where it is held, as far as is known.
-    at: Option<WorkerId>,
-    clock: Clock,
-    /// Nothing but what a place that was asked for may hold.
-    asked: bool,
-    /// Calls that ask for a place and are out: what they hold they may hold after a release has passed them.
-    asking: Vec<Link>,
-    /// Releases that were answered while such calls were out: from the third each waits twice as long as the one before.
-    rounds: u32,
-    /// Attempts that this side has ended, until their workers have seen that.
-    given_up: Vec<GivenUp>,
-    /// Nobody will want it again.
-    over: bool,
-    patience: Patience,
-    release: Option<Release>,
-}
-
-impl Entry {
-    /// Since when its time runs, if it does.
-    fn since(&self) -> Option<Micros> {
-        match self.clock {
-            Clock::Runs(since) => Some(since),
-            Clock::Rests { .. } => None,
-        }
-    }
-
-    /// A read is known to be out now: the time rests.
-    fn rests(&mut self, now: Micros, allowed: Micros, key: u64, out: &mut Outbox) {
-        self.clock = Clock::Rests { since: now, asked: false };
-        self.patience.set(unsure_at(now, allowed), key, out);
-    }
-
-    /// When what is held since then has to be released, of the time allowed for it.
-    fn due(&self, since: Micros, allowed: Micros) -> Micros {
-        since + ((allowed - AHEAD.min(allowed / 4)) << self.rounds.saturating_sub(1))
-    }
-}
-
-/// When something is done for what is held, and on which connections.
-pub struct Context<'a> {
-    pub now: Micros,
-    pub pools: &'a mut Pools,
-    pub out: &'a mut Outbox,
-}
-
-/// An attempt that this side has ended. Its worker may learn of that behind a release that was sent later, or first end
-/// well what it was at, after a hang: what it then holds outlives that release.
-struct GivenUp {
-    worker: WorkerId,
-    when: Micros,
-    /// The worker has been heard since.
-    heard: bool,
-}
-
-impl GivenUp {
-    /// Whether a release that began then, and has been answered, leaves something of it.
-    fn outlives(&mut self, began: Micros, at: &Context) -> bool {
-        let seen = self.when + SEES;
-        if began >= seen && self.heard {
-            return false;
-        }
-        // It runs, but one that has hung may take up the release before it sees the end: one more will do.
-        self.heard = began >= seen && at.pools.heard_since(self.worker, seen);
-        true
-    }
-}
-
-/// What has come of a call that asked for a place.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Place {
-    Held,
-    /// By a worker that knows of the read.
-    Refused,
-    /// It never came there, or did nothing.
-    None,
-    /// It may be held.
-    Unknown,
-}
-
-/// A release under way.
-struct Release {
-    began: Micros,
-    /// Workers yet to be tried in this round.
-    left: VecDeque<WorkerId>,
-    /// Calls made, and those of them that are out, the oldest first.
-    calls: usize,
-    out: VecDeque<Link>,
-    /// When trying ends.
-    until: Micros,
-}
-
 pub struct Held {
     entries: BTreeMap<SubmissionId, Entry>,
     /// Requests of which a read has just ended badly.
@@ -496,20 +390,3 @@
         }
     }
 }
-
-/// When it has to be asked whether a read that was out then still is, so that the answer is there in time.
-fn unsure_at(since: Micros, allowed: Micros) -> Micros {
-    since + allowed.min(AWAY) - ANSWERS.min(allowed / 2)
-}
-
-/// Who is told, in order: where it is held, then who was heard last, for one call at any worker that runs will do.
-fn round(at: Option<WorkerId>, pools: &Pools) -> VecDeque<WorkerId> {
-    let known = at.filter(|w| pools.address(*w).is_some());
-    known.into_iter().chain(pools.heard_last().filter(|w| Some(*w) != known)).collect()
-}
-
-/// Ends the calls that are out, but for the one that was answered.
-fn stop(entry: &mut Entry, answered: Option<Link>, at: &mut Context) {
-    let calls = entry.release.take().map(|r| r.out).unwrap_or_default();
-    calls.into_iter().filter(|link| Some(*link) != answered).for_each(|link| at.pools.end(link, at.out));
-}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod ask;
 mod clients;
+mod conn;
 mod entry;
 mod exit;
 mod file;
--- /dev/null
+++ b/crates/platform/src/program/workers.rs
@@ -0,0 +1,298 @@
+//! Connections to workers: what comes on them goes to the books and to what is held, and what ends on them too.
+
+use bytes::Bytes;
+use tideroute::interface::Ending;
+use tideroute_http::write;
+use tideroute_wire::link::{Link, Outbox};
+use tideroute_wire::Micros;
+
+use super::{key, Platform, Ring};
+use crate::ask::Asked;
+use crate::conn::{Heard, Job};
+use crate::held::{Context, Place};
+use crate::words;
+
+/// Microseconds without a byte after which a stream is taken for dead. Its client must not be left waiting for
+/// five seconds; a worker that takes an answer back into its queue may well be silent for some.
+pub(super) const SILENCE: Micros = 4_500_000;
+/// Bytes in which a stream's first event must end.
+const EVENT: usize = 64 << 10;
+
+impl Platform {
+    pub(super) fn worker_heard(&mut self, now: Micros, link: Link, bytes: &Bytes, out: &mut Outbox) {
+        let Some(conn) = self.pools.hears(now, link) else { return };
+        if conn.job.is_none() {
+            // Nothing was asked on it: whatever comes next could not be told from it.
+            return self.pools.end(link, out);
+        }
+        conn.heard(bytes);
+        loop {
+            let Some(conn) = self.pools.get_mut(link) else { return };
+            match conn.next() {
+                Ok(Heard::Nothing) => return,
+                Ok(Heard::Piece(200, piece))
+                    if matches!(conn.job, Some(Job::Shot { reading: false, .. })) =>
+                {
+                    if !self.events(now, link, piece, out) {
+                        return self.spoilt(now, link, out);
+                    }
+                }
+                Ok(Heard::Piece(200, piece)) if matches!(conn.job, Some(Job::Probe { .. })) => {
+                    conn.first.extend_from_slice(&piece);
+                }
+                Ok(Heard::Piece(..)) => {}
+                Ok(Heard::End(status, never_ran)) => {
+                    return self.whole_answer(now, link, status, never_ran, out)
+                }
+                Err(problem) => {
+                    tracing::debug!(worker = ?conn.worker, %problem, "an answer that cannot be read");
+                    return self.spoilt(now, link, out);
+                }
+            }
+        }
+    }
+
+    /// Passes a piece of a stream on; its start only once a first event is whole. False if that is none.
+    fn events(&mut self, now: Micros, link: Link, piece: Bytes, out: &mut Outbox) -> bool {
+        let Some(conn) = self.pools.get_mut(link) else { return true };
+        let Some(Job::Shot { id, number, .. }) = conn.job else { return true };
+        conn.patience.set(now + SILENCE, key(Ring::Worker(link)), out);
+        let Some(s) = self.books.submissions.get(id) else { return true };
+        if s.over {
+            // Nobody reads it: it ends like a stream whose client goes.
+            self.pools.end(link, out);
+            self.settle(now, id, number, Ending::Withdrawn, out);
+            return true;
+        }
+        let client = s.asked.client;
+        if conn.streams {
+            out.send(client, write::chunk(&piece));
+            return true;
+        }
+        conn.first.extend_from_slice(&piece);
+        let begins = |with: &[u8]| conn.first.starts_with(with) || with.starts_with(&conn.first);
+        if !(begins(b"data:") || begins(b":")) || conn.first.len() > EVENT {
+            return false;
+        }
+        if !conn.first.windows(2).any(|w| w == b"\n\n") {
+            return true;
+        }
+        conn.streams = true;
+        let first = std::mem::take(&mut conn.first);
+        let last = self.stopping || self.clients.get(client).is_none_or(|c| c.last);
+        let fields = [("content-type", "text/event-stream"), ("cache-control", "no-store")];
+        out.send(client, write::chunked_head(200, fields, last));
+        out.send(client, write::chunk(&first));
+        self.clients.begin(client);
+        let (books, mut exit) = self.parts(now, out);
+        books.started(now, id, &mut exit);
+        let mut context = Context { now, pools: exit.pools, out: exit.out };
+        exit.held.taken(id, &mut context);
+        if let Some(s) = books.submissions.get_mut(id) {
+            // No other shot will need it.
+            s.asked.body = Bytes::new();
+            s.asked.fields = vec![];
+        }
+        true
+    }
+
+    /// An answer is whole.
+    fn whole_answer(&mut self, now: Micros, link: Link, status: u16, never_ran: bool, out: &mut Outbox) {
+        let Some(conn) = self.pools.get_mut(link) else { return };
+        let (worker, streamed, report) = (conn.worker, conn.streams, std::mem::take(&mut conn.first));
+        let Some(job) = self.pools.ended(now, link, out) else { return };
+        match job {
+            Job::Shot { id, number, reading, .. } => {
+                let ending = match status {
+                    202 if reading => Ending::Read,
+                    200 if !reading && streamed => Ending::Honoured,
+                    410 if never_ran => Ending::Stateless,
+                    503 | 504 if never_ran => Ending::Full,
+                    _ => Ending::Fault,
+                };
+                self.settle(now, id, number, ending, out);
+            }
+            Job::Place { id } => {
+                let place = match status {
+                    200 => Place::Held,
+                    409 => Place::Refused,
+                    404 => Place::None,
+                    _ if never_ran => Place::None,
+                    // With 204 too, though nobody there knows of a read.
+                    _ => Place::Unknown,
+                };
+                let asked = self.books.submissions.get(id).and_then(|s| s.places.last());
+                let reading = asked == Some(&worker) && self.pools.reads(id);
+                let (held, mut context) = self.held(now, out);
+                held.answered(id, link, (place, reading), &mut context);
+                if matches!(place, Place::Held | Place::Refused) {
+                    let (books, mut exit) = self.parts(now, out);
+                    books.held(now, id, worker, place == Place::Held, &mut exit);
+                }
+            }
+            Job::Release { id } => {
+                let (held, mut context) = self.held(now, out);
+                held.released(id, link, &mut context);
+            }
+            Job::Liveness { id } => {
+                let (held, mut context) = self.held(now, out);
+                held.reader_lives(id, &mut context);
+            }
+            Job::Probe { nonce } => {
+                let column = self.terms.report.as_ref();
+                let amount = column.and_then(|c| c.amount(words::reported(&report, &c.name)?));
+                let (books, mut exit) = self.parts(now, out);
+                amount.into_iter().for_each(|amount| books.told(now, nonce, amount));
+                books.probed(now, nonce, status == 200, &mut exit);
+            }
+        }
+    }
+
+    /// What comes on the connection can't be read, or no longer comes: the request may have run.
+    fn spoilt(&mut self, now: Micros, link: Link, out: &mut Outbox) {
+        let Some((job, streams)) = self.pools.get_mut(link).and_then(|c| Some((c.job?, c.streams))) else {
+            return;
+        };
+        self.pools.end(link, out);
+        // A stream that began well is given up by this side; only an answer that never was one is a fault.
+        let ending = if streams { Ending::Withdrawn } else { Ending::Fault };
+        self.came_to_nothing(now, link, job, ending, out);
+    }
+
+    pub(super) fn came_to_nothing(
+        &mut self,
+        now: Micros,
+        link: Link,
+        job: Job,
+        ending: Ending,
+        out: &mut Outbox,
+    ) {
+        match job {
+            Job::Shot { id, number, .. } => self.settle(now, id, number, ending, out),
+            Job::Place { id } => {
+                let place = if ending.never_ran() { Place::None } else { Place::Unknown };
+                let (held, mut context) = self.held(now, out);
+                held.answered(id, link, (place, false), &mut context);
+            }
+            Job::Release { id } => {
+                let (held, mut context) = self.held(now, out);
+                held.lost(id, link, &mut context);
+            }
+            Job::Liveness { .. } => {}
+            Job::Probe { nonce } => {
+                let (books, mut exit) = self.parts(now, out);
+                books.probed(now, nonce, false, &mut exit);
+            }
+        }
+    }
+
+    /// A connection to a worker has ended, or never came about.
+    pub(super) fn worker_lost(&mut self, now: Micros, link: Link, out: &mut Outbox) {
+        let Some(conn) = self.pools.get_mut(link) else { return };
+        if conn.written {
+            if let Some((status, never_ran)) = conn.ends_with() {
+                return self.whole_answer(now, link, status, never_ran, out);
+            }
+        }
+        let Some(conn) = self.pools.lose(link) else { return };
+        let Some(job) = conn.job else {
+            tracing::debug!(worker = ?conn.worker, "a resting connection ended");
+            return;
+        };
+        tracing::debug!(
+            worker = ?conn.worker,
+            ?job,
+            written = conn.written,
+            used = conn.used,
+            rested = conn.rested,
+            silent = conn.silent(),
+            "a connection ended under its call"
+        );
+        if conn.used && conn.silent() {
+            self.pools.broke_after(now, conn.rested);
+        }
+        // An old connection that was found dead says nothing of the worker.
+        let ending = match (conn.written, conn.used) {
+            (true, _) => Ending::Broken,
+            (false, true) => Ending::NeverSent,
+            (false, false) => Ending::Unreachable,
+        };
+        self.came_to_nothing(now, link, job, ending, out);
+    }
+
+    /// By what the list says, what was out on a connection has broken, or must never come to be.
+    pub(super) fn worker_ends(&mut self, now: Micros, link: Link, out: &mut Outbox) {
+        let attempt =
+            self.pools.get_mut(link).filter(|conn| conn.written).map(|conn| (conn.worker, conn.job));
+        self.worker_lost(now, link, out);
+        out.cut(link);
+        // Guards against a process that did get it, on a connection that came up behind its start.
+        if let Some((worker, Some(Job::Shot { id, .. }))) = attempt {
+            self.held.gave_up(id, worker, now);
+        }
+    }
+
+    /// The wait on a connection to a worker may be over.
+    pub(super) fn worker_rang(&mut self, now: Micros, link: Link, out: &mut Outbox) {
+        let Some(conn) = self.pools.get_mut(link) else { return };
+        if !conn.patience.over(now, key(Ring::Worker(link)), out) {
+            return;
+        }
+        match conn.job {
+            Some(job @ Job::Shot { .. }) if !conn.written && conn.silent() => {
+                tracing::debug!(worker = ?conn.worker, "an attempt has not left in time");
+                self.pools.end(link, out);
+                self.came_to_nothing(now, link, job, Ending::Unreachable, out);
+            }
+            // Also one whose first event is not whole: its request may have run.
+            Some(Job::Shot { .. }) => {
+                tracing::debug!(worker = ?conn.worker, "a stream is silent");
+                self.spoilt(now, link, out);
+            }
+            Some(job @ Job::Place { .. }) if !conn.written => {
+                self.pools.end(link, out);
+                self.came_to_nothing(now, link, job, Ending::NeverSent, out);
+            }
+            Some(Job::Place { .. }) => {
+                if let Some(oldest) = self.pools.is_late(now, link, out) {
+                    self.forget_place(now, oldest, out);
+                }
+            }
+            _ => self.pools.end(link, out),
+        }
+    }
+
+    /// A call for a place is waited for no longer: it may be held.
+    fn forget_place(&mut self, now: Micros, link: Link, out: &mut Outbox) {
+        if let Some(job @ Job::Place { .. }) = self.pools.get_mut(link).and_then(|conn| conn.job) {
+            self.pools.end(link, out);
+            self.came_to_nothing(now, link, job, Ending::Broken, out);
+        }
+    }
+
+    /// Asks for signs that reads under which places are held are still out: of the reader where it may be probed, else
+    /// of the writer, which is asked for the place again.
+    pub(super) fn ask_for_signs(&mut self, now: Micros, out: &mut Outbox) {
+        for (id, trace) in self.held.unsure() {
+            let place = self.books.submissions.get(id).and_then(|s| s.places.last().copied());
+            let (Some(reader), Some(place)) = (self.pools.reader(id), place) else { continue };
+            let (_, mut exit) = self.parts(now, out);
+            if exit.terms.books.module.probes {
+                exit.ask_for_sign(id, reader);
+            } else {
+                exit.place(id, &trace, place);
+            }
+        }
+    }
+
+    /// What a read that ended badly may have left is released at once where no attempt follows it.
+    pub(super) fn clean_up(&mut self, now: Micros, out: &mut Outbox) {
+        for id in self.held.doubtful() {
+            let wanted = |s: &tideroute_host::Submission<Asked>| s.shot.is_some() || s.state.is_some();
+            if !self.books.submissions.get(id).is_some_and(wanted) {
+                let (held, mut context) = self.held(now, out);
+                held.unwanted(id, &mut context);
+            }
+        }
+    }
+}
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -152,6 +152,7 @@
     let (reader, _) = stage.shot();
     (0..140).for_each(|_| stage.say(endless, vec![b'x'; 10_000]));
     assert!(stage.ended.contains_key(&endless));
+    assert_eq!(stage.statuses(endless), [400], "its request was read, and is answered");
     stage.pass(20 * MS);
     assert!(stage.ended.contains_key(&reader));
 }
