--- a/crates/platform/src/file.rs
+++ b/crates/platform/src/file.rs
@@ -67,7 +67,7 @@
         for (name, track) in self.books.tracks.iter().zip(&self.books.module.tracks) {
             if matches!(track.repeat, Repeat::Referenced { window: 0, .. }) {
                 found.push(format!(
-                    "key_ttl_ms of class {name} is no longer than the {} ms that a connection may take: it is never repeated",
+                    "key_ttl_ms of class {name} leaves no time beside the {} ms that a connection may take: it is never repeated",
                     self.dial / 1_000
                 ));
             }
--- a/crates/platform/src/program.rs
+++ b/crates/platform/src/program.rs
@@ -201,9 +201,9 @@
         let Some(conn) = self.pools.get_mut(link) else { return };
         conn.up = true;
         let leaves_by = conn.leaves_by;
-        let Some(job @ Job::Shot { id, .. }) = conn.job else { return };
-        if now > leaves_by {
-            // Guards against a loop that comes to it late.
+        let Some(job @ Job::Shot { id, number, .. }) = conn.job else { return };
+        if now > leaves_by || !self.books.submissions.get(id).is_some_and(|s| s.shot_is(number)) {
+            // Guards against a loop that comes to it late, and an attempt that nobody waits for.
             self.pools.end(link, out);
             return self.came_to_nothing(now, link, job, Ending::Unreachable, out);
         }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,6 +9,9 @@
 /// The column of load reports that counts the shots out at a worker.
 const SHOTS: &str = "outstanding";
 
+/// Milliseconds in which a request that has left arrives whole, also in pieces: a round trip between zones and some more.
+const ARRIVES_MS: f64 = 100.0;
+
 /// Milliseconds to tenths, rounded down; what no clock can hold is brought to its ends.
 pub fn tenths(ms: f64) -> Tenths {
     (ms * 10.0).floor().clamp(-1e15, 1e15) as Tenths
@@ -103,8 +106,8 @@
     Ok(roles)
 }
 
-/// What holds for a class. Its repeats have to arrive while the first is remembered, so that the time which a
-/// connection may take to come up is none in which to send one.
+/// What holds for a class. Its repeats have to arrive whole while the first is remembered, so that the time which a
+/// connection may take to come up, and a request to arrive, is none in which to send one.
 fn track(place: usize, class: &Value, per_thousand_us: f64, comes_up_ms: f64) -> Result<Track, String> {
     if class.get("hard_limit_ms").is_some() {
         over_zero(class, place, "hard_limit_ms")?;
@@ -118,7 +121,7 @@
                 "cell" => Group::Cell,
                 other => return Err(format!("dedup_scope {other:?} in the settings is unknown")),
             },
-            window: tenths((over_zero(class, place, "key_ttl_ms")? - comes_up_ms).max(0.0)),
+            window: tenths((over_zero(class, place, "key_ttl_ms")? - comes_up_ms - ARRIVES_MS).max(0.0)),
         },
         "side_effect" => Repeat::SingleUse,
         other => return Err(format!("idempotency {other:?} in the settings is unknown")),
