What is held: two conditions that stood twice are methods of the entry; one comment said what no longer holds

held.rs asked twice whether an entry holds nothing, and dropped hung workers in two places: `Entry::holds_nothing` and `Entry::forget_hung`.

--- a/crates/platform/src/held.rs
+++ b/crates/platform/src/held.rs
@@ -164,7 +164,7 @@
         let none = matches!(place, Place::Refused | Place::None);
         entry.asking.retain(|link| *link != on);
         entry.asked &= none;
-        if entry.asked && entry.asking.is_empty() && entry.given_up.is_empty() {
+        if entry.holds_nothing() {
             stop(entry, None, at);
             self.entries.remove(&id);
         } else if (entry.over || entry.release.is_some()) && !none {
@@ -192,7 +192,7 @@
             }
             left
         });
-        if entry.asked && entry.asking.is_empty() && entry.given_up.is_empty() {
+        if entry.holds_nothing() {
             stop(entry, None, at);
             self.entries.remove(&id);
         }
@@ -233,14 +233,13 @@
         tracing::debug!(id, "what was held is released");
         let Some(entry) = self.entries.get_mut(&id) else { return };
         let began = entry.release.as_ref().map_or(at.now, |release| release.began);
-        let hangs = at.pools.hangs;
-        entry.given_up.retain(|given_up| at.now < given_up.when + hangs);
+        entry.forget_hung(at);
         entry.given_up.retain_mut(|given_up| given_up.outlives(began, at));
         if entry.given_up.is_empty() && !at.pools.writes(id) {
             return self.paid(id, Some(on), at);
         }
         stop(entry, Some(on), at);
-        // Its own answer shows that it has seen the end of its attempt.
+        // It is told first from now on, for its answer is the sign that it runs.
         entry.at = entry.given_up.first().map(|given_up| given_up.worker).or(entry.at);
         let soon = entry.given_up.iter().any(|given_up| given_up.heard || began < given_up.when + SEES);
         self.runs(id, at.now, at);
@@ -316,8 +315,7 @@
         let Some(release) = &mut entry.release else { return };
         if at.now >= release.until {
             tracing::warn!(id, calls = release.calls, "nobody could be told to release what is held");
-            let hangs = at.pools.hangs;
-            entry.given_up.retain(|given_up| at.now < given_up.when + hangs);
+            entry.forget_hung(at);
             return self.paid(id, None, at);
         }
         let target = format!("{}{}", words::PLACES, entry.trace);
--- a/crates/platform/src/held/entry.rs
+++ b/crates/platform/src/held/entry.rs
@@ -57,6 +57,16 @@
         }
     }
 
+    /// Nothing is held for it, nor may anything come to be.
+    pub fn holds_nothing(&self) -> bool {
+        self.asked && self.asking.is_empty() && self.given_up.is_empty()
+    }
+
+    /// Workers that have hung for too long are taken for gone.
+    pub fn forget_hung(&mut self, at: &Context) {
+        self.given_up.retain(|given_up| at.now < given_up.when + at.pools.hangs);
+    }
+
     /// A read is known to be out now: the time rests.
     pub fn rests(&mut self, now: Micros, allowed: Micros, key: u64, out: &mut Outbox) {
         self.clock = Clock::Rests { since: now, asked: false };
