Tests that fail: starts told by a stepped clock, and clients that come as a router ends

The router, not the rig: both ends' traces agree. Read, then forced: starts told in Unix time are compared with the router's own clock; a program that is done leaves who waits in the queue of its door to a reset by the kernel. The rig's discover() began each line with a new head, which ended the watch: it now begins once, and the lists of the older tests are heard as they were meant to be.

--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -84,6 +84,8 @@
     taken: BTreeMap<Link, usize>,
     /// Connections under way that were taken for an attempt's: its bytes leave once they are up.
     attempts: BTreeSet<Link>,
+    /// Watches that discovery has begun to answer.
+    watched: BTreeSet<Link>,
 }
 
 impl Stage {
@@ -115,6 +117,7 @@
             eager: true,
             taken: BTreeMap::new(),
             attempts: BTreeSet::new(),
+            watched: BTreeSet::new(),
         };
         stage.program.begin(stage.now, &mut stage.out);
         stage.settle();
@@ -305,13 +308,12 @@
         (link, self.text(link))
     }
 
-    /// Discovery answers the watch with a line.
+    /// Discovery tells a line on the watch; its answer begins with the first one.
     pub fn discover(&mut self, line: &serde_json::Value) {
         let (link, _) = self.watch();
-        let line = format!("{line}\n");
-        let text =
-            format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{line}\r\n", line.len());
-        self.say(link, text);
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        let head = if self.watched.insert(link) { head } else { "" };
+        self.say(link, format!("{head}{}", chunk(&format!("{line}\n"))));
     }
 }
 
--- a/crates/platform/tests/list.rs
+++ b/crates/platform/tests/list.rs
@@ -204,6 +204,58 @@
     assert_ne!(stage.shot().1, at, "it is read elsewhere: that one is cold");
 }
 
+/// Milliseconds in an hour, by which wall clocks may be stepped.
+const HOUR_MS: u64 = 3_600_000;
+
+/// A start that was just now, as a clock tells it that was stepped by an hour; this router's, or the other one.
+fn stepped(stage: &Stage, ahead: bool) -> u64 {
+    let now_ms = stage.now / MS;
+    if ahead {
+        now_ms + HOUR_MS
+    } else {
+        now_ms - HOUR_MS
+    }
+}
+
+/// A request is served whole; its reader.
+fn served_by(stage: &mut Stage, trace: &str) -> usize {
+    let client = stage.come();
+    stage.say(client, ask(trace, "safe"));
+    let (reader, at) = stage.shot();
+    stage.say(reader, READ);
+    let (writer, _) = stage.shot();
+    stage.say(writer, stream());
+    assert_eq!(stage.statuses(client), [200]);
+    at
+}
+
+/// A worker's entry is told with another start, by a clock that was stepped, while discovery has been heard all along.
+/// The worker.
+fn restarts_by_a_stepped_clock(stage: &mut Stage, ahead: bool) -> usize {
+    stage.discover(&list(5));
+    let home = served_by(stage, "home");
+    for version in 6..16 {
+        stage.pass(2_000 * MS);
+        stage.discover(&list(version));
+    }
+    let restarted = entry(home, "SERVING", stepped(stage, ahead));
+    stage.discover(&json!({"version": 20, "full": false, "servers": [restarted]}));
+    home
+}
+
+#[test]
+fn a_start_told_by_a_stepped_clock_is_cold_for_as_long_as_any() {
+    for ahead in [true, false] {
+        let mut stage = Stage::without_places();
+        let home = restarts_by_a_stepped_clock(&mut stage, ahead);
+        let cold = (0..40).filter(|n| served_by(&mut stage, &format!("cold{n}")) == home).count();
+        assert!(cold <= 20, "ahead: {ahead}; {cold} of 40 to a worker that has just started");
+        stage.pass(11_000 * MS);
+        let warm = (0..40).filter(|n| served_by(&mut stage, &format!("warm{n}")) == home).count();
+        assert_eq!(warm, 40, "ahead: {ahead}; it is warm by now");
+    }
+}
+
 #[test]
 fn what_is_under_way_to_a_worker_that_drains_or_is_gone_never_leaves() {
     let gone = |whole: bool, worker: usize| {
@@ -320,6 +372,31 @@
     assert!(done(&stage));
 }
 
+/// A request may be on its way on a connection that was made a moment before the end.
+#[test]
+fn who_has_come_just_before_the_end_is_answered_and_who_says_nothing_does_not_hold_it_up() {
+    let mut stage = Stage::without_places();
+    stage.discover(&list(5));
+    let (old, asks, silent, half) = (stage.come(), stage.come(), stage.come(), stage.come());
+    stage.say(old, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    stage.stop();
+    assert!(stage.ended.contains_key(&old), "it rested between requests");
+    assert!(!stage.ended.contains_key(&asks));
+    stage.say(half, &ask("half", "safe")[..40]);
+    stage.pass(150 * MS);
+    stage.say(asks, ask("asks", "safe"));
+    read(&mut stage);
+    let (writer, _) = stage.shot();
+    stage.say(writer, stream());
+    assert!(unchunked(&stage.text(asks)).1 && stage.text(asks).contains("connection: close"));
+    stage.pass(450 * MS);
+    assert!(stage.ended.contains_key(&silent) && stage.statuses(silent).is_empty());
+    assert!(!stage.ended.contains_key(&half), "it has as long as ever to be whole");
+    stage.pass(1_500 * MS);
+    assert_eq!(stage.statuses(half), [408]);
+    assert!(done(&stage));
+}
+
 fn read(stage: &mut Stage) {
     let (reader, _) = stage.shot();
     stage.say(reader, READ);
--- a/crates/reactor/tests/links.rs
+++ b/crates/reactor/tests/links.rs
@@ -263,3 +263,66 @@
     last.write_all(b"end").unwrap();
     assert_eq!(thread.join().unwrap(), Ended::Done);
 }
+
+/// Is done once its first client has gone, and in that very moment another one comes and asks.
+struct LastMoment {
+    at: SocketAddr,
+    late: Option<TcpStream>,
+    open: usize,
+    gone: usize,
+}
+
+impl Program for LastMoment {
+    fn begin(&mut self, _now: Micros, _out: &mut Outbox) {}
+    fn accepted(&mut self, _now: Micros, _link: Link, _door: usize, _out: &mut Outbox) {
+        self.open += 1;
+    }
+    fn opened(&mut self, _now: Micros, _link: Link, _out: &mut Outbox) {}
+    fn heard(&mut self, _now: Micros, link: Link, asked: &Bytes, out: &mut Outbox) {
+        out.send(link, asked.clone());
+    }
+    fn lost(&mut self, _now: Micros, _link: Link, _loss: Loss, _out: &mut Outbox) {
+        (self.open, self.gone) = (self.open - 1, self.gone + 1);
+    }
+    fn crowded(&mut self, _now: Micros, _link: Link, _crowded: bool, _out: &mut Outbox) {}
+    fn rang(&mut self, _now: Micros, _key: u64, _out: &mut Outbox) {}
+    fn turn(&mut self, _now: Micros, _out: &mut Outbox) {
+        if self.gone == 1 && self.late.is_none() {
+            let mut late = TcpStream::connect(self.at).unwrap();
+            late.write_all(b"late!").unwrap();
+            late.shutdown(std::net::Shutdown::Write).unwrap();
+            self.late = Some(late);
+        }
+    }
+    fn stop(&mut self, _now: Micros, _out: &mut Outbox) {}
+    fn done(&self) -> bool {
+        // The one that waits at the door is not known here before it is taken.
+        self.gone > 0 && self.open == 0
+    }
+}
+
+/// Sends five bytes and reads as many.
+fn ask(stream: &mut TcpStream, asked: &[u8; 5]) -> [u8; 5] {
+    let mut answer = [0; 5];
+    stream.write_all(asked).unwrap();
+    stream.read_exact(&mut answer).unwrap();
+    answer
+}
+
+#[test]
+fn who_waits_at_the_door_as_the_program_is_done_is_answered() {
+    let mut reactor = Reactor::new(&["127.0.0.1:0".parse().unwrap()]).unwrap();
+    reactor.raw(8);
+    reactor.patient();
+    let at = reactor.addresses()[0];
+    let first = std::thread::spawn(move || ask(&mut TcpStream::connect(at).unwrap(), b"first"));
+    let mut program = LastMoment { at, late: None, open: 0, gone: 0 };
+    assert_eq!(reactor.run(&mut program).unwrap(), Ended::Done);
+    assert_eq!(&first.join().unwrap(), b"first");
+    drop(reactor);
+    let (mut late, mut answer) = (program.late.expect("it came"), [0; 5]);
+    late.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let read = late.read_exact(&mut answer);
+    assert!(read.is_ok() && &answer == b"late!", "its request came on a connection that was made: {read:?}");
+    assert!(TcpStream::connect(at).is_err(), "nobody comes after it");
+}
