Starts of workers are taken on the router's own clock, whatever wall clocks are stepped to

Cause: discovery tells starts in Unix time, and the platform compared them with its own clock, which is read from the wall clock once (Pools::listed, c.opened < started; choice.rs cold and lot, now - started). With a clock stepped by an hour between the two, a worker that has just started is warm at once, or cold for an hour, a restart on open connections passes unseen, or every whole list ends all connections to it, with the streams on them. Ruled out: deadlines, windows, waits and graces; all are spans of the loop's clock, which counts on by the monotonic one. Change: one place, crates/host/src/starts.rs, takes a told start for this router's time only where it lies between when discovery was last heard (less the 6 s by which lists may be late) and now; else the start is this moment. That a process is another shows in its entry being another, once. The native router's twin, which cut starts off at 'now' on each listing and so moved them, uses the same. Before a first list nothing bounds a start from below: a router that starts with its clock ahead still takes cold workers for warm (docs/invariants.md).

--- a/crates/host/src/books.rs
+++ b/crates/host/src/books.rs
@@ -10,6 +10,7 @@
 use tideroute_wire::Micros;
 
 use crate::lateness::Lateness;
+use crate::starts::{Process, Starts};
 use crate::submissions::{Submission, Submissions};
 use crate::tenancy::Tenancy;
 use crate::terms::BookTerms;
@@ -29,6 +30,7 @@
     /// What the list says of each worker, the role by its kind beside it.
     pub(crate) listed: BTreeMap<WorkerId, (Listing, Role)>,
     version: u64,
+    starts: Starts,
     /// What came of decisions while they were pulled; the module hears it after the last of them.
     pub(crate) settled: Vec<(SubmissionId, u16, Ending)>,
     /// Submissions that may be over and free of everything.
@@ -53,6 +55,7 @@
             terms,
             listed: BTreeMap::new(),
             version: 0,
+            starts: Starts::default(),
             settled: vec![],
             closing: vec![],
             probes: BTreeMap::new(),
@@ -74,6 +77,16 @@
         self.version = 0;
     }
 
+    /// Discovery has been heard, and what it told has been taken.
+    pub fn list_heard(&mut self, now: Micros) {
+        self.starts.heard(now);
+    }
+
+    /// The Unix time of a worker's start as it was told.
+    pub fn start_told(&self, worker: WorkerId) -> Micros {
+        self.starts.told(worker)
+    }
+
     pub fn listed(&self) -> impl Iterator<Item = &Listing> {
         self.listed.values().map(|(listing, _)| listing)
     }
@@ -318,11 +331,21 @@
     /// A worker that is gone may be told by its name alone.
     pub fn gone(&mut self, now: Micros, worker: WorkerId) {
         if let Some((known, _)) = self.listed.get(&worker) {
-            self.entry(now, Listing { standing: Standing::Gone, ..*known });
+            let gone = Listing { standing: Standing::Gone, ..*known };
+            self.take_entry(now, gone);
         }
     }
 
-    pub fn entry(&mut self, now: Micros, listing: Listing) {
+    /// A worker is listed, its start in Unix time; what that says of its process.
+    pub fn entry(&mut self, now: Micros, listing: Listing) -> Process {
+        let told = listing.started.max(0) as Micros * TENTH;
+        let process = self.starts.listed(now, listing.worker, told);
+        self.take_entry(now, Listing { started: tenths(process.began), ..listing });
+        process
+    }
+
+    /// The module hears of a worker whose start is one on this router's clock.
+    fn take_entry(&mut self, now: Micros, listing: Listing) {
         let Some(&role) = self.terms.module.roles.get(usize::from(listing.kind)) else {
             tracing::warn!(worker = %shown(listing.worker), kind = listing.kind, "a kind that no term names");
             return;
@@ -334,8 +357,12 @@
     }
 
     /// The page is complete. Workers that are gone need no books.
-    pub fn page_over(&mut self) {
-        self.listed.retain(|_, (l, _)| l.standing != Standing::Gone);
+    pub fn page_over(&mut self, now: Micros) {
+        let gone = |(l, _): &(Listing, Role)| l.standing == Standing::Gone;
+        let removed = self.listed.iter().filter(|(_, entry)| gone(entry)).map(|(worker, _)| *worker);
+        removed.for_each(|worker| self.starts.removed(now, worker));
+        self.listed.retain(|_, entry| !gone(entry));
+        self.starts.forget_old(now);
     }
 
     /// The list can't be heard; the old one stays in force.
--- a/crates/host/src/hear.rs
+++ b/crates/host/src/hear.rs
@@ -5,6 +5,7 @@
 use tideroute_wire::link::{Link, Outbox};
 use tideroute_wire::{client, list, worker, Address, Malformed, Micros};
 
+use crate::books::TENTH;
 use crate::host::Host;
 use crate::submissions::Submission;
 use crate::wires::Said;
@@ -183,8 +184,7 @@
             list::Standing::Ready => Standing::Ready,
             list::Standing::Draining => Standing::Draining,
         };
-        // No worker starts in the future; one whose clock says so started now.
-        let started = (started.min(self.now) / 100) as Tenths;
+        let started = (started / TENTH) as Tenths;
         self.host.books.entry(self.now, Listing { worker, kind, size, standing, cell, zone, started });
         Ok(())
     }
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -7,7 +7,7 @@
 use tideroute_wire::link::{Link, Loss, Outbox, Program};
 use tideroute_wire::{client, list, worker, Malformed, Micros, Party};
 
-use crate::books::{shown, Books, TENTH};
+use crate::books::{shown, Books};
 use crate::clients::Clients;
 use crate::lines::Lines;
 use crate::submissions::{short, Submission};
@@ -160,7 +160,10 @@
                 s.places.retain(|&p| p != worker);
             }
         }
-        let ending = if loss == Loss::Unreached { Ending::Unreachable } else { Ending::Broken };
+        let ending = match loss {
+            Loss::Unreached => Ending::Unreachable,
+            Loss::Broken => Ending::Broken,
+        };
         for id in line.shots {
             let number = self.books.submissions.get(id).and_then(|s| s.shot.as_ref()).map(|s| s.number);
             if let Some(number) = number {
@@ -192,8 +195,7 @@
                 Standing::Ready => list::Standing::Ready,
                 _ => list::Standing::Draining,
             };
-            let started = l.started.max(0) as Micros * TENTH;
-            page.add(l.worker, l.kind, l.size, standing, l.cell, l.zone, started);
+            page.add(l.worker, l.kind, l.size, standing, l.cell, l.zone, self.books.start_told(l.worker));
         }
         page.frame()
     }
@@ -230,7 +232,9 @@
             let mut listener = crate::hear::WorkerLink { host: self, now, link, out };
             worker::hear_worker(frame, &mut listener)
         } else if self.list_link == Some(link) {
-            list::hear_list(frame, &mut crate::hear::ListLink { host: self, now })
+            let heard = list::hear_list(frame, &mut crate::hear::ListLink { host: self, now });
+            self.books.list_heard(now);
+            heard
         } else if self.clients.is_silent(link) {
             tideroute_wire::first(frame).and_then(|(party, name, key)| match party {
                 Party::Client => {
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -16,6 +16,7 @@
 mod host;
 mod lateness;
 mod lines;
+mod starts;
 mod submissions;
 mod tenancy;
 mod terms;
@@ -24,6 +25,7 @@
 
 pub use books::{shown, Books};
 pub use host::Host;
+pub use starts::{Process, Starts};
 pub use submissions::{short, Shot, Submission, Submissions};
 pub use tenancy::TenantTerms;
 pub use terms::{BookTerms, Terms};
--- a/crates/platform/src/pools.rs
+++ b/crates/platform/src/pools.rs
@@ -128,10 +128,16 @@
         workers.into_iter()
     }
 
-    /// Where a worker is reached. Connections that can't serve any more come back: those opened before its process
-    /// started, those that rest where it no longer is, and, to one that takes nothing new, those under way with what is
+    /// Where a worker is reached. Connections that can't serve any more come back: those that led to a process which
+    /// its present one has replaced, those that rest where it no longer is, and, to one that takes nothing new, those under way with what is
     /// new: their first byte might leave after its grace.
-    pub fn listed(&mut self, worker: WorkerId, at: Address, started: Micros, takes: bool) -> Vec<Link> {
+    pub fn listed(
+        &mut self,
+        worker: WorkerId,
+        at: Address,
+        replaces_until: Option<Micros>,
+        takes: bool,
+    ) -> Vec<Link> {
         self.places.insert(worker, at);
         if takes {
             self.drains.remove(&worker);
@@ -139,7 +145,9 @@
             self.drains.insert(worker);
         }
         let dead = |c: &Conn| {
-            c.opened < started || c.job.is_none() && c.to != at || !takes && !c.up && c.brings_new()
+            replaces_until.is_some_and(|until| c.opened < until)
+                || c.job.is_none() && c.to != at
+                || !takes && !c.up && c.brings_new()
         };
         self.conns.iter().filter(|(_, c)| c.worker == worker && dead(c)).map(|(link, _)| *link).collect()
     }
--- a/crates/platform/src/program.rs
+++ b/crates/platform/src/program.rs
@@ -148,7 +148,7 @@
     fn hear_list(&mut self, now: Micros, line: &[u8], out: &mut Outbox) -> Result<(), list::Unreadable> {
         let names = self.terms.names.clone();
         list::hear_line(line, &names, &mut Page { platform: self, now, out })?;
-        self.books.page_over();
+        self.books.page_over(now);
         for link in self.pools.under_way_to_none() {
             self.worker_ends(now, link, out);
         }
@@ -185,7 +185,7 @@
             let names = self.terms.names.clone();
             // It was read once when the file was.
             let _ = list::hear(&known, &names, &mut Page { platform: self, now, out });
-            self.books.page_over();
+            self.books.page_over(now);
         }
         self.watch.begin(now, self.terms.discovery, self.books.version(), out);
         self.tell_belief(now, out);
@@ -231,6 +231,7 @@
                         return self.watch.end(now, out);
                     }
                 }
+                self.books.list_heard(now);
             }
             Err(problem) => {
                 tracing::warn!(%problem, "discovery's answer cannot be read; the watch is opened anew");
@@ -410,10 +411,9 @@
             p.pools.gone(listing.worker, self.out);
             return p.books.gone(self.now, listing.worker);
         }
-        let started = listing.started.max(0) as Micros * 100;
-        p.books.entry(self.now, listing);
+        let process = p.books.entry(self.now, listing);
         let takes = listing.standing == Standing::Ready;
-        for link in p.pools.listed(listing.worker, at, started, takes) {
+        for link in p.pools.listed(listing.worker, at, process.replaces_until, takes) {
             p.worker_ends(self.now, link, self.out);
         }
     }
--- a/crates/platform/tests/list.rs
+++ b/crates/platform/tests/list.rs
@@ -207,13 +207,21 @@
 /// Milliseconds in an hour, by which wall clocks may be stepped.
 const HOUR_MS: u64 = 3_600_000;
 
-/// A start that was just now, as a clock tells it that was stepped by an hour; this router's, or the other one.
-fn stepped(stage: &Stage, ahead: bool) -> u64 {
-    let now_ms = stage.now / MS;
-    if ahead {
-        now_ms + HOUR_MS
-    } else {
-        now_ms - HOUR_MS
+/// By which clock a start is told.
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Told {
+    InStep,
+    Ahead,
+    Behind,
+}
+
+/// A start that was a moment ago, as that clock tells it.
+fn start_told(stage: &Stage, by: Told) -> u64 {
+    let started_ms = stage.now / MS - 10;
+    match by {
+        Told::InStep => started_ms,
+        Told::Ahead => started_ms + HOUR_MS,
+        Told::Behind => started_ms - HOUR_MS,
     }
 }
 
@@ -230,29 +238,76 @@
 }
 
 /// A worker's entry is told with another start, by a clock that was stepped, while discovery has been heard all along.
-/// The worker.
-fn restarts_by_a_stepped_clock(stage: &mut Stage, ahead: bool) -> usize {
+/// The worker and its entry, as told.
+fn restarts_by_a_stepped_clock(stage: &mut Stage, by: Told) -> (usize, serde_json::Value) {
     stage.discover(&list(5));
     let home = served_by(stage, "home");
     for version in 6..16 {
         stage.pass(2_000 * MS);
         stage.discover(&list(version));
     }
-    let restarted = entry(home, "SERVING", stepped(stage, ahead));
+    let restarted = entry(home, "SERVING", start_told(stage, by));
     stage.discover(&json!({"version": 20, "full": false, "servers": [restarted]}));
-    home
+    (home, restarted)
+}
+
+#[test]
+fn a_start_told_by_a_stepped_clock_ends_what_was_out_there() {
+    for by in [Told::InStep, Told::Ahead, Told::Behind] {
+        let mut stage = Stage::without_places();
+        stage.discover(&list(5));
+        let client = stage.come();
+        stage.say(client, ask("id", "safe"));
+        let (reader, _) = stage.shot();
+        stage.say(reader, READ);
+        let (writer, at) = stage.shot();
+        stage.say(writer, format!("{HEAD}{}", chunk(EVENTS[0])));
+        // Longer than a list may be late: what was out then was out before the start.
+        for version in 6..11 {
+            stage.pass(2_000 * MS);
+            stage.discover(&list(version));
+            stage.say(writer, chunk(EVENTS[1]));
+        }
+        let restarted = entry(at, "SERVING", start_told(&stage, by));
+        stage.discover(&json!({"version": 20, "full": false, "servers": [restarted]}));
+        assert!(stage.ended.contains_key(&writer), "{by:?}; the process that had it is gone");
+        assert!(stage.ended.contains_key(&client));
+    }
+}
+
+/// Readers of many requests, just after a start and once the worker is warm; and the worker.
+fn readers_after_a_start(by: Told) -> (usize, Vec<usize>, Vec<usize>) {
+    let mut stage = Stage::without_places();
+    let (home, _) = restarts_by_a_stepped_clock(&mut stage, by);
+    let cold = (0..40).map(|n| served_by(&mut stage, &format!("cold{n}"))).collect();
+    stage.pass(11_000 * MS);
+    let warm = (0..40).map(|n| served_by(&mut stage, &format!("warm{n}"))).collect();
+    (home, cold, warm)
 }
 
 #[test]
 fn a_start_told_by_a_stepped_clock_is_cold_for_as_long_as_any() {
-    for ahead in [true, false] {
+    let (home, cold, warm) = readers_after_a_start(Told::InStep);
+    assert!(cold.iter().filter(|reader| **reader == home).count() < 20, "it is cold: {cold:?}");
+    for by in [Told::Ahead, Told::Behind] {
+        assert_eq!(readers_after_a_start(by), (home, cold.clone(), warm.clone()), "{by:?}");
+    }
+}
+
+#[test]
+fn a_start_told_by_a_stepped_clock_is_one_start_however_often_it_is_listed() {
+    for by in [Told::InStep, Told::Ahead, Told::Behind] {
         let mut stage = Stage::without_places();
-        let home = restarts_by_a_stepped_clock(&mut stage, ahead);
-        let cold = (0..40).filter(|n| served_by(&mut stage, &format!("cold{n}")) == home).count();
-        assert!(cold <= 20, "ahead: {ahead}; {cold} of 40 to a worker that has just started");
+        let (home, restarted) = restarts_by_a_stepped_clock(&mut stage, by);
         stage.pass(11_000 * MS);
-        let warm = (0..40).filter(|n| served_by(&mut stage, &format!("warm{n}")) == home).count();
-        assert_eq!(warm, 40, "ahead: {ahead}; it is warm by now");
+        let client = stage.come();
+        stage.say(client, ask("out", "once"));
+        let (reader, at) = stage.shot();
+        assert_eq!(at, home);
+        let mut whole = list(30);
+        whole["servers"][home] = restarted;
+        stage.discover(&whole);
+        assert!(!stage.ended.contains_key(&reader), "{by:?}; it was listed again, and has not started again");
     }
 }
 
