A router that ends answers who came in that moment; calls that fail at home say nothing of workers

Cause of the lost request (customer 1021, traced before): Platform::stop closed each connection without a request as one at rest, also one made 1.3 ms before whose request was on its way; one of 120 customers, 1000 to 1119. Now a new connection has 0.2 s for its first request, and the loop takes who waits at its doors before it ends, behind a filter that lets nobody in between the last look and the end.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -162,6 +162,7 @@
         }
         let ending = match loss {
             Loss::Unreached => Ending::Unreachable,
+            Loss::NotDialled => Ending::NeverSent,
             Loss::Broken => Ending::Broken,
         };
         for id in line.shots {
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -382,7 +382,7 @@
         let mut lost: Vec<usize> = client.out.drain().map(|(_, place)| place).collect();
         lost.sort_unstable();
         for place in lost {
-            let harmless = loss == Loss::Unreached;
+            let harmless = loss != Loss::Broken;
             self.again(now, place, harmless, FAILOVER, out, |t| &mut t.unheard);
         }
         out.ring(now + FAILOVER, key(DIAL_AGAIN, n));
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -302,7 +302,9 @@
                 end.open = false;
                 match loss {
                     Loss::Broken => self.note_end(node, link),
-                    Loss::Unreached => self.note(node, link, What::Unreached, 0, &Bytes::new()),
+                    Loss::Unreached | Loss::NotDialled => {
+                        self.note(node, link, What::Unreached, 0, &Bytes::new())
+                    }
                 }
                 self.call(node, |program, now, out| program.lost(now, link, loss, out));
             }
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -86,12 +86,14 @@
         self.waiting.first().map(|(_, link)| *link)
     }
 
-    /// Those with nothing of a request there.
-    pub fn idle(&self) -> Vec<Link> {
-        let idle =
-            |l: &&Link| self.links.get(l).is_some_and(|c| c.arrived.is_empty() && matches!(c.at, At::Head));
-        let waiting: Vec<Link> = self.waiting.iter().map(|(_, link)| *link).collect();
-        waiting.iter().filter(idle).copied().collect()
+    /// Those with nothing of a request there, whether one was asked on them before, and since when they wait.
+    pub fn idle(&self) -> Vec<(Link, bool, Micros)> {
+        let idle = |&(since, link): &(Micros, Link)| {
+            let client = self.links.get(&link)?;
+            let nothing_there = client.arrived.is_empty() && matches!(client.at, At::Head);
+            nothing_there.then_some((link, client.asked, since))
+        };
+        self.waiting.iter().filter_map(idle).collect()
     }
 
     pub fn is_open(&self, trace: &str) -> bool {
--- a/crates/platform/src/entry.rs
+++ b/crates/platform/src/entry.rs
@@ -64,6 +64,14 @@
         self.requests(now, link, out);
     }
 
+    /// A client's answer is complete: what came behind its request is looked at now, and has its time from now on.
+    pub(crate) fn next_request(&mut self, now: Micros, link: Link, out: &mut Outbox) {
+        if let Some(client) = self.clients.get_mut(link) {
+            client.patience.set(now + WHOLE, key(Ring::Client(link)), out);
+        }
+        self.requests(now, link, out);
+    }
+
     /// Takes as many requests as can be taken now: one that is open is answered before the next.
     pub(crate) fn requests(&mut self, now: Micros, link: Link, out: &mut Outbox) {
         for _ in 0..IN_A_ROW {
--- a/crates/platform/src/program.rs
+++ b/crates/platform/src/program.rs
@@ -26,6 +26,9 @@
 const READY: Micros = 1_000_000;
 /// Microseconds after a signal to end in which new submissions are still taken: others hear of the end late.
 const GRACE: Micros = 600_000;
+/// Microseconds in which the first request of a new connection is there: clients connect in order to ask, and what is
+/// on its way as the router is told to end would find its connection closed.
+const FIRST_REQUEST: Micros = 200_000;
 /// Microseconds for which a client may read nothing of its stream, as long as one may stand idle: then it is ended.
 const STALLED: Micros = 15_000_000;
 /// A resting connection is put away after this part of the time for which its worker would keep it.
@@ -255,13 +258,13 @@
         }
     }
 
-    fn lost(&mut self, now: Micros, link: Link, _loss: Loss, out: &mut Outbox) {
+    fn lost(&mut self, now: Micros, link: Link, loss: Loss, out: &mut Outbox) {
         self.now = now;
         if self.watch.is(link) {
             tracing::debug!("discovery ended the watch; the list stays in force");
             self.watch.end(now, out);
         } else if link.dialled() {
-            self.worker_lost(now, link, out);
+            self.worker_lost(now, link, loss, out);
         } else {
             self.client_gone(now, link, out);
         }
@@ -328,20 +331,20 @@
                 self.settle(now, id, number, ending, out);
             }
             for link in answered {
-                self.requests(now, link, out);
+                self.next_request(now, link, out);
             }
         }
         self.clean_up(now, out);
         self.ask_for_signs(now, out);
     }
 
-    fn reread(&mut self, now: Micros, file: &Bytes, out: &mut Outbox) {
+    fn reread(&mut self, now: Micros, file: &Bytes, out: &mut Outbox) -> bool {
         self.now = now;
         let fresh = match file::read(file) {
             Ok(fresh) => fresh,
             Err(problem) => {
                 tracing::error!(%problem, "the new configuration cannot be used; the old one stays in force");
-                return;
+                return false;
             }
         };
         if fresh.rooms != self.terms.rooms || fresh.listen != self.terms.listen {
@@ -351,6 +354,7 @@
         (self.terms.discovery, self.terms.travel) = (fresh.discovery, fresh.travel);
         self.watch.end(now, out);
         self.watch.begin(now, self.terms.discovery, self.books.version(), out);
+        true
     }
 
     fn late(&mut self, now: Micros, by: Micros) {
@@ -360,7 +364,14 @@
     fn stop(&mut self, now: Micros, out: &mut Outbox) {
         tracing::info!(open = self.books.submissions.len(), "ends: what is open is finished");
         self.stopping = true;
-        for link in self.clients.idle() {
+        for (link, asked, since) in self.clients.idle() {
+            let first_request_by = since + FIRST_REQUEST;
+            if !asked && now < first_request_by {
+                if let Some(client) = self.clients.get_mut(link) {
+                    client.patience.set(first_request_by, key(Ring::Client(link)), out);
+                }
+                continue;
+            }
             self.clients.lose(link);
             out.close(link, "the router ends");
         }
--- a/crates/platform/src/program/workers.rs
+++ b/crates/platform/src/program/workers.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use tideroute::interface::Ending;
 use tideroute_http::write;
-use tideroute_wire::link::{Link, Outbox};
+use tideroute_wire::link::{Link, Loss, Outbox};
 use tideroute_wire::Micros;
 
 use super::{key, Platform, Ring};
@@ -187,7 +187,7 @@
     }
 
     /// A connection to a worker has ended, or never came about.
-    pub(super) fn worker_lost(&mut self, now: Micros, link: Link, out: &mut Outbox) {
+    pub(super) fn worker_lost(&mut self, now: Micros, link: Link, loss: Loss, out: &mut Outbox) {
         let Some(conn) = self.pools.get_mut(link) else { return };
         if conn.written {
             if let Some((status, never_ran)) = conn.ends_with() {
@@ -211,11 +211,11 @@
         if conn.used && conn.silent() {
             self.pools.broke_after(now, conn.rested);
         }
-        // An old connection that was found dead says nothing of the worker.
-        let ending = match (conn.written, conn.used) {
-            (true, _) => Ending::Broken,
-            (false, true) => Ending::NeverSent,
-            (false, false) => Ending::Unreachable,
+        // An old connection that was found dead says nothing of the worker, nor does one that could not be dialled here.
+        let ending = match (conn.written, conn.used, loss) {
+            (true, ..) => Ending::Broken,
+            (false, true, _) | (false, false, Loss::NotDialled) => Ending::NeverSent,
+            (false, false, _) => Ending::Unreachable,
         };
         self.came_to_nothing(now, link, job, ending, out);
     }
@@ -224,7 +224,7 @@
     pub(super) fn worker_ends(&mut self, now: Micros, link: Link, out: &mut Outbox) {
         let attempt =
             self.pools.get_mut(link).filter(|conn| conn.written).map(|conn| (conn.worker, conn.job));
-        self.worker_lost(now, link, out);
+        self.worker_lost(now, link, Loss::Broken, out);
         out.cut(link);
         // Guards against a process that did get it, on a connection that came up behind its start.
         if let Some((worker, Some(Job::Shot { id, .. }))) = attempt {
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use tideroute_wire::link::Link;
 
 /// What passes to workers so far.
 fn shots(stage: &mut Stage) -> usize {
@@ -263,3 +264,32 @@
         }
     }
 }
+
+/// A request behind one that is answered, of which only a part has come, and the wait before the answer.
+fn half_a_request_behind_an_answer(part: &str, answered_after: u64) -> (Stage, Link) {
+    let mut stage = Stage::without_places();
+    let client = stage.come();
+    stage.say(client, format!("{}{part}", ask("first", "safe")));
+    let (reader, _) = stage.shot();
+    stage.say(reader, READ);
+    let (writer, _) = stage.shot();
+    stage.say(writer, format!("{HEAD}{}", chunk(EVENTS[0])));
+    stage.pass(answered_after * MS);
+    stage.say(writer, format!("{}{}0\r\n\r\n", chunk(EVENTS[1]), chunk(EVENTS[2])));
+    assert_eq!(stage.statuses(client), [200]);
+    (stage, client)
+}
+
+#[test]
+fn half_a_request_behind_an_open_one_gets_its_error_in_time() {
+    let whole = ask("second", "safe");
+    let (head, _) = whole.split_once("\r\n\r\n").expect("a head");
+    for part in [&whole[..20], head, &whole[..whole.len() - 1]] {
+        for answered_after in [100, 1_999, 2_500, 4_000] {
+            let (mut stage, client) = half_a_request_behind_an_answer(part, answered_after);
+            stage.pass(3_000 * MS);
+            assert_eq!(stage.statuses(client), [200, 408], "{part:?} behind {answered_after} ms");
+            assert_eq!(stage.ended.get(&client), Some(&false));
+        }
+    }
+}
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -217,9 +217,10 @@
         self.settle();
     }
 
-    pub fn reread(&mut self, file: &serde_json::Value) {
-        self.program.reread(self.now, &Bytes::from(file.to_string()), &mut self.out);
+    pub fn reread(&mut self, file: &serde_json::Value) -> bool {
+        let used = self.program.reread(self.now, &Bytes::from(file.to_string()), &mut self.out);
         self.settle();
+        used
     }
 
     pub fn stop(&mut self) {
--- a/crates/platform/tests/list.rs
+++ b/crates/platform/tests/list.rs
@@ -375,12 +375,12 @@
     let (old, _) = stage.watch();
     let mut fresh = file();
     fresh["discovery"] = json!("127.0.8.8:85");
-    stage.reread(&fresh);
+    assert!(stage.reread(&fresh));
     let (new, asked) = stage.watch();
     assert!(stage.ended.contains_key(&old) && asked.contains("after=5 "));
     assert_eq!(stage.dialled[&new], [127, 0, 8, 8, 0, 85]);
     for bad in [json!({}), json!([]), json!({"name": "n1"})] {
-        stage.reread(&bad);
+        assert!(!stage.reread(&bad));
         assert_eq!(stage.watch().0, new, "a bad file changes nothing");
     }
     stage.say(reader, READ);
--- a/crates/reactor/src/conn.rs
+++ b/crates/reactor/src/conn.rs
@@ -88,13 +88,15 @@
     pub fn dial(link: Link, to: Address, until: Micros) -> io::Result<Conn> {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
-        socket.set_tcp_nodelay(true)?;
+        if let Err(problem) = socket.set_tcp_nodelay(true) {
+            tracing::debug!(%problem, "a connection whose small writes may wait");
+        }
         let ip = [to[0], to[1], to[2], to[3]].into();
         let to = SocketAddr::V4(SocketAddrV4::new(ip, u16::from_be_bytes([to[4], to[5]])));
         match socket.connect(&to.into()) {
             Ok(()) => {}
-            Err(e)
-                if e.raw_os_error() == Some(libc::EINPROGRESS) || e.kind() == io::ErrorKind::WouldBlock => {}
+            // An interrupted call goes on by itself, as one that is under way does.
+            Err(e) if matches!(e.raw_os_error(), Some(libc::EINPROGRESS | libc::EINTR)) => {}
             Err(e) => return Err(e),
         }
         Ok(Conn::new(link, socket.into(), Stage::Dialling { until }))
--- a/crates/reactor/src/door.rs
+++ b/crates/reactor/src/door.rs
@@ -4,12 +4,15 @@
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::AsFd;
 
-use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use socket2::{Domain, Protocol, SockFilter, SockRef, Socket, Type};
 use tideroute_wire::link::Shut;
 
 /// Connections that may wait at a door to be taken; the standard library's own number.
 pub const BACKLOG: i32 = 4096;
 
+/// A packet filter of one step: `return 0`, no byte of any packet is let in.
+const ADMIT_NOTHING: SockFilter = SockFilter::new((libc::BPF_RET | libc::BPF_K) as u16, 0, 0, 0);
+
 pub struct Door {
     pub listener: Option<TcpListener>,
     address: SocketAddr,
@@ -32,6 +35,15 @@
         self.shut == Shut::Open
     }
 
+    /// Has the kernel drop what else would come, so that no connection is made there any more. Where the kernel can't,
+    /// one may still be made in the moment before the door is gone.
+    pub fn admit_no_more(&self) {
+        let Some(listener) = &self.listener else { return };
+        if let Err(problem) = SockRef::from(&listener.as_fd()).attach_filter(&[ADMIT_NOTHING]) {
+            tracing::debug!(%problem, "a door could not be kept from taking more");
+        }
+    }
+
     /// Opens or shuts it; whoever watches it stops before it is shut and begins again once it is open.
     pub fn set(&mut self, shut: Shut) -> io::Result<()> {
         if std::mem::replace(&mut self.shut, shut) == shut {
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -12,13 +12,13 @@
 use metrics::{counter, gauge};
 use polling::{Event, Events, PollMode, Poller};
 use slab::Slab;
-use socket2::{Domain, Protocol, SockRef, Socket, Type};
-use tideroute_wire::link::{Act, Link, Loss, Outbox, Program, Shut};
+use socket2::{Domain, Protocol, Socket, Type};
+use tideroute_wire::link::{Link, Loss, Outbox, Program};
 use tideroute_wire::tap::{counts, What};
 use tideroute_wire::{Address, Micros};
 
 use crate::clock::{Clock, Warp};
-use crate::conn::{Conn, Got, Stage, MOST, PIECE};
+use crate::conn::{Conn, Got, Stage, PIECE};
 use crate::datagrams::{DatagramDoor, TAKEN};
 use crate::door::{Door, BACKLOG};
 use crate::mailbox::{mailbox, Letters, Mailbox};
@@ -26,13 +26,10 @@
 use crate::tap::Tap;
 use crate::wheel::Wheel;
 
-/// Connections taken at a door in one turn, so that a flood of them leaves time for those that are there.
-const ACCEPTS: usize = 64;
-/// Microseconds in which a closed connection has to get on with its last words, and a raw one, whose peer may be slow.
-const LAST_WORDS: Micros = 500_000;
-const RAW_LAST_WORDS: Micros = 2_000_000;
-/// Microseconds until a door is looked at again where a connection could not be taken for want of descriptors.
-const WANTING: Micros = 50_000;
+mod acts;
+mod closing;
+mod doors;
+
 /// Microseconds a tick of the wheel: as fine as the decisions' own clock.
 const TICK: Micros = 100;
 /// Keys of the poller: doors come first, then those for datagrams, then the signals, then connections.
@@ -40,14 +37,12 @@
 const SIGNALS: usize = 1 << 16;
 const REREADS: usize = SIGNALS + 1;
 const CONNS: usize = REREADS + 1;
+/// Microseconds until a file that could not be used is read again, and how often: some seconds in all, within the time
+/// in which a new configuration has to be in force.
+const REREAD_PAUSE: Micros = 150_000;
+const REREADS_MOST: u32 = 20;
 /// Bytes of a file that is read again; a larger one is none of ours.
 const LARGEST: u64 = 16 << 20;
-/// Bytes that a raw connection may still bring after its last word: what the largest senders have under way.
-const WASTE: usize = 96 << 20;
-/// Pieces of them thrown away in one go, so that a sender at full speed leaves time for the others.
-const WASTES: usize = 8;
-/// Microseconds that it may take to stop sending.
-const STOPS: Micros = 2_000_000;
 
 #[derive(Debug, thiserror::Error)]
 pub enum ReactorError {
@@ -90,6 +85,8 @@
     wheel: Wheel<Ring>,
     signals: Option<Signals>,
     rereads: Option<(Signals, PathBuf)>,
+    /// How often the file that could not be used is tried yet.
+    rereads_left: u32,
     tap: Option<Tap>,
     keep: Option<PathBuf>,
     letters: Option<Letters>,
@@ -113,6 +110,8 @@
     Patience(Link),
     /// A door is looked at again.
     Door(usize),
+    /// The file is read again that could not be used.
+    Reread,
     Fail,
 }
 
@@ -162,6 +161,7 @@
             wheel: Wheel::new(clock.now() / TICK),
             signals: None,
             rereads: None,
+            rereads_left: 0,
             tap: None,
             keep: None,
             letters: None,
@@ -276,6 +276,9 @@
             }
             let lingers = self.patient && self.lingering > 0;
             if program.done() && !lingers && self.conns.iter().all(|(_, c)| c.waiting() == 0) {
+                if self.take_the_last(program, &mut out) {
+                    continue;
+                }
                 self.note_process(What::Left);
                 return Ok(Ended::Done);
             }
@@ -300,8 +303,8 @@
                             self.stop(program, &mut out)?;
                         }
                     }
-                    REREADS => self.read_again(program, &mut out),
-                    door if door < DATAGRAMS => self.accept(door, program, &mut out),
+                    REREADS => self.read_again(false, program, &mut out),
+                    door if door < DATAGRAMS => drop(self.accept(door, program, &mut out)),
                     door if door < SIGNALS => self.take(door - DATAGRAMS, program, &mut out),
                     key => self.ready(key - CONNS, event, program, &mut out),
                 }
@@ -320,6 +323,7 @@
                     }
                     Ring::Patience(link) => self.out_of_patience(link),
                     Ring::Door(door) => self.look_at(door, true),
+                    Ring::Reread => self.read_again(true, program, &mut out),
                     Ring::Fail => panic!("told to fail"),
                 }
             }
@@ -344,21 +348,30 @@
     }
 
     /// Hands the program its file; what can't be read leaves the old one in force.
-    fn read_again(&mut self, program: &mut impl Program, out: &mut Outbox) {
+    fn read_again(&mut self, again: bool, program: &mut impl Program, out: &mut Outbox) {
         let Some((signals, path)) = &mut self.rereads else { return };
-        if signals.count() == 0 {
+        if signals.count() > 0 {
+            self.rereads_left = REREADS_MOST;
+        } else if !again {
             return;
         }
         let mut bytes = Vec::new();
-        let file = std::fs::File::open(&path).and_then(|f| f.take(LARGEST).read_to_end(&mut bytes));
-        match file {
+        let file = std::fs::File::open(&*path).and_then(|f| f.take(LARGEST).read_to_end(&mut bytes));
+        let used = match file {
             Ok(_) => {
-                program.reread(self.clock.now(), &bytes.into(), out);
+                let used = program.reread(self.clock.now(), &bytes.into(), out);
                 self.carry_out(out);
+                used
             }
             Err(problem) => {
                 tracing::error!(%problem, path = %path.display(), "cannot be read again; the old one stays");
+                false
             }
+        };
+        // It may be half written yet, or descriptors may be short just now: no other signal would come for it.
+        self.rereads_left = if used { 0 } else { self.rereads_left.saturating_sub(1) };
+        if self.rereads_left > 0 {
+            self.wheel.set((self.now() + REREAD_PAUSE) / TICK, Ring::Reread);
         }
     }
 
@@ -434,137 +447,6 @@
         }
     }
 
-    fn carry_out(&mut self, out: &mut Outbox) {
-        for act in out.take() {
-            match act {
-                Act::Dial { link, to, within } => {
-                    let until = self.now() + within;
-                    self.note(link, What::Dialled, &Bytes::copy_from_slice(&to));
-                    let to = self.ways.get(&to).copied().unwrap_or(to);
-                    match Conn::dial(link, to, until) {
-                        Ok(mut conn) => {
-                            conn.raw = self.raw;
-                            self.insert(conn, Event::writable(0));
-                            self.wheel.set(until / TICK + 1, Ring::Patience(link));
-                        }
-                        Err(_) => {
-                            self.note(link, What::Unreached, &Bytes::new());
-                            self.news.push_back(News::Lost(link, Loss::Unreached));
-                        }
-                    }
-                }
-                Act::Send { link, frame } => self.send(link, &frame),
-                Act::Close { link, why } => self.close(link, &why),
-                Act::Cut { link } => {
-                    if let Some(&place) = self.places.get(&link) {
-                        self.bury(place);
-                    }
-                }
-                Act::Reset { link } => {
-                    if let Some(&place) = self.places.get(&link) {
-                        let _ = SockRef::from(&self.conns[place].stream).set_linger(Some(Duration::ZERO));
-                        self.give_up(place);
-                    }
-                }
-                Act::Door { door, shut } => self.shut(door, shut),
-                Act::Joined { links } => self.note_joined(links),
-                Act::Ring { at, key } => self.wheel.set(at.div_ceil(TICK), Ring::Program(key)),
-                Act::Hush { link, hush } => {
-                    let Some(&place) = self.places.get(&link) else { continue };
-                    self.conns[place].hushed = hush;
-                    self.watch(place);
-                }
-                Act::Keep { bytes } => self.keep_file(&bytes),
-                Act::Publish { bytes } => {
-                    let taken = self.published.as_ref().is_some_and(|to| to.offer(bytes));
-                    counter!("tideroute_published_total", "taken" => taken.to_string()).increment(1);
-                }
-                Act::Datagram { door, to, bytes } => {
-                    let to = self.ways.get(&to).copied().unwrap_or(to);
-                    let sent = self.datagrams.get(door).is_some_and(|d| d.send(to, &bytes));
-                    counter!("tideroute_datagrams_total", "sent" => sent.to_string()).increment(1);
-                }
-                Act::Note { bytes } => self.note(Link(0), What::Saw, &bytes),
-                Act::Vanish => self.vanished = true,
-            }
-        }
-    }
-
-    /// Puts the file in its place whole: what a crash leaves is the old one or the new one.
-    fn keep_file(&self, bytes: &[u8]) {
-        let Some(path) = &self.keep else { return };
-        let fresh = path.with_extension("new");
-        if let Err(problem) = std::fs::write(&fresh, bytes).and_then(|()| std::fs::rename(&fresh, path)) {
-            tracing::error!(%problem, path = %path.display(), "what was to be kept could not be written");
-        }
-    }
-
-    fn insert(&mut self, conn: Conn, mut interest: Event) {
-        let link = conn.link;
-        let place = self.conns.insert(conn);
-        interest.key = CONNS + place;
-        self.conns[place].watched = (interest.readable, interest.writable);
-        if let Err(problem) = add(&self.poller, &self.conns[place].stream, interest) {
-            tracing::error!(%problem, "a connection could not be watched");
-            self.conns.remove(place);
-            self.news.push_back(News::Lost(link, Loss::Unreached));
-            return;
-        }
-        self.places.insert(link, place);
-    }
-
-    fn send(&mut self, link: Link, frame: &Bytes) {
-        let Some(&place) = self.places.get(&link) else { return };
-        let now = self.clock.now();
-        let conn = &mut self.conns[place];
-        if !matches!(conn.stage, Stage::Dialling { .. } | Stage::Open) {
-            return;
-        }
-        conn.put(frame);
-        if let Some(tap) = self.tap.as_mut() {
-            tap.note(now, link, What::Sent, conn.sent, frame);
-        }
-        conn.sent += 1;
-        if conn.waiting() > MOST {
-            self.lose(place, Loss::Broken, "its peer does not read");
-        } else if self.conns[place].stage == Stage::Open {
-            self.dirty.push(place);
-        }
-    }
-
-    fn close(&mut self, link: Link, why: &str) {
-        let Some(&place) = self.places.get(&link) else { return };
-        tracing::debug!(link = link.0, why, "closes a connection");
-        counter!("tideroute_links_closed_total", "by" => "program").increment(1);
-        if self.conns[place].stage == Stage::Dead {
-            return;
-        }
-        if let Stage::Dialling { .. } = self.conns[place].stage {
-            self.note(link, What::Unreached, &Bytes::new());
-        } else {
-            self.note_end(place);
-        }
-        let conn = &mut self.conns[place];
-        if conn.stage == Stage::Open && conn.waiting() > 0 {
-            self.speaks_its_last(place);
-            self.dirty.push(place);
-            self.watch(place);
-        } else if conn.stage == Stage::Open {
-            self.end(place);
-        } else {
-            self.bury(place);
-        }
-    }
-
-    /// What is still to be sent has so long again.
-    fn speaks_its_last(&mut self, place: usize) {
-        let now = self.now();
-        let conn = &mut self.conns[place];
-        let until = now + if conn.raw { RAW_LAST_WORDS } else { LAST_WORDS };
-        conn.stage = Stage::Closing { until };
-        self.wheel.set(until / TICK + 1, Ring::Patience(conn.link));
-    }
-
     /// Tells the poller what the connection waits for.
     fn watch(&mut self, place: usize) {
         let conn = &mut self.conns[place];
@@ -612,95 +494,6 @@
         self.watch(place);
     }
 
-    /// The last words have gone out, just now or before. A reset would follow if the peer still sends, and might
-    /// overtake them: a raw connection that was taken at a door ends on this side first.
-    fn end(&mut self, place: usize) {
-        let conn = &mut self.conns[place];
-        let lingers = conn.raw && !conn.link.dialled() && self.lingering < self.most_lingering;
-        if !lingers || conn.stream.shutdown(std::net::Shutdown::Write).is_err() {
-            return self.bury(place);
-        }
-        let until = self.clock.now() + STOPS;
-        conn.stage = Stage::Lingering { until, left: WASTE };
-        self.lingering += 1;
-        self.wheel.set(until / TICK + 1, Ring::Patience(conn.link));
-        self.watch(place);
-    }
-
-    /// Throws away what still comes on a connection that lingers, until its peer has ended it too.
-    fn waste(&mut self, place: usize) {
-        for _ in 0..WASTES {
-            let conn = &mut self.conns[place];
-            let Stage::Lingering { until, left } = conn.stage else { return };
-            match conn.waste(&mut self.piece) {
-                Some(0) => return,
-                Some(got) if got < left => conn.stage = Stage::Lingering { until, left: left - got },
-                _ => return self.bury(place),
-            }
-        }
-    }
-
-    /// Ends a connection that the program did not end, and tells it.
-    fn lose(&mut self, place: usize, loss: Loss, why: &str) {
-        let conn = &self.conns[place];
-        let (link, told) = (conn.link, matches!(conn.stage, Stage::Dialling { .. } | Stage::Open));
-        if told {
-            tracing::debug!(link = link.0, why, "lost a connection");
-            counter!("tideroute_links_closed_total", "by" => "loss").increment(1);
-            match loss {
-                Loss::Broken => self.note_end(place),
-                Loss::Unreached => self.note(link, What::Unreached, &Bytes::new()),
-            }
-            self.news.push_back(News::Lost(link, loss));
-        }
-        self.bury(place);
-    }
-
-    fn bury(&mut self, place: usize) {
-        if self.conns[place].stage != Stage::Dead {
-            self.give_up(place);
-            let _ = self.conns[place].stream.shutdown(std::net::Shutdown::Both);
-        }
-    }
-
-    /// Has nothing more to do with a connection; its socket ends with this turn.
-    fn give_up(&mut self, place: usize) {
-        let conn = &mut self.conns[place];
-        if conn.stage != Stage::Dead {
-            self.lingering -= usize::from(matches!(conn.stage, Stage::Lingering { .. }));
-            conn.stage = Stage::Dead;
-            let _ = self.poller.delete(&conn.stream);
-            self.dead.push(place);
-        }
-    }
-
-    /// Opens or shuts a door; what cannot be done leaves it as it is, told aloud.
-    fn shut(&mut self, place: usize, shut: Shut) {
-        let Some(door) = self.doors.get_mut(place) else { return };
-        if let Some(listener) = door.listener.as_ref().filter(|_| door.is_open() && shut != Shut::Open) {
-            let _ = self.poller.delete(listener);
-        }
-        let was_open = door.is_open();
-        if let Err(problem) = door.set(shut) {
-            tracing::error!(%problem, address = %door.address(), "a door could not be opened or shut");
-        }
-        if let Some(listener) = door.listener.as_ref().filter(|_| !was_open && door.is_open()) {
-            if let Err(problem) = add(&self.poller, listener, Event::readable(place)) {
-                tracing::error!(%problem, "a door could not be watched");
-            }
-        }
-    }
-
-    /// Has the poller look at an open door, or not.
-    fn look_at(&mut self, door: usize, look: bool) {
-        let Some(door_there) = self.doors.get(door).filter(|d| d.is_open()) else { return };
-        let Some(listener) = &door_there.listener else { return };
-        let interest = Event::new(door, look, false);
-        if let Err(problem) = self.poller.modify_with_mode(listener, interest, PollMode::Level) {
-            tracing::error!(%problem, "a door could not be watched");
-        }
-    }
-
     fn note_joined(&mut self, links: [Link; 2]) {
         let conns = links.map(|link| self.places.get(&link).map(|&place| &self.conns[place].stream));
         let [Some(one), Some(two)] = conns else { return };
@@ -710,52 +503,6 @@
         }
     }
 
-    fn out_of_patience(&mut self, link: Link) {
-        let Some(&place) = self.places.get(&link) else { return };
-        match self.conns[place].stage {
-            Stage::Dialling { until } if until <= self.now() => {
-                self.lose(place, Loss::Unreached, "no connection in time");
-            }
-            Stage::Closing { until } | Stage::Lingering { until, .. } if until <= self.now() => {
-                self.bury(place);
-            }
-            _ => {}
-        }
-    }
-
-    fn accept(&mut self, door: usize, program: &mut impl Program, out: &mut Outbox) {
-        for _ in 0..ACCEPTS {
-            let Some(listener) = self.doors.get(door).and_then(|d| d.listener.as_ref()) else { return };
-            let stream = match listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(problem) => {
-                    tracing::warn!(%problem, "a connection could not be taken");
-                    // Guards against a door that is ready over and over while nobody can be taken there.
-                    if matches!(problem.raw_os_error(), Some(libc::EMFILE | libc::ENFILE | libc::ENOBUFS)) {
-                        self.look_at(door, false);
-                        self.wheel.set((self.now() + WANTING) / TICK, Ring::Door(door));
-                    }
-                    return;
-                }
-            };
-            if stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true)).is_err() {
-                continue;
-            }
-            let link = Link(self.links);
-            self.links += 1;
-            let (now, ends) = (self.clock.now(), [stream.peer_addr().ok(), stream.local_addr().ok()]);
-            if let Some(tap) = self.tap.as_mut() {
-                tap.met(now, link, What::Accepted, ends);
-            }
-            let mut conn = Conn::new(link, stream, Stage::Open);
-            conn.raw = self.raw;
-            self.insert(conn, Event::readable(0));
-            program.accepted(now, link, door, out);
-            self.carry_out(out);
-        }
-    }
-
     /// Takes the datagrams that wait at a door, up to a bound.
     fn take(&mut self, door: usize, program: &mut impl Program, out: &mut Outbox) {
         for _ in 0..TAKEN {
@@ -838,15 +585,6 @@
         self.dirty.push(place);
         self.watch(place);
     }
-
-    /// Ends all connections as a crash does, with a reset.
-    fn reset_all(&mut self) {
-        for conn in self.conns.drain() {
-            let _ = self.poller.delete(&conn.stream);
-            let socket: Socket = conn.stream.into();
-            let _ = socket.set_linger(Some(Duration::ZERO));
-        }
-    }
 }
 
 impl Drop for Reactor {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -243,7 +243,7 @@
     fn lost(&mut self, now: Micros, link: Link, loss: Loss, out: &mut Outbox) {
         let Some(&(n, direction)) = self.by_link.get(&link) else { return };
         let Some(flow) = self.flows.get_mut(&n) else { return };
-        if loss == Loss::Unreached {
+        if loss != Loss::Broken {
             // Nobody is behind the door: who came in is sent away as nobody would.
             out.reset(flow.links[1 - direction]);
             return self.forget(n);
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -33,6 +33,8 @@
 pub enum Loss {
     /// A dial that never led to a connection: nothing that was sent on it arrived.
     Unreached,
+    /// The same, for want of something on this machine: nothing is known of the peer.
+    NotDialled,
     /// A connection that was there; what was sent may have arrived.
     Broken,
 }
@@ -205,8 +207,11 @@
     fn drained(&mut self, _now: Micros, _link: Link, _out: &mut Outbox) {}
     /// A datagram came to a datagram door, by its place among those.
     fn datagram(&mut self, _now: Micros, _door: usize, _from: Address, _bytes: &Bytes, _out: &mut Outbox) {}
-    /// The file that the program was started with, read again because a signal asked for it.
-    fn reread(&mut self, _now: Micros, _file: &Bytes, _out: &mut Outbox) {}
+    /// The file that the program was started with, read again because a signal asked for it. Whether it could be used:
+    /// one that could not is read again.
+    fn reread(&mut self, _now: Micros, _file: &Bytes, _out: &mut Outbox) -> bool {
+        true
+    }
     /// Another thread of the process tells something.
     fn told(&mut self, _now: Micros, _letter: &Bytes, _out: &mut Outbox) {}
     /// The loop came to what was due, or to its peers, so much later than it could have on an idle machine.
