One package for what tests share: drawn customers, the checker, texts, a deployment, processes

The checker and the drawn customers were included by path from two packages, the texts and settings from three, the waiting for processes from six files. They are crates/rig now, as they were; no assertion has changed.

--- a/crates/command/tests/customers.rs
+++ b/crates/command/tests/customers.rs
@@ -17,19 +17,11 @@
 use tideroute_wire::link::Link;
 use tideroute_wire::Micros;
 
-#[path = "../../platform/tests/common/mod.rs"]
-mod common;
-
-#[path = "../../platform/tests/customers/checker.rs"]
-mod checker;
-#[path = "../../platform/tests/customers/customer.rs"]
-mod customer;
-mod waiting;
-
-use checker::{Checker, Connection};
-use common::{ask_for, chunk, plain, EVENTS, HEAD, MS, NEVER_RAN, READ};
-use customer::{between, Customer, Role};
-use waiting::{free, signal, until, Running};
+use tideroute_rig::checker::{Checker, Connection};
+use tideroute_rig::customer::{between, Customer, Role};
+use tideroute_rig::process::{free, signal, until, Running};
+use tideroute_rig::text;
+use tideroute_rig::text::{ask_for, chunk, plain, EVENTS, HEAD, MS, NEVER_RAN, READ};
 
 /// Customers drawn where nothing else is said, and how many of them play side by side.
 const CUSTOMERS: u64 = 8;
@@ -73,7 +65,7 @@
 
 impl Fleet {
     fn now(&self) -> Micros {
-        common::BEGAN + self.began.elapsed().as_micros() as Micros
+        text::BEGAN + self.began.elapsed().as_micros() as Micros
     }
 
     fn checker(&self) -> MutexGuard<'_, Checker> {
@@ -500,7 +492,7 @@
     let found_at = discovery.local_addr().expect("an address").to_string();
     let began = Instant::now();
     let fleet = Arc::new(Fleet {
-        checker: Mutex::new(Checker::new(common::BEGAN, NOISE)),
+        checker: Mutex::new(Checker::new(text::BEGAN, NOISE)),
         draw: Mutex::new(draw),
         began,
         servers: customer.workers.iter().map(|_| Server::default()).collect(),
--- a/crates/command/tests/deployed.rs
+++ b/crates/command/tests/deployed.rs
@@ -7,11 +7,8 @@
 
 use serde_json::json;
 
-#[path = "../../platform/tests/common/mod.rs"]
-mod common;
-mod waiting;
-
-use waiting::{free, until, Running};
+use tideroute_rig::fixture;
+use tideroute_rig::process::{free, until, Running};
 
 /// A value of the deploy file, which has one assignment a line.
 fn line(key: &str) -> String {
@@ -62,7 +59,7 @@
 
 #[test]
 fn run_is_one_process_that_waits_without_spinning() {
-    let (listen, mut file) = (free(), common::file());
+    let (listen, mut file) = (free(), fixture::file());
     // Nobody is at discovery: it has nothing to do but to ask again.
     (file["listen"], file["discovery"]) = (json!(listen), json!(free()));
     let path = std::env::temp_dir().join(format!("deployed-{}.json", std::process::id()));
--- a/crates/command/tests/endings.rs
+++ b/crates/command/tests/endings.rs
@@ -12,18 +12,16 @@
 
 use serde_json::{json, Value};
 
-#[path = "../../platform/tests/common/mod.rs"]
-mod common;
-mod waiting;
-
-use common::{ask, ask_for, chunk, plain, unchunked, EVENTS, HEAD, NEVER_RAN, READ, WORKERS};
-use waiting::{free, signal, until, Running, PATIENCE};
+use tideroute_rig::fixture::WORKERS;
+use tideroute_rig::process::{free, signal, until, Running, PATIENCE};
+use tideroute_rig::text::{ask, ask_for, chunk, plain, unchunked, EVENTS, HEAD, NEVER_RAN, READ};
+use tideroute_rig::{fixture, text};
 
 const RELEASE: &str = "DELETE /internal/reservations/";
 const PLACE: &str = "POST /internal/reservations/";
 const ATTEMPT: &str = "POST /v1/chat/completions";
 const FREED: &str = "HTTP/1.1 204 No Content\r\n\r\n";
-/// What the protocol allows for what is held, by the settings of `common::file`.
+/// What the protocol allows for what is held, by the settings of `fixture::file`.
 const HELD: Duration = Duration::from_millis(1_300);
 
 /// A request at a worker, or a watch at discovery.
@@ -103,14 +101,14 @@
     /// The process under a limit that its shell sets.
     fn limited(name: &str, limit: &str, set: impl FnOnce(&mut Value)) -> Rig {
         let (sender, calls) = channel();
-        let mut list = common::list(4);
+        let mut list = fixture::list(4);
         for (n, server) in list["servers"].as_array_mut().expect("a list").iter_mut().enumerate() {
             let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
             server["addr"] = json!(listener.local_addr().expect("an address").to_string());
             listen(listener, n, sender.clone());
         }
         let discovery = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let mut file = common::file();
+        let mut file = fixture::file();
         file["discovery"] = json!(discovery.local_addr().expect("an address").to_string());
         // An address of its own: no listener of another test is given its port meanwhile.
         let own = free().replace("127.0.0.1", &format!("127.1.1.{}", RIGS.fetch_add(1, Ordering::Relaxed)));
@@ -335,7 +333,7 @@
     for n in 0..6 {
         let (other, _, mut elsewhere) = rig.read(&format!("other-{n}"), "safe");
         assert_ne!(elsewhere.at, writer.at);
-        elsewhere.say(common::stream());
+        elsewhere.say(text::stream());
         drop(other);
     }
     writer.say(format!("{}{}0\r\n\r\n", chunk(EVENTS[1]), chunk(EVENTS[2])));
@@ -354,7 +352,7 @@
     first.ends();
     let mut second = rig.call(ATTEMPT);
     second.say(READ);
-    rig.call(ATTEMPT).say(common::stream());
+    rig.call(ATTEMPT).say(text::stream());
     drop(client);
 }
 
@@ -421,7 +419,7 @@
         let (_client, _, elsewhere) = rig.read(&format!("h{n}"), "safe");
         assert_ne!(elsewhere.at, writer.at);
     }
-    writer.say(common::stream());
+    writer.say(text::stream());
     assert!(answer(&mut client).contains("[DONE]"));
     // At the start it ends the program, with key, value and what is needed.
     let output =
@@ -480,7 +478,7 @@
     let mut client = rig.client();
     let asked = ask("fields", "keyed").replacen("Host:", "Idempotency-Key: 29-55\r\nHost:", 1);
     client.write_all(asked.as_bytes()).expect("written");
-    for answer in [READ.to_string(), common::stream()] {
+    for answer in [READ.to_string(), text::stream()] {
         let mut call = rig.call(ATTEMPT);
         assert!(call.text.contains("\r\nidempotency-key: 29-55\r\n"), "{}", call.text);
         call.say(answer);
@@ -493,7 +491,7 @@
     let mut first = rig.ask("first", "safe");
     let mut reader = rig.call(ATTEMPT);
     reader.say(READ);
-    rig.call(ATTEMPT).say(common::stream());
+    rig.call(ATTEMPT).say(text::stream());
     answer(&mut first);
     let there = TcpListener::bind("127.0.0.1:0").expect("a port");
     let mut change = rig.change(5, reader.at, "SERVING");
@@ -522,7 +520,7 @@
     half.write_all(&asked.as_bytes()[..40]).expect("written");
     let mut used = rig.ask("used", "safe");
     rig.call(ATTEMPT).say(READ);
-    rig.call(ATTEMPT).say(common::stream());
+    rig.call(ATTEMPT).say(text::stream());
     hear(&mut used, &mut String::new(), "0\r\n\r\n");
     rig.signal("-TERM");
     // Those that rest end first; a request that crosses it is never read, so its client may send it again.
@@ -533,10 +531,10 @@
     let mut late = rig.call(ATTEMPT);
     assert_eq!(late.trace(), "half");
     late.say(READ);
-    rig.call(ATTEMPT).say(common::stream());
-    waits.say(common::stream());
+    rig.call(ATTEMPT).say(text::stream());
+    waits.say(text::stream());
     reader.say(READ);
-    rig.call(ATTEMPT).say(common::stream());
+    rig.call(ATTEMPT).say(text::stream());
     for client in [between, read, half] {
         let answer = rest(client);
         assert!(
@@ -572,14 +570,14 @@
         // The client goes and the stream comes, both before the router looks, in either order.
         if n % 2 == 0 {
             drop(client);
-            let _ = writer.stream.write_all(common::stream().as_bytes());
+            let _ = writer.stream.write_all(text::stream().as_bytes());
         } else {
-            writer.say(common::stream());
+            writer.say(text::stream());
             drop(client);
         }
     }
     let (mut client, _, mut writer) = rig.read("after", "safe");
-    writer.say(format!("{}HTTP/1.1 200 OK\r\n", common::stream()));
+    writer.say(format!("{}HTTP/1.1 200 OK\r\n", text::stream()));
     let _ = writer.stream.shutdown(Shutdown::Both);
     assert!(answer(&mut client).ends_with("0\r\n\r\n"));
 }
@@ -601,7 +599,7 @@
                 next.say(READ);
                 next = rig.call(ATTEMPT);
             }
-            next.say(common::stream());
+            next.say(text::stream());
         }
         let status = answer(&mut client);
         assert_eq!(status.starts_with("HTTP/1.1 200"), answered, "{class} {breaks}: {status}");
@@ -625,6 +623,6 @@
     assert!(ticks < 30, "{ticks} hundredths of a second of processor time in one");
     drop(idle);
     let (mut client, _, mut writer) = rig.read("after", "safe");
-    writer.say(common::stream());
+    writer.say(text::stream());
     assert!(answer(&mut client).contains("[DONE]"));
 }
--- a/crates/command/tests/fleet.rs
+++ b/crates/command/tests/fleet.rs
@@ -4,9 +4,8 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 
-mod waiting;
-
-use waiting::{free, until, Running};
+use tideroute_rig::process;
+use tideroute_rig::process::{free, until, Running};
 
 /// Loss, a kill, halts, three that are back at once, and a cut in two: judged by the record alone.
 #[test]
@@ -95,7 +94,7 @@
     assert!(all.contains("of the others 2 see the same, 0 differ, 0 do not answer"), "{all}");
     assert!(fleet.doors[..3].iter().all(|door| all.contains(door)), "{all}");
     // Who is told to end says goodbye; who is killed is missed.
-    waiting::signal(&running[2].0, "-TERM");
+    process::signal(&running[2].0, "-TERM");
     assert!(running[2].0.wait().expect("it ends").success());
     seen(0, "2 there, 0 suspected, 0 dead, 1 left", 0);
     drop(running.pop());
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -4,63 +4,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
-use serde_json::json;
 use tideroute_platform::Platform;
+pub use tideroute_rig::fixture::*;
+pub use tideroute_rig::text::*;
 use tideroute_wire::link::{Act, Link, Loss, Outbox, Program};
 use tideroute_wire::{Address, Micros};
 
-pub const BEGAN: Micros = 1_700_000_000_000_000;
-pub const MS: Micros = 1_000;
-pub const DISCOVERY: &str = "127.0.9.9:85";
-
-/// Two readers and two writers in one cell, and one of each in another.
-pub const WORKERS: [(&str, &str, u16); 6] = [
-    ("r1", "reading", 0),
-    ("r2", "reading", 0),
-    ("w1", "writing", 0),
-    ("w2", "writing", 0),
-    ("r3", "reading", 1),
-    ("w3", "writing", 1),
-];
-
-pub fn address_of(worker: usize) -> String {
-    format!("127.0.1.{}:80", worker + 1)
-}
-
-pub fn entry(worker: usize, state: &str, started_ms: u64) -> serde_json::Value {
-    let (id, kind, cell) = WORKERS[worker];
-    json!({"id": id, "addr": address_of(worker), "zone": "east", "kind": kind, "cell": cell, "state": state,
-        "weight": 1.0, "started_ms": started_ms})
-}
-
-pub fn list(version: u64) -> serde_json::Value {
-    let servers: Vec<_> = (0..WORKERS.len()).map(|w| entry(w, "SERVING", 0)).collect();
-    json!({"version": version, "full": true, "servers": servers})
-}
-
-/// A configuration: three tracks, one of each kind of repeat.
-pub fn file() -> serde_json::Value {
-    let class = |name: &str, repeat: &str| {
-        json!({"name": name, "idempotency": repeat, "dedup_scope": "all", "key_ttl_ms": 5_000.0,
-            "on_time_ms": 1_000.0, "hard_limit_ms": 5_000.0, "worth": 1.0})
-    };
-    json!({
-        "name": "n1", "listen": "127.0.0.1:80", "discovery": DISCOVERY, "seed": "00000000000000ab",
-        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256},
-        "known": list(4),
-        "settings": {
-            "balancers": 1,
-            "caps": {"cancel": true, "conn_idle_ms": 10_000.0, "dial_timeout_ms": 250.0, "max_attempts": 6,
-                "max_retry_after_ms": 500.0, "probing": true, "retry_after": true},
-            "classes": [class("safe", "pure"), class("once", "side_effect"), class("keyed", "token")],
-            "discovery": "automatic", "failure_domains": ["east"], "kinds": ["reading", "writing"],
-            "family_info": {"ahead": true, "kind_role": ["read", "write"], "pin_limit_ms": 1_000.0,
-                "aim_us_per_1000_prompt_tokens": [0.0, 0.0, 0.0], "writers_read": false},
-            "invariants": {"cold_share": 0.3, "fall_ms": 1_000.0, "fall_multiple": 2.5, "ramp_time_ms": 10_000.0},
-        }
-    })
-}
-
 pub struct Stage {
     pub program: Platform,
     pub now: Micros,
@@ -317,49 +266,3 @@
         self.say(link, format!("{head}{}", chunk(&format!("{line}\n"))));
     }
 }
-
-pub fn ask(trace: &str, track: &str) -> String {
-    ask_for(trace, track, 4_000, r#"{"model":"m","messages":[]}"#)
-}
-
-pub fn ask_for(trace: &str, track: &str, left: u64, body: &str) -> String {
-    format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nHost: service.internal\r\nX-Trace-Id: {trace}\r\nX-Qos: {track}\r\n\
-         X-Object: 7f3a\r\nX-Expires-In-Ms: {left}\r\nX-Props: prefix=5c0f,prompt_len=500,prefix_len=200,max_out=80\r\n\
-         Content-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
-
-pub fn plain(status: u16, fields: &str, body: &str) -> String {
-    format!("HTTP/1.1 {status} Some\r\n{fields}content-length: {}\r\n\r\n{body}", body.len())
-}
-
-pub const READ: &str = "HTTP/1.1 202 Accepted\r\ncontent-length: 20\r\n\r\n{\"cached_tokens\":10}";
-pub const NEVER_RAN: &str = "HTTP/1.1 503 Full\r\nx-never-ran: 1\r\ncontent-length: 0\r\n\r\n";
-pub const HEAD: &str =
-    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
-pub const EVENTS: [&str; 3] = ["data: {\"a\":1}\n\n", "data: {\"b\":2}\n\n", "data: [DONE]\n\n"];
-
-pub fn chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
-}
-
-/// A whole stream as a worker sends it.
-pub fn stream() -> String {
-    format!("{HEAD}{}0\r\n\r\n", EVENTS.map(chunk).concat())
-}
-
-/// The body of a chunked answer, and whether its last chunk is there.
-pub fn unchunked(text: &str) -> (String, bool) {
-    let (mut left, mut body) = (text.split_once("\r\n\r\n").map_or("", |(_, b)| b), String::new());
-    while let Some((size, rest)) = left.split_once("\r\n") {
-        let size = usize::from_str_radix(size, 16).expect("a size");
-        if size == 0 {
-            return (body, rest == "\r\n");
-        }
-        body.push_str(&rest[..size]);
-        left = &rest[size + 2..];
-    }
-    (body, false)
-}
--- a/crates/platform/tests/customers.rs
+++ b/crates/platform/tests/customers.rs
@@ -4,10 +4,6 @@
 
 mod common;
 
-#[path = "customers/checker.rs"]
-mod checker;
-#[path = "customers/customer.rs"]
-mod customer;
 #[path = "customers/world.rs"]
 mod world;
 
--- a/crates/platform/tests/customers/world.rs
+++ b/crates/platform/tests/customers/world.rs
@@ -8,9 +8,9 @@
 use tideroute_wire::link::{Link, Loss};
 use tideroute_wire::Micros;
 
-use crate::checker::{Break, Checker, Connection};
 use crate::common::*;
-use crate::customer::{between, Customer, Role};
+use tideroute_rig::checker::{Break, Checker, Connection};
+use tideroute_rig::customer::{between, Customer, Role};
 
 #[path = "servers.rs"]
 mod servers;
--- a/crates/platform/tests/customers/checker.rs
+++ b/crates/rig/src/checker.rs
@@ -6,8 +6,8 @@
 use tideroute_wire::link::Link;
 use tideroute_wire::Micros;
 
-use crate::common::MS;
 use crate::customer::{Customer, Effect};
+use crate::text::MS;
 
 /// What the protocol allows on sockets beyond each limit.
 const SLACK: Micros = 50 * MS;
--- a/crates/platform/tests/customers/customer.rs
+++ b/crates/rig/src/customer.rs
@@ -4,7 +4,7 @@
 use tideroute::chance::Chance;
 use tideroute_wire::Micros;
 
-use crate::common::{address_of, DISCOVERY, MS};
+use crate::text::{address_of, DISCOVERY, MS};
 
 const ZONES: [&str; 3] = ["east", "west", "north"];
 
@@ -45,7 +45,7 @@
     pub deadline_ms: u64,
 }
 
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Worker {
     pub role: Role,
     kind: usize,
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,8 @@
+//! What tests of the router share: customers drawn by chance, a checker that knows the rules and nothing of how a router
+//! decides, the texts of the protocol, and processes.
+
+pub mod checker;
+pub mod customer;
+pub mod fixture;
+pub mod process;
+pub mod text;
--- a/crates/command/tests/waiting/mod.rs
+++ b/crates/rig/src/process.rs
@@ -1,5 +1,4 @@
 //! Waiting for processes, and signals to them.
-#![allow(dead_code, reason = "each test file uses its part")]
 
 use std::net::TcpListener;
 use std::process::{Child, Command};
