--- /dev/null
+++ b/crates/rig/src/judge.rs
@@ -0,0 +1,230 @@
+//! The checker beside a clock and chance, told by stand-ins of what passes.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use serde::{Deserialize, Serialize};
+use tideroute::chance::Chance;
+use tideroute_wire::link::Link;
+use tideroute_wire::Micros;
+
+use crate::checker::{Break, Checker};
+use crate::customer::{between, Customer, Role};
+use crate::text::{BEGAN, MS};
+
+/// The part of reads that end well just as their connection ends.
+const READ_AT_THE_END: f64 = 0.1;
+
+/// A connection to a worker, by a number that no other of that worker has meanwhile.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct On {
+    pub worker: usize,
+    pub number: u64,
+}
+
+impl On {
+    fn connection(self) -> (usize, Link) {
+        (self.worker, Link(self.number))
+    }
+}
+
+/// What a stand-in tells of what passes at a worker, and what it asks.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Report {
+    /// The last byte of a call has come, whose head is this.
+    Arrives {
+        on: On,
+        head: String,
+    },
+    /// A read is over, and may have left its state.
+    Read {
+        on: On,
+        request: usize,
+        left_state: bool,
+    },
+    /// An attempt to be answered has failed.
+    Failed {
+        on: On,
+        request: usize,
+        never_ran: bool,
+    },
+    /// Events of an answer have begun.
+    Begins {
+        request: usize,
+    },
+    /// An answer is whole.
+    Answered {
+        on: On,
+    },
+    /// The connection is over, or its worker has seen that.
+    Closed {
+        on: On,
+    },
+    HoldsPlace {
+        on: On,
+        request: usize,
+    },
+    Released {
+        request: usize,
+    },
+    /// Asks whether a read of the request is out.
+    IsRead {
+        request: usize,
+    },
+    /// Asks whether its state is somewhere.
+    HasState {
+        request: usize,
+    },
+}
+
+pub struct Judge {
+    pub customer: Customer,
+    pub began: Instant,
+    checker: Mutex<Checker>,
+    draw: Mutex<Chance>,
+    /// When routers were told that a worker drains.
+    drains: Mutex<BTreeMap<usize, Micros>>,
+}
+
+impl Judge {
+    /// One that sees what passes so much later, at most, than it was done.
+    pub fn new(customer: Customer, draw: Chance, noise: Micros) -> Judge {
+        Judge {
+            customer,
+            began: Instant::now(),
+            checker: Mutex::new(Checker::new(BEGAN, noise)),
+            draw: Mutex::new(draw),
+            drains: Mutex::default(),
+        }
+    }
+
+    pub fn now(&self) -> Micros {
+        BEGAN + self.began.elapsed().as_micros() as Micros
+    }
+
+    /// Milliseconds since the beginning.
+    pub fn now_ms(&self) -> f64 {
+        (self.now() - BEGAN) as f64 / MS as f64
+    }
+
+    pub fn checker(&self) -> MutexGuard<'_, Checker> {
+        self.checker.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn broken(&self) -> Option<Break> {
+        self.checker().broken.clone()
+    }
+
+    /// What the rules ask for at any moment.
+    pub fn look(&self) {
+        let now = self.now();
+        self.checker().look(now, &self.customer);
+    }
+
+    pub fn unit(&self) -> f64 {
+        self.draw.lock().unwrap_or_else(PoisonError::into_inner).unit()
+    }
+
+    pub fn between(&self, least: f64, most: f64) -> u64 {
+        between(&mut self.draw.lock().unwrap_or_else(PoisonError::into_inner), least, most) as u64
+    }
+
+    /// Routers are told of a worker's state.
+    pub fn told(&self, worker: usize, drains: bool) {
+        let now = self.now();
+        let mut told = self.drains.lock().unwrap_or_else(PoisonError::into_inner);
+        if drains {
+            told.entry(worker).or_insert(now);
+        } else {
+            told.remove(&worker);
+        }
+    }
+
+    /// A worker's process has ended, with all that it held and worked on.
+    pub fn worker_died(&self, worker: usize) {
+        let now = self.now();
+        self.checker().worker_died(now, worker);
+    }
+
+    fn writes(&self, worker: usize) -> bool {
+        self.customer.workers[worker].role != Role::Reads
+    }
+
+    /// Takes a report; the answer to one that asks.
+    pub fn take(&self, report: Report) -> bool {
+        let now = self.now();
+        match report {
+            Report::Arrives { on, head } => self.arrives(now, on, &head),
+            Report::Read { on, request, left_state } => {
+                let mut checker = self.checker();
+                checker.attempts_end(now, on.connection());
+                if left_state {
+                    checker.holds_state(now, request, on.worker);
+                }
+            }
+            Report::Failed { on, request, never_ran } => {
+                let mut checker = self.checker();
+                checker.attempts_end(now, on.connection());
+                if never_ran {
+                    checker.told_never_ran(request, on.connection());
+                }
+            }
+            Report::Begins { request } => self.checker().begins(request),
+            Report::Answered { on } => drop(self.checker().attempts_end(now, on.connection())),
+            Report::Closed { on } => self.closed(now, on),
+            Report::HoldsPlace { on, request } => self.checker().holds_place(now, request, on.worker),
+            Report::Released { request } => self.checker().released(request),
+            Report::IsRead { request } => return self.checker().is_read(request),
+            Report::HasState { request } => return self.checker().has_state(request),
+        }
+        true
+    }
+
+    fn arrives(&self, now: Micros, on: On, head: &str) {
+        let told = self.drains.lock().unwrap_or_else(PoisonError::into_inner).get(&on.worker).copied();
+        let mut checker = self.checker();
+        if head.starts_with("POST ") {
+            checker.leaves(now, &self.customer, &head[..head.len().min(25)], told);
+        }
+        if let Some(request) = attempt_of(head) {
+            let told_ms: u64 = word(head, "x-expires-in-ms: ").parse().unwrap_or(u64::MAX / 2_000);
+            checker.tells_deadline(now, request, told_ms * MS);
+            let writes = self.writes(on.worker);
+            checker.arrives(now, &self.customer, request, (on.worker, on.connection()), writes);
+        }
+    }
+
+    /// Some reads end well in the very moment in which their connection ends.
+    fn closed(&self, now: Micros, on: On) {
+        let mut checker = self.checker();
+        for (request, worker, writes) in checker.attempts_end(now, on.connection()) {
+            let reads = !writes || checker.wants_state(request) && self.customer.reads_by_itself(worker);
+            if reads && self.unit() < READ_AT_THE_END {
+                checker.holds_state(now, request, worker);
+            }
+        }
+    }
+}
+
+/// The number of the request of which a head is an attempt.
+pub fn attempt_of(head: &str) -> Option<usize> {
+    head.starts_with("POST /v1").then(|| word(head, "x-trace-id: t").parse().ok()).flatten()
+}
+
+/// The word behind a text.
+pub fn word<'a>(text: &'a str, before: &str) -> &'a str {
+    text.split(before).nth(1).and_then(|t| t.split(['\r', ' ']).next()).unwrap_or("")
+}
+
+/// Takes the next whole request off the front of what has arrived; its head.
+pub fn next_request(arrived: &mut Vec<u8>) -> Option<String> {
+    let end = arrived.windows(4).position(|w| w == b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&arrived[..end]).into_owned();
+    let length = word(&head, "content-length: ").parse().unwrap_or(0);
+    let whole = end + 4 + length;
+    (arrived.len() >= whole).then(|| {
+        arrived.drain(..whole);
+        head
+    })
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -4,5 +4,7 @@
 pub mod checker;
 pub mod customer;
 pub mod fixture;
+pub mod judge;
 pub mod process;
 pub mod text;
+pub mod worker;
