--- a/crates/command/tests/customers.rs
+++ b/crates/command/tests/customers.rs
@@ -16,7 +16,7 @@
 use tideroute_rig::judge::{Judge, Report};
 use tideroute_rig::process::{free, signal, until, Running};
 use tideroute_rig::text::{ask_for, chunk, MS};
-use tideroute_rig::worker::{self, waits, Kind, Surroundings, LOOKS};
+use tideroute_rig::worker::{self, waits, Surroundings, LOOKS};
 use tideroute_wire::Micros;
 
 /// Customers drawn where nothing else is said, and how many of them play side by side.
@@ -116,7 +116,7 @@
         for watch in self.watches.lock().expect("nobody panics with it").iter_mut() {
             let _ = watch.write_all(line.as_bytes());
         }
-        self.judge.told(worker, state == "DRAINING");
+        self.judge.told(worker, (state == "DRAINING").then(|| self.judge.now()));
     }
 
     fn hear_watches(self: &Arc<Fleet>, listener: TcpListener) {
@@ -142,10 +142,9 @@
     }
 
     fn serve(self: &Arc<Fleet>, worker: usize, listener: TcpListener) {
-        let customer = &self.judge.customer;
-        let (role, reads_by_itself) = (customer.workers[worker].role, customer.reads_by_itself(worker));
+        let kind = self.judge.customer.kind(worker);
         let machine = Arc::new(Machine { fleet: self.clone(), worker });
-        std::thread::spawn(move || worker::serve(listener, Kind { worker, role, reads_by_itself }, machine));
+        std::thread::spawn(move || worker::serve(listener, kind, machine));
     }
 
     /// Faults at drawn times, up to the end.
--- /dev/null
+++ b/crates/command/tests/soak.rs
@@ -0,0 +1,251 @@
+//! A soak over real processes: routers, workers, a proxy before each, clients and discovery, with two or three troubles
+//! at a time, in the processes, between them and, by a library loaded into routers, in their system calls and clocks.
+//! A checker that knows nothing of routers judges. `SOAK_RUNS` and `FIRST_SOAK` set how many runs are played and the seed
+//! of the first; a run that breaks a rule keeps its logs and all that was reported, and names them.
+//!
+//! This program also is the workers and proxies that it starts, in the role that its environment names.
+
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use tideroute::chance::Chance;
+use tideroute_rig::control::Remote;
+use tideroute_rig::customer::Customer;
+use tideroute_rig::judge::Judge;
+use tideroute_rig::proxy::Orders;
+use tideroute_rig::text::MS;
+use tideroute_rig::worker::LOOKS;
+use tideroute_wire::Micros;
+
+#[path = "soak/clients.rs"]
+mod clients;
+#[path = "soak/fleet.rs"]
+mod fleet;
+#[path = "soak/troubles.rs"]
+mod troubles;
+
+use fleet::{lock, Fleet};
+use troubles::{Trouble, ALL};
+
+/// The environment's variable that names the role of a process of ours.
+pub const ROLE: &str = "TIDEROUTE_SOAK_ROLE";
+/// Runs played where nothing else is said, and how many of them side by side.
+const RUNS: u64 = 8;
+const SIDE_BY_SIDE: u64 = 4;
+/// The test's name, for those who choose tests by a part of it.
+const NAME: &str = "every_rule_holds_while_troubles_overlap";
+/// How much later than it was done something may be seen on a busy machine.
+const NOISE: Micros = 500 * MS;
+/// Requests come for so long, and then what is held is watched for a while.
+const BUSY: Duration = Duration::from_millis(5_000);
+const WATCHED: Duration = Duration::from_millis(3_500);
+
+/// Why a run could not be played. It has failed, and says nothing of the rules.
+#[derive(Debug)]
+pub struct Failure(String);
+
+impl<E: std::error::Error> From<E> for Failure {
+    fn from(problem: E) -> Failure {
+        Failure(problem.to_string())
+    }
+}
+
+/// The library that routers are loaded with, which Cargo has built beside this program.
+pub fn shim() -> Result<PathBuf, Failure> {
+    let path = std::env::current_exe()?.with_file_name("libtideroute_shim.so");
+    if path.exists() {
+        Ok(path)
+    } else {
+        Err(Failure(format!("{}: no such library", path.display())))
+    }
+}
+
+/// What a run brought.
+struct Run {
+    broken: Option<String>,
+    processes: usize,
+    requests: usize,
+    met: Vec<(Trouble, Trouble)>,
+}
+
+/// Two or three troubles overlap, again and again.
+fn trouble(fleet: &Fleet, met: &Mutex<Vec<(Trouble, Trouble)>>, failed: &Mutex<Option<Failure>>) {
+    let ends = Instant::now() + BUSY;
+    std::thread::scope(|scope| {
+        while Instant::now() < ends {
+            let many = 2 + (fleet.judge.unit() * 2.0) as usize;
+            let mut drawn: Vec<Trouble> = vec![];
+            while drawn.len() < many {
+                let next = ALL[(fleet.judge.unit() * ALL.len() as f64) as usize];
+                if !(next.is_of_all() && drawn.iter().any(|t| t.is_of_all())) {
+                    drawn.push(next);
+                }
+            }
+            drawn.sort();
+            let pairs = (0..many).flat_map(|a| (a + 1..many).map(move |b| (a, b)));
+            lock(met).extend(pairs.map(|(a, b)| (drawn[a], drawn[b])));
+            for trouble in drawn {
+                let after = Duration::from_millis(fleet.judge.between(1.0, 300.0));
+                scope.spawn(move || {
+                    std::thread::sleep(after);
+                    if let Err(failure) = fleet.suffers(trouble) {
+                        lock(failed).get_or_insert(failure);
+                    }
+                });
+            }
+            std::thread::sleep(Duration::from_millis(fleet.judge.between(300.0, 1_500.0)));
+        }
+    });
+}
+
+/// Ends the processes of a run, however that ends.
+struct Ending<'a>(&'a Fleet);
+
+impl Drop for Ending<'_> {
+    fn drop(&mut self) {
+        self.0.end();
+    }
+}
+
+fn play(seed: u64) -> Result<Run, Failure> {
+    let mut draw = Chance::new(3 * seed + 1);
+    let customer = Customer::drawn(&mut draw);
+    let judge = Arc::new(Judge::new(customer, draw, NOISE));
+    let fleet = Fleet::start(judge.clone(), seed)?;
+    let _ending = Ending(&fleet);
+    let (met, failed) = (Mutex::default(), Mutex::default());
+    let ends = Instant::now() + BUSY;
+    std::thread::scope(|scope| {
+        scope.spawn(|| trouble(&fleet, &met, &failed));
+        while Instant::now() < ends {
+            std::thread::sleep(Duration::from_millis(judge.between(5.0, 120.0)));
+            let routers = fleet.routers();
+            let router = &routers[(judge.unit() * routers.len() as f64) as usize];
+            let fleet = &fleet;
+            scope.spawn(move || clients::client(fleet, router));
+        }
+        while Instant::now() < ends + WATCHED && judge.broken().is_none() {
+            judge.look();
+            std::thread::sleep(LOOKS);
+        }
+        fleet.over.store(true, Ordering::SeqCst);
+    });
+    if let Some(failure) = lock(&failed).take() {
+        return Err(failure);
+    }
+    let broken = judge.broken().map(|broken| format!("soak {seed}: {broken}"));
+    if broken.is_some() {
+        let path = std::env::temp_dir().join(format!("tideroute-soak-{seed}-{}.trace", std::process::id()));
+        std::fs::write(path, judge.notes().join("\n"))?;
+    }
+    fleet.clean_up(broken.is_some());
+    let requests = judge.checker().requests();
+    let met = lock(&met).clone();
+    Ok(Run { broken, processes: fleet.processes(), requests, met })
+}
+
+/// A number that the environment gives, if it gives one.
+fn number(variable: &str) -> Result<Option<u64>, Failure> {
+    let Some(text) = std::env::var_os(variable) else { return Ok(None) };
+    let number = text.to_str().and_then(|text| text.parse().ok());
+    number.map(Some).ok_or(Failure(format!("{variable}: {text:?} is no number")))
+}
+
+fn soak() -> Result<Vec<String>, Failure> {
+    let (first, runs) = (number("FIRST_SOAK")?.unwrap_or(1), number("SOAK_RUNS")?.unwrap_or(RUNS));
+    shim()?;
+    let (mut broken, mut met) = (vec![], BTreeMap::<_, usize>::new());
+    let (mut processes, mut requests) = (0, 0);
+    for from in (first..first + runs).step_by(SIDE_BY_SIDE as usize) {
+        let seeds = from..(from + SIDE_BY_SIDE).min(first + runs);
+        let threads: Vec<_> = seeds.map(|seed| (seed, std::thread::spawn(move || play(seed)))).collect();
+        for (seed, thread) in threads {
+            match thread.join() {
+                Ok(Ok(run)) => {
+                    (processes, requests) = (processes + run.processes, requests + run.requests);
+                    run.met.into_iter().for_each(|pair| *met.entry(pair).or_default() += 1);
+                    broken.extend(run.broken);
+                }
+                Ok(Err(Failure(problem))) => {
+                    broken.push(format!("soak {seed} could not be played: {problem}"))
+                }
+                Err(_) => broken.push(format!("soak {seed} could not be played: its thread panicked")),
+            }
+        }
+    }
+    println!(
+        "{runs} runs from seed {first}: {processes} processes, {requests} requests, {} broken",
+        broken.len()
+    );
+    let pairs = ALL.len() * (ALL.len() + 1) / 2;
+    println!("{} pairs of troubles of {pairs} overlapped, {} times", met.len(), met.values().sum::<usize>());
+    Ok(broken)
+}
+
+/// A process in another role, which lasts as long as the one that started it.
+fn stand_in(role: &str) -> Result<(), Failure> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let argument = |n: usize| arguments.get(n).ok_or(Failure(format!("argument {n} is missing")));
+    let listener = TcpListener::bind(argument(0)?)?;
+    match role {
+        "worker" => {
+            let kind = serde_json::from_str(argument(1)?)?;
+            let at = Remote::new(argument(2)?, argument(3)?.parse()?);
+            std::thread::spawn(move || tideroute_rig::worker::serve(listener, kind, Arc::new(at)));
+            let _ = std::io::read_to_string(std::io::stdin())?;
+        }
+        "proxy" => {
+            let (worker, at) = (argument(1)?.parse()?, Remote::new(argument(2)?, 0));
+            let (to, orders) = (argument(3)?.clone(), Arc::new(Orders::default()));
+            let taken = orders.clone();
+            std::thread::spawn(move || {
+                tideroute_rig::proxy::serve(listener, worker, &to, &taken, Arc::new(at));
+            });
+            for line in std::io::stdin().lines() {
+                let line = line?;
+                if !orders.take(&line) {
+                    return Err(Failure(format!("{line}: no such order")));
+                }
+            }
+        }
+        _ => return Err(Failure(format!("{role}: no such role"))),
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    if let Ok(role) = std::env::var(ROLE) {
+        return stand_in(&role).map_or_else(
+            |Failure(problem)| {
+                eprintln!("{role}: {problem}");
+                ExitCode::FAILURE
+            },
+            |()| ExitCode::SUCCESS,
+        );
+    }
+    // As the usual harness does: a word chooses tests by a part of their name.
+    let chosen =
+        std::env::args().skip(1).filter(|word| !word.starts_with('-')).all(|word| NAME.contains(&word));
+    println!("\nrunning {} test{}", u8::from(chosen), if chosen { "" } else { "s" });
+    let broken = if chosen { soak().unwrap_or_else(|Failure(problem)| vec![problem]) } else { vec![] };
+    if chosen {
+        println!("test {NAME} ... {}", if broken.is_empty() { "ok" } else { "FAILED" });
+    }
+    broken.iter().for_each(|broken| println!("{broken}"));
+    let (passed, failed) = (u8::from(chosen && broken.is_empty()), u8::from(!broken.is_empty()));
+    let word = if broken.is_empty() { "ok" } else { "FAILED" };
+    println!(
+        "\ntest result: {word}. {passed} passed; {failed} failed; 0 ignored; 0 measured; {} filtered out\n",
+        u8::from(!chosen)
+    );
+    if broken.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- a/crates/rig/src/checker.rs
+++ b/crates/rig/src/checker.rs
@@ -112,6 +112,25 @@
         self.requests.len() - 1
     }
 
+    /// How many requests were asked.
+    pub fn requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Until when a request's client waits.
+    pub fn until(&self, request: usize) -> Micros {
+        self.requests[request].until
+    }
+
+    pub fn class(&self, request: usize) -> usize {
+        self.requests[request].class
+    }
+
+    /// Something is broken that shows without a request of its own.
+    pub fn breaks_otherwise(&mut self, now: Micros, what: String) {
+        self.breaks(now, Rule::Lost, what);
+    }
+
     /// Its router was killed: what that held for it is nobody's duty any more.
     pub fn router_killed(&mut self, request: usize) {
         self.requests[request].excused = true;
--- a/crates/rig/src/customer.rs
+++ b/crates/rig/src/customer.rs
@@ -1,10 +1,12 @@
 //! A customer's settings, drawn over the ranges that the protocol allows, and the same facts in the checker's terms.
 
+use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use tideroute::chance::Chance;
 use tideroute_wire::Micros;
 
 use crate::text::{address_of, DISCOVERY, MS};
+use crate::worker::Kind;
 
 const ZONES: [&str; 3] = ["east", "west", "north"];
 
@@ -31,7 +33,7 @@
     }
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub enum Role {
     Reads,
     Writes,
@@ -153,6 +155,11 @@
         }
     }
 
+    /// What a stand-in for a worker has to know.
+    pub fn kind(&self, worker: usize) -> Kind {
+        Kind { worker, role: self.workers[worker].role, reads_by_itself: self.reads_by_itself(worker) }
+    }
+
     /// Whether a worker answers a request of which no state is held.
     pub fn reads_by_itself(&self, worker: usize) -> bool {
         match self.workers[worker].role {
--- a/crates/rig/src/judge.rs
+++ b/crates/rig/src/judge.rs
@@ -85,6 +85,8 @@
     draw: Mutex<Chance>,
     /// When routers were told that a worker drains.
     drains: Mutex<BTreeMap<usize, Micros>>,
+    /// All that was told, with its time.
+    notes: Mutex<Vec<String>>,
 }
 
 impl Judge {
@@ -96,6 +98,7 @@
             checker: Mutex::new(Checker::new(BEGAN, noise)),
             draw: Mutex::new(draw),
             drains: Mutex::default(),
+            notes: Mutex::default(),
         }
     }
 
@@ -116,6 +119,13 @@
         self.checker().broken.clone()
     }
 
+    /// What is owed to somebody was not paid.
+    pub fn breaks(&self, what: String) {
+        let now = self.now();
+        self.note(what.clone());
+        self.checker().breaks_otherwise(now, what);
+    }
+
     /// What the rules ask for at any moment.
     pub fn look(&self) {
         let now = self.now();
@@ -130,12 +140,22 @@
         between(&mut self.draw.lock().unwrap_or_else(PoisonError::into_inner), least, most) as u64
     }
 
-    /// Routers are told of a worker's state.
-    pub fn told(&self, worker: usize, drains: bool) {
-        let now = self.now();
+    /// Writes something down beside what is reported.
+    pub fn note(&self, what: String) {
+        let at = self.now_ms();
+        self.notes.lock().unwrap_or_else(PoisonError::into_inner).push(format!("{at:.3} {what}"));
+    }
+
+    /// All that was written down and reported, in order.
+    pub fn notes(&self) -> Vec<String> {
+        self.notes.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Routers are told of a worker, since when it drains if it does.
+    pub fn told(&self, worker: usize, drains: Option<Micros>) {
         let mut told = self.drains.lock().unwrap_or_else(PoisonError::into_inner);
-        if drains {
-            told.entry(worker).or_insert(now);
+        if let Some(since) = drains {
+            told.entry(worker).or_insert(since);
         } else {
             told.remove(&worker);
         }
@@ -154,6 +174,7 @@
     /// Takes a report; the answer to one that asks.
     pub fn take(&self, report: Report) -> bool {
         let now = self.now();
+        self.note(format!("{report:?}"));
         match report {
             Report::Arrives { on, head } => self.arrives(now, on, &head),
             Report::Read { on, request, left_state } => {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -2,9 +2,11 @@
 //! decides, the texts of the protocol, and processes.
 
 pub mod checker;
+pub mod control;
 pub mod customer;
 pub mod fixture;
 pub mod judge;
 pub mod process;
+pub mod proxy;
 pub mod text;
 pub mod worker;
--- a/crates/rig/src/worker.rs
+++ b/crates/rig/src/worker.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 use crate::customer::Role;
 use crate::judge::{attempt_of, next_request, word, On, Report};
 use crate::text::{chunk, plain, EVENTS, HEAD, NEVER_RAN, READ};
@@ -39,7 +41,7 @@
 }
 
 /// What a worker is.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Kind {
     pub worker: usize,
     pub role: Role,
