One place decides what may be sent, repeated, answered and closed for a request; breaks are counted and refused

crates/invariants: a record for each request, free of I/O, clock and chance, which gives permits that only it can make; shoot, hold, answer and closed of Ways take them, so that no protocol can send, answer or forget without one. What it refuses is told with the request's record and a reason of a closed list, counted as tideroute_invariant_violations_total by rule, and ends a soak run. An attempt asks once more as its connection comes up. A forbidden attempt counts as never sent, a forbidden refusal is answered as failed.

--- a/crates/command/tests/soak.rs
+++ b/crates/command/tests/soak.rs
@@ -138,6 +138,9 @@
     if let Some(failure) = lock(&failed).take() {
         return Err(failure);
     }
+    for violation in fleet.violations() {
+        judge.breaks(violation);
+    }
     let broken = judge.broken().map(|broken| format!("soak {seed}: {broken}"));
     if broken.is_some() {
         let path = std::env::temp_dir().join(format!("tideroute-soak-{seed}-{}.trace", std::process::id()));
--- a/crates/command/tests/soak/fleet.rs
+++ b/crates/command/tests/soak/fleet.rs
@@ -42,6 +42,7 @@
     pub listen: String,
     config: PathBuf,
     life: Mutex<Arc<Life>>,
+    restarts: Mutex<()>,
 }
 
 impl Router {
@@ -135,7 +136,7 @@
                 .join(format!("tideroute-soak-{seed}-{number}-{}.json", std::process::id()));
             std::fs::write(&config, fleet.configuration(&listen).to_string())?;
             let life = Mutex::new(Arc::new(fleet.start_router(&listen, &config)?));
-            routers.push(Router { listen, config, life });
+            routers.push(Router { listen, config, life, restarts: Mutex::default() });
         }
         let _ = fleet.routers.set(routers);
         Ok(fleet)
@@ -213,8 +214,12 @@
         Ok(())
     }
 
-    /// Another life of a router, whose process has ended.
-    pub fn restart_router(&self, router: &Router) -> Result<(), Failure> {
+    /// Another life of a router, whose process has ended; nothing if it has one already.
+    pub fn restart_router(&self, router: &Router, ended: &Arc<Life>) -> Result<(), Failure> {
+        let _one_at_a_time = lock(&router.restarts);
+        if !Arc::ptr_eq(ended, &router.life()) || self.is_over() {
+            return Ok(());
+        }
         std::fs::write(&router.config, self.configuration(&router.listen).to_string())?;
         let life = self.start_router(&router.listen, &router.config)?;
         *lock(&router.life) = Arc::new(life);
@@ -241,7 +246,11 @@
     }
 
     fn start_worker(&self, number: usize) -> Result<Worker, Failure> {
-        let (own, address) = (free(), free());
+        // Addresses of their own: no connection that is dialled elsewhere is given one of their ports.
+        let at = |net: u8| {
+            free().replace("127.0.0.1", &format!("127.{net}.{}.{}", self.seed % 250 + 1, number + 1))
+        };
+        let (own, address) = (at(5), at(6));
         let running = self.spawn_worker(number, &own)?;
         let proxy =
             stand_in("proxy", &[address.clone(), number.to_string(), self.control.clone(), own.clone()])?;
@@ -392,16 +401,37 @@
         2 * self.workers.len() + self.routers().len()
     }
 
+    /// The files that this run has made.
+    fn files(&self) -> Vec<PathBuf> {
+        let Ok(files) = std::fs::read_dir(std::env::temp_dir()) else { return vec![] };
+        let (prefix, process) = (format!("tideroute-soak-{}-", self.seed), std::process::id().to_string());
+        let own = |path: &PathBuf| {
+            let name = path.file_name().unwrap_or_default().to_string_lossy();
+            name.starts_with(&prefix) && name.contains(&process)
+        };
+        files.flatten().map(|file| file.path()).filter(own).collect()
+    }
+
+    /// What routers' logs tell of broken invariants, and of panics.
+    pub fn violations(&self) -> Vec<String> {
+        let logs = self.files().into_iter().filter(|path| path.extension().is_some_and(|e| e == "log"));
+        let texts = logs.filter_map(|log| Some((std::fs::read_to_string(&log).ok()?, log)));
+        let bad = |line: &&str| line.contains("an invariant would be broken") || line.contains("panicked at");
+        texts
+            .flat_map(|(text, log)| {
+                let lines: Vec<_> = text.lines().filter(bad).map(str::to_string).collect();
+                lines.into_iter().map(move |line| format!("{}: {line}", log.display()))
+            })
+            .collect()
+    }
+
     /// Removes what a run that kept the rules has left; else names it.
     pub fn clean_up(&self, keep: bool) {
-        let Ok(files) = std::fs::read_dir(std::env::temp_dir()) else { return };
-        let prefix = format!("tideroute-soak-{}-", self.seed);
-        let own = |name: &str| name.starts_with(&prefix) && name.contains(&std::process::id().to_string());
-        for file in files.flatten().filter(|f| own(&f.file_name().to_string_lossy())) {
+        for path in self.files() {
             if keep {
-                println!("kept: {}", file.path().display());
+                println!("kept: {}", path.display());
             } else {
-                let _ = std::fs::remove_file(file.path());
+                let _ = std::fs::remove_file(path);
             }
         }
     }
--- a/crates/command/tests/soak/troubles.rs
+++ b/crates/command/tests/soak/troubles.rs
@@ -164,7 +164,7 @@
             }
             std::thread::sleep(Duration::from_millis(5));
         }
-        self.restart_router(router)
+        self.restart_router(router, &life)
     }
 
     fn is_killed(&self, router: &Router) -> Result<(), Failure> {
@@ -175,6 +175,6 @@
             let _ = (running.0.kill(), running.0.wait());
         }
         lock(&life.asked).iter().for_each(|number| self.judge.checker().router_killed(*number));
-        self.restart_router(router)
+        self.restart_router(router, &life)
     }
 }
--- a/crates/host/src/books.rs
+++ b/crates/host/src/books.rs
@@ -5,7 +5,10 @@
 
 use metrics::{counter, gauge, histogram};
 use tideroute::choice::Router;
-use tideroute::interface::{Arrival, Ending, Listing, Role, Standing, SubmissionId, Tenths, WorkerId};
+use tideroute::interface::{
+    Arrival, Ending, Listing, Repeat, Role, Standing, SubmissionId, Tenths, WorkerId,
+};
+use tideroute_invariants::{AttemptPermit, FinalAnswer, RequestRecord, Violation};
 use tideroute_shares::{Asked, Known, Tenant, Ticket, Verdict};
 use tideroute_wire::Micros;
 
@@ -106,11 +109,22 @@
         ways: &mut impl Ways<Asked = A>,
     ) {
         let Some(s) = self.submissions.get_mut(id).filter(|s| !s.over) else { return };
+        let (answer, permit) = match s.record.permit_answer(kind_of(answer)) {
+            Ok(permit) => (answer, permit),
+            Err(violation) => {
+                self.refuse_step(id, violation);
+                // What may not be refused has failed: it is owed an answer all the same.
+                let Some(s) = self.submissions.get_mut(id) else { return };
+                let Ok(permit) = s.record.permit_answer(FinalAnswer::Failed) else { return };
+                (Answer::Abandoned, permit)
+            }
+        };
+        let Some(s) = self.submissions.get_mut(id) else { return };
         s.over = true;
         self.closing.push(id);
         let first = s.first.or_else(|| matches!(answer, Answer::TurnedBack(_)).then_some(Micros::MAX));
         let (came, prompt, track_of) = (s.came, s.prompt_tokens, usize::from(s.track));
-        ways.answer(id, s, answer);
+        ways.answer(id, s, answer, permit);
         let outcome = match answer {
             Answer::Honoured(_) => "honoured",
             Answer::TurnedBack(_) => "turned back",
@@ -128,6 +142,20 @@
         }
     }
 
+    /// Counts and tells a step that a rule forbids, with the request's story. The step is not done.
+    pub(crate) fn refuse_step(&mut self, id: SubmissionId, violation: Violation) {
+        let (rule, reason) = (violation.rule().name(), violation.reason.name());
+        counter!("tideroute_invariant_violations_total", "rule" => rule).increment(1);
+        let record = self.submissions.get(id).map(|s| &s.record);
+        tracing::error!(id, rule, reason, ?record, "an invariant would be broken: the step is refused");
+    }
+
+    /// Asks whether an attempt may leave on its connection, which has just come up.
+    pub fn permit_bytes(&mut self, now: Micros, id: SubmissionId, number: u16) -> Option<AttemptPermit> {
+        let permit = self.submissions.get(id)?.record.permit_bytes(tenths(now), number);
+        permit.map_err(|violation| self.refuse_step(id, violation)).ok()
+    }
+
     /// A shot has ended: the module hears of it, and the client if that was the end of its stream.
     pub fn settle(
         &mut self,
@@ -139,6 +167,7 @@
     ) {
         let Some(s) = self.submissions.get_mut(id) else { return };
         let Some(shot) = s.shot.take_if(|s| s.number == number) else { return };
+        s.record.attempt_ended(number, ending);
         ways.settled(id, s, &shot, ending);
         let terminal = s.over || shot.started || ending == Ending::Honoured;
         if ending == Ending::Read {
@@ -161,6 +190,7 @@
         let Some(s) = self.submissions.get_mut(id) else { return };
         let Some(shot) = s.shot.as_mut().filter(|s| !s.started) else { return };
         shot.started = true;
+        s.record.began();
         let (worker, number, came) = (shot.worker, shot.number, s.came);
         (s.state, s.first) = (None, Some(now));
         for place in std::mem::take(&mut s.places) {
@@ -197,6 +227,7 @@
     pub fn dropped(&mut self, now: Micros, id: SubmissionId, ways: &mut impl Ways<Asked = A>) {
         let Some(s) = self.submissions.get_mut(id) else { return };
         s.over = true;
+        s.record.client_left();
         self.closing.push(id);
         counter!("tideroute_left_total").increment(1);
         self.module.dropped(tenths(now), id);
@@ -243,7 +274,9 @@
         ways: &mut impl Ways<Asked = A>,
     ) -> SubmissionId {
         let (track, cut_off, tokens) = (s.track, s.cut_off, s.prompt_tokens);
-        let id = self.submissions.insert(s);
+        let repeat = self.terms.module.tracks.get(usize::from(track)).map_or(Repeat::SingleUse, |t| t.repeat);
+        let record = RequestRecord::new(repeat, tenths(cut_off));
+        let id = self.submissions.insert(Submission { record, ..s });
         counter!("tideroute_taken_total").increment(1);
         ways.ring(cut_off, Timer::CutOff(id));
         self.stirred = true;
@@ -408,8 +441,14 @@
             if !s.holds_nothing() {
                 self.let_go(id, ways);
             }
-            ways.closed(id);
-            self.submissions.remove(id);
+            let Some(s) = self.submissions.get(id) else { continue };
+            match s.record.permit_close(s.holds_nothing()) {
+                Ok(permit) => {
+                    ways.closed(id, permit);
+                    self.submissions.remove(id);
+                }
+                Err(violation) => self.refuse_step(id, violation),
+            }
         }
     }
 
@@ -448,6 +487,14 @@
     }
 }
 
+fn kind_of(answer: Answer) -> FinalAnswer {
+    match answer {
+        Answer::Honoured(_) => FinalAnswer::Served,
+        Answer::TurnedBack(_) => FinalAnswer::Refused,
+        Answer::Abandoned => FinalAnswer::Failed,
+    }
+}
+
 fn name_of(ending: Ending) -> &'static str {
     match ending {
         Ending::Honoured => "honoured",
--- a/crates/host/src/carry.rs
+++ b/crates/host/src/carry.rs
@@ -4,7 +4,7 @@
 use tideroute::interface::{Decision, Ending, Role, SubmissionId, WorkerId};
 use tideroute_wire::Micros;
 
-use crate::books::{shown, Books, TENTH};
+use crate::books::{shown, tenths, Books, TENTH};
 use crate::submissions::Shot;
 use crate::ways::{Answer, Timer, Ways};
 
@@ -13,7 +13,7 @@
         tracing::trace!(?decision, "decided");
         match decision {
             Decision::Send { id, worker, .. } => self.send(now, id, worker, ways),
-            Decision::Hold { id, worker } => self.hold(id, worker, ways),
+            Decision::Hold { id, worker } => self.hold(now, id, worker, ways),
             Decision::LetGo { id } => self.let_go(id, ways),
             Decision::Withdraw { id, shot } => {
                 let Some(s) = self.submissions.get(id).filter(|s| s.shot_is(shot) && !s.streams()) else {
@@ -46,8 +46,19 @@
     }
 
     fn send(&mut self, now: Micros, id: SubmissionId, to: WorkerId, ways: &mut impl Ways<Asked = A>) {
-        let Some(&(_, role)) = self.listed.get(&to) else { return };
+        let Some(&(listing, role)) = self.listed.get(&to) else { return };
         let Some(s) = self.submissions.get_mut(id) else { return };
+        let permit = s.record.permit_attempt(tenths(now), s.shots, Some(&listing), role != Role::Reader);
+        let permit = match permit {
+            Ok(permit) => permit,
+            Err(violation) => {
+                let number = s.shots;
+                s.shots += 1;
+                self.refuse_step(id, violation);
+                // The module takes it for one that was sent, and never came to run.
+                return self.settled.push((id, number, Ending::NeverSent));
+            }
+        };
         let (number, reading, left) = (s.shots, role == Role::Reader, s.cut_off.saturating_sub(now));
         s.shots += 1;
         if !reading {
@@ -59,19 +70,24 @@
         tracing::debug!(id, shot = number, worker = %shown(to), reading, "sends");
         counter!("tideroute_shots_total", "stage" => if reading { "read" } else { "write" }).increment(1);
         let shot = Shot { number, worker: to, reading, started: false, tokens: 0, owed: 0 };
-        ways.shoot(id, s, &shot, left);
+        ways.shoot(id, s, &shot, left, permit);
         s.shot = Some(shot);
     }
 
-    fn hold(&mut self, id: SubmissionId, at: WorkerId, ways: &mut impl Ways<Asked = A>) {
+    fn hold(&mut self, now: Micros, id: SubmissionId, at: WorkerId, ways: &mut impl Ways<Asked = A>) {
         let Some(s) = self.submissions.get_mut(id) else { return };
         let Some(reader) = s.shot.as_ref().filter(|s| s.reading).map(|s| s.worker) else { return };
+        let permit =
+            match s.record.permit_place(tenths(now), self.listed.get(&at).map(|(listing, _)| listing)) {
+                Ok(permit) => permit,
+                Err(violation) => return self.refuse_step(id, violation),
+            };
         // A new place takes the place of one before.
         for place in std::mem::replace(&mut s.places, vec![at]) {
             ways.unplace(id, place, true);
         }
         counter!("tideroute_places_total").increment(1);
-        ways.hold(id, s, at, reader);
+        ways.hold(id, s, at, reader, permit);
     }
 
     pub(crate) fn let_go(&mut self, id: SubmissionId, ways: &mut impl Ways<Asked = A>) {
--- a/crates/host/src/submissions.rs
+++ b/crates/host/src/submissions.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use tideroute::interface::{SubmissionId, WorkerId};
+use tideroute::interface::{Repeat, SubmissionId, WorkerId};
+use tideroute_invariants::RequestRecord;
 use tideroute_wire::Micros;
 
 /// Bits of an id that count submissions; those above tell routers and their starts apart.
@@ -28,6 +29,8 @@
     pub first: Option<Micros>,
     /// The final answer was given, or nobody waits for one.
     pub over: bool,
+    /// What may be done for it.
+    pub record: RequestRecord,
 }
 
 impl<A> Submission<A> {
@@ -47,6 +50,8 @@
             places: vec![],
             first: None,
             over: false,
+            // The books put the request's own in its place as they take it.
+            record: RequestRecord::new(Repeat::SingleUse, 0),
         }
     }
 
--- a/crates/host/src/ways.rs
+++ b/crates/host/src/ways.rs
@@ -1,6 +1,7 @@
 //! What the books need of a protocol, and no more: words to workers, clients and the list, and timers.
 
 use tideroute::interface::{Ending, SubmissionId, WorkerId};
+use tideroute_invariants::{AnswerPermit, AttemptPermit, ClosePermit, PlacePermit};
 use tideroute_wire::Micros;
 
 use crate::submissions::{Shot, Submission};
@@ -34,9 +35,23 @@
     type Asked;
 
     /// The shot that the submission has out goes to its worker, which may take so long.
-    fn shoot(&mut self, id: SubmissionId, s: &Submission<Self::Asked>, shot: &Shot, left: Micros);
+    fn shoot(
+        &mut self,
+        id: SubmissionId,
+        s: &Submission<Self::Asked>,
+        shot: &Shot,
+        left: Micros,
+        permit: AttemptPermit,
+    );
     /// A place is asked for while the reader reads.
-    fn hold(&mut self, id: SubmissionId, s: &Submission<Self::Asked>, at: WorkerId, reader: WorkerId);
+    fn hold(
+        &mut self,
+        id: SubmissionId,
+        s: &Submission<Self::Asked>,
+        at: WorkerId,
+        reader: WorkerId,
+        permit: PlacePermit,
+    );
     /// A place is no longer wanted because another or a shot took its turn; with `tell` nobody else says so.
     fn unplace(&mut self, id: SubmissionId, at: WorkerId, tell: bool);
     /// All that is held for the submission is let go.
@@ -55,9 +70,9 @@
     }
     /// The shot has ended, whoever ended it.
     fn settled(&mut self, id: SubmissionId, s: &Submission<Self::Asked>, shot: &Shot, ending: Ending);
-    fn answer(&mut self, id: SubmissionId, s: &Submission<Self::Asked>, answer: Answer);
+    fn answer(&mut self, id: SubmissionId, s: &Submission<Self::Asked>, answer: Answer, permit: AnswerPermit);
     /// The submission is over, nothing is out for it, and the books forget it.
-    fn closed(&mut self, _id: SubmissionId) {}
+    fn closed(&mut self, _id: SubmissionId, _permit: ClosePermit) {}
     fn probe(&mut self, nonce: u64, at: WorkerId);
     /// The probe of a worker was answered or given up.
     fn probed(&mut self, at: WorkerId);
--- a/crates/host/src/wires.rs
+++ b/crates/host/src/wires.rs
@@ -1,6 +1,7 @@
 //! The books' words on protobuf links.
 
 use tideroute::interface::{Ending, SubmissionId, WorkerId};
+use tideroute_invariants::{AnswerPermit, AttemptPermit, PlacePermit};
 use tideroute_wire::link::{Link, Outbox};
 use tideroute_wire::{client, list, say_router, worker, Micros};
 
@@ -41,7 +42,14 @@
 impl Ways for Wires<'_> {
     type Asked = Said;
 
-    fn shoot(&mut self, id: SubmissionId, s: &Submission<Said>, shot: &Shot, left: Micros) {
+    fn shoot(
+        &mut self,
+        id: SubmissionId,
+        s: &Submission<Said>,
+        shot: &Shot,
+        left: Micros,
+        _permit: AttemptPermit,
+    ) {
         let (said, number) = (&s.asked, shot.number);
         let frame = if shot.reading {
             worker::read(
@@ -76,7 +84,14 @@
         self.send(shot.worker, frame);
     }
 
-    fn hold(&mut self, id: SubmissionId, s: &Submission<Said>, at: WorkerId, reader: WorkerId) {
+    fn hold(
+        &mut self,
+        id: SubmissionId,
+        s: &Submission<Said>,
+        at: WorkerId,
+        reader: WorkerId,
+        _permit: PlacePermit,
+    ) {
         let frame = worker::hold(id, s.prompt_tokens, s.asked.most_tokens, reader);
         self.lines.at(at).places.insert(id);
         self.send(at, frame);
@@ -112,7 +127,7 @@
         self.lines.at(shot.worker).shots.remove(&id);
     }
 
-    fn answer(&mut self, _id: SubmissionId, s: &Submission<Said>, answer: Answer) {
+    fn answer(&mut self, _id: SubmissionId, s: &Submission<Said>, answer: Answer, _permit: AnswerPermit) {
         let number = s.asked.number;
         let frame = match answer {
             Answer::Honoured(tokens) => client::honoured(number, tokens),
--- /dev/null
+++ b/crates/invariants/src/lib.rs
@@ -0,0 +1,301 @@
+//! One place that decides whether something may be sent, repeated, answered or closed for a request now.
+//!
+//! Each request has a [`RequestRecord`], which is told what happens and is asked before anything is done. What may be
+//! done comes back as a permit that nobody else can make and that is used up by doing it; what may not comes back as a
+//! [`Violation`], whose rule and reason are closed lists. The record knows nothing of how a router decides: it is fed
+//! by the books that carry decisions out, and catches a decision, or a path round one, that would break a rule.
+//!
+//! No I/O, no clock, no chance.
+
+use tideroute::interface::{Ending, Listing, Repeat, Standing, Tenths};
+
+/// The rules that a request may break.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub enum Rule {
+    /// One final answer in the client's time, and nothing sent after it.
+    Lost,
+    /// No effect twice.
+    Duplicate,
+    /// Nothing new to a worker that drains or is gone.
+    Drain,
+    /// Nothing stays held.
+    Pinned,
+}
+
+impl Rule {
+    pub fn name(self) -> &'static str {
+        match self {
+            Rule::Lost => "lost",
+            Rule::Duplicate => "duplicate",
+            Rule::Drain => "drain",
+            Rule::Pinned => "pinned",
+        }
+    }
+}
+
+/// Why something may not be done.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub enum Reason {
+    AfterFinalAnswer,
+    AfterClientLeft,
+    AfterDeadline,
+    AfterStreamBegan,
+    SecondFinalAnswer,
+    AnotherAttemptIsOut,
+    EarlierAttemptMayHaveRun,
+    OutsideRepeatWindow,
+    OutsideRepeatGroup,
+    RefusedAfterItMayHaveRun,
+    WorkerDrains,
+    WorkerIsNotListed,
+    ClosedWithAttemptOut,
+    ClosedWhileHolding,
+}
+
+impl Reason {
+    pub fn rule(self) -> Rule {
+        use Reason::*;
+        match self {
+            AfterFinalAnswer | AfterClientLeft | AfterDeadline | AfterStreamBegan | SecondFinalAnswer
+            | ClosedWithAttemptOut => Rule::Lost,
+            AnotherAttemptIsOut
+            | EarlierAttemptMayHaveRun
+            | OutsideRepeatWindow
+            | OutsideRepeatGroup
+            | RefusedAfterItMayHaveRun => Rule::Duplicate,
+            WorkerDrains | WorkerIsNotListed => Rule::Drain,
+            ClosedWhileHolding => Rule::Pinned,
+        }
+    }
+
+    pub fn name(self) -> &'static str {
+        use Reason::*;
+        match self {
+            AfterFinalAnswer => "after its final answer",
+            AfterClientLeft => "after its client left",
+            AfterDeadline => "after its deadline",
+            AfterStreamBegan => "after its stream began",
+            SecondFinalAnswer => "a second final answer",
+            AnotherAttemptIsOut => "another attempt is out",
+            EarlierAttemptMayHaveRun => "an earlier attempt may have run",
+            OutsideRepeatWindow => "outside its window for repeats",
+            OutsideRepeatGroup => "outside its group for repeats",
+            RefusedAfterItMayHaveRun => "refused after it may have run",
+            WorkerDrains => "its worker drains",
+            WorkerIsNotListed => "its worker is not listed",
+            ClosedWithAttemptOut => "closed with an attempt out",
+            ClosedWhileHolding => "closed while something is held for it",
+        }
+    }
+}
+
+/// Something that was about to be done and may not be.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Violation {
+    pub reason: Reason,
+}
+
+impl Violation {
+    pub fn rule(self) -> Rule {
+        self.reason.rule()
+    }
+}
+
+/// An attempt of this number may be sent.
+#[derive(PartialEq, Eq, Debug)]
+pub struct AttemptPermit {
+    number: u16,
+}
+
+impl AttemptPermit {
+    pub fn number(&self) -> u16 {
+        self.number
+    }
+}
+
+/// A place may be asked for.
+#[derive(PartialEq, Eq, Debug)]
+pub struct PlacePermit(());
+
+/// The final answer may be given.
+#[derive(PartialEq, Eq, Debug)]
+pub struct AnswerPermit(());
+
+/// The request may be forgotten.
+#[derive(PartialEq, Eq, Debug)]
+pub struct ClosePermit(());
+
+/// A kind of final answer.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum FinalAnswer {
+    /// A worker's answer, whole.
+    Served,
+    /// Trying again is harmless.
+    Refused,
+    /// No promise.
+    Failed,
+}
+
+/// How far a request has come.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Phase {
+    Open,
+    /// Its answer has begun to go to the client.
+    Streaming,
+    Answered,
+    ClientLeft,
+}
+
+/// An attempt that is out.
+#[derive(Clone, Copy, Debug)]
+struct Out {
+    number: u16,
+    sent: Tenths,
+    to: Listing,
+    /// It has the request's effect, and does not only read the prompt.
+    writes: bool,
+}
+
+/// What is known of one request, and what may be done for it.
+#[derive(Clone, Debug)]
+pub struct RequestRecord {
+    repeat: Repeat,
+    deadline: Tenths,
+    phase: Phase,
+    out: Option<Out>,
+    /// When and where the first attempt went that may have run.
+    ran: Option<(Tenths, Listing)>,
+}
+
+impl RequestRecord {
+    /// A request that has just been taken.
+    pub fn new(repeat: Repeat, deadline: Tenths) -> RequestRecord {
+        RequestRecord { repeat, deadline, phase: Phase::Open, out: None, ran: None }
+    }
+
+    /// Nothing new may be sent in this phase, or after the deadline.
+    fn permit_new(&self, now: Tenths) -> Result<(), Violation> {
+        let reason = match self.phase {
+            Phase::Streaming => Reason::AfterStreamBegan,
+            Phase::Answered => Reason::AfterFinalAnswer,
+            Phase::ClientLeft => Reason::AfterClientLeft,
+            Phase::Open if now >= self.deadline => Reason::AfterDeadline,
+            Phase::Open => return Ok(()),
+        };
+        Err(Violation { reason })
+    }
+
+    /// A worker takes nothing new once it drains, or is no longer listed.
+    fn permit_worker(to: Option<&Listing>) -> Result<&Listing, Violation> {
+        match to {
+            Some(listing) if listing.standing == Standing::Ready => Ok(listing),
+            Some(listing) if listing.standing == Standing::Draining => {
+                Err(Violation { reason: Reason::WorkerDrains })
+            }
+            _ => Err(Violation { reason: Reason::WorkerIsNotListed }),
+        }
+    }
+
+    /// Asks whether an attempt may be sent to a worker now, as it is listed.
+    pub fn permit_attempt(
+        &mut self,
+        now: Tenths,
+        number: u16,
+        to: Option<&Listing>,
+        writes: bool,
+    ) -> Result<AttemptPermit, Violation> {
+        self.permit_new(now)?;
+        let to = *RequestRecord::permit_worker(to)?;
+        if self.out.is_some() {
+            return Err(Violation { reason: Reason::AnotherAttemptIsOut });
+        }
+        if writes {
+            self.permit_repeat(now, &to)?;
+        }
+        self.out = Some(Out { number, sent: now, to, writes });
+        Ok(AttemptPermit { number })
+    }
+
+    /// Whether the effect may be had at a worker, given what may have had it before.
+    fn permit_repeat(&self, now: Tenths, to: &Listing) -> Result<(), Violation> {
+        let Some((first, _)) = self.ran else { return Ok(()) };
+        let reason = match self.repeat {
+            Repeat::Replayable => return Ok(()),
+            Repeat::SingleUse => Reason::EarlierAttemptMayHaveRun,
+            Repeat::Referenced { .. } if !self.repeat.allows(now - first) => Reason::OutsideRepeatWindow,
+            Repeat::Referenced { .. } if !self.repeat.is_known(self.ran, to) => Reason::OutsideRepeatGroup,
+            Repeat::Referenced { .. } => return Ok(()),
+        };
+        Err(Violation { reason })
+    }
+
+    /// Asks whether the attempt that is out may leave now: its connection was not there before.
+    pub fn permit_bytes(&self, now: Tenths, number: u16) -> Result<AttemptPermit, Violation> {
+        self.permit_new(now)?;
+        if self.out.is_none_or(|out| out.number != number) {
+            return Err(Violation { reason: Reason::AnotherAttemptIsOut });
+        }
+        Ok(AttemptPermit { number })
+    }
+
+    /// Asks whether a place may be asked for at a worker.
+    pub fn permit_place(&self, now: Tenths, at: Option<&Listing>) -> Result<PlacePermit, Violation> {
+        self.permit_new(now)?;
+        RequestRecord::permit_worker(at)?;
+        Ok(PlacePermit(()))
+    }
+
+    /// An attempt has ended.
+    pub fn attempt_ended(&mut self, number: u16, ending: Ending) {
+        let Some(out) = self.out.take_if(|out| out.number == number) else { return };
+        if out.writes && !ending.never_ran() {
+            self.ran.get_or_insert((out.sent, out.to));
+        }
+    }
+
+    /// The answer has begun to go to the client.
+    pub fn began(&mut self) {
+        if self.phase == Phase::Open {
+            self.phase = Phase::Streaming;
+        }
+    }
+
+    /// Asks whether the request may be given its final answer.
+    pub fn permit_answer(&mut self, answer: FinalAnswer) -> Result<AnswerPermit, Violation> {
+        let reason = match (self.phase, answer) {
+            (Phase::Answered, _) => Reason::SecondFinalAnswer,
+            (Phase::ClientLeft, _) => Reason::AfterClientLeft,
+            (Phase::Streaming, FinalAnswer::Refused) => Reason::RefusedAfterItMayHaveRun,
+            (_, FinalAnswer::Refused) if self.may_not_be_refused() => Reason::RefusedAfterItMayHaveRun,
+            _ => {
+                self.phase = Phase::Answered;
+                return Ok(AnswerPermit(()));
+            }
+        };
+        Err(Violation { reason })
+    }
+
+    /// A refusal promises that another try is harmless.
+    fn may_not_be_refused(&self) -> bool {
+        let writes = self.out.is_some_and(|out| out.writes);
+        (writes || self.ran.is_some()) && !self.repeat.anywhere()
+    }
+
+    /// The client has gone.
+    pub fn client_left(&mut self) {
+        if self.phase != Phase::Answered {
+            self.phase = Phase::ClientLeft;
+        }
+    }
+
+    /// Asks whether the request may be forgotten, with something held for it or not.
+    pub fn permit_close(&self, holds_nothing: bool) -> Result<ClosePermit, Violation> {
+        if self.out.is_some() {
+            return Err(Violation { reason: Reason::ClosedWithAttemptOut });
+        }
+        if !holds_nothing {
+            return Err(Violation { reason: Reason::ClosedWhileHolding });
+        }
+        Ok(ClosePermit(()))
+    }
+}
--- /dev/null
+++ b/crates/invariants/tests/rules.rs
@@ -0,0 +1,123 @@
+//! Each reason for which something may not be done, seen once; and what may be done.
+
+use tideroute::interface::{Ending, Group, Listing, Repeat, Standing};
+use tideroute_invariants::{FinalAnswer, Reason, RequestRecord, Rule, Violation};
+
+const DEADLINE: i64 = 10_000;
+const KEYED: Repeat = Repeat::Referenced { group: Group::Cell, window: 5_000 };
+
+fn at(cell: u16) -> Listing {
+    Listing { cell, ..Listing::default() }
+}
+
+fn record(repeat: Repeat) -> RequestRecord {
+    RequestRecord::new(repeat, DEADLINE)
+}
+
+/// One whose attempt 0 to write has ended so, at 1,000 in cell 0.
+fn after(repeat: Repeat, ending: Ending) -> RequestRecord {
+    let mut record = record(repeat);
+    record.permit_attempt(1_000, 0, Some(&at(0)), true).expect("the first");
+    record.attempt_ended(0, ending);
+    record
+}
+
+fn reason<T: std::fmt::Debug>(result: Result<T, Violation>) -> Reason {
+    result.expect_err("it may not be").reason
+}
+
+#[test]
+fn nothing_is_sent_after_the_end_of_a_request() {
+    let (mut answered, mut left, mut begun) =
+        (record(KEYED), record(KEYED), after(Repeat::Replayable, Ending::Fault));
+    answered.permit_answer(FinalAnswer::Failed).expect("the first answer");
+    left.client_left();
+    begun.began();
+    for (mut record, now, expected) in [
+        (answered, 2_000, Reason::AfterFinalAnswer),
+        (left, 2_000, Reason::AfterClientLeft),
+        (begun, 2_000, Reason::AfterStreamBegan),
+        (record(KEYED), DEADLINE, Reason::AfterDeadline),
+    ] {
+        assert_eq!(reason(record.permit_attempt(now, 1, Some(&at(0)), true)), expected);
+        assert_eq!(reason(record.permit_place(now, Some(&at(0)))), expected);
+        assert_eq!(reason(record.permit_bytes(now, 1)), expected);
+        assert_eq!(expected.rule(), Rule::Lost);
+    }
+}
+
+#[test]
+fn a_final_answer_is_one() {
+    let mut record = record(KEYED);
+    record.permit_answer(FinalAnswer::Served).expect("the first");
+    assert_eq!(reason(record.permit_answer(FinalAnswer::Failed)), Reason::SecondFinalAnswer);
+    let mut left = after(KEYED, Ending::Fault);
+    left.client_left();
+    assert_eq!(reason(left.permit_answer(FinalAnswer::Failed)), Reason::AfterClientLeft);
+}
+
+#[test]
+fn what_may_have_run_is_repeated_only_where_that_is_harmless() {
+    use Ending::*;
+    for ending in [Fault, TimedOut, Broken, Withdrawn] {
+        let again = |repeat, now, cell| after(repeat, ending).permit_attempt(now, 1, Some(&at(cell)), true);
+        assert!(again(Repeat::Replayable, 9_000, 1).is_ok());
+        assert!(again(KEYED, 5_999, 0).is_ok());
+        assert_eq!(reason(again(KEYED, 6_000, 0)), Reason::OutsideRepeatWindow);
+        assert_eq!(reason(again(KEYED, 5_999, 1)), Reason::OutsideRepeatGroup);
+        assert_eq!(reason(again(Repeat::SingleUse, 2_000, 0)), Reason::EarlierAttemptMayHaveRun);
+        // A read has no effect.
+        assert!(after(Repeat::SingleUse, ending).permit_attempt(2_000, 1, Some(&at(0)), false).is_ok());
+    }
+    for ending in [Full, Stateless, Unreachable, NeverSent] {
+        assert!(after(Repeat::SingleUse, ending).permit_attempt(9_000, 1, Some(&at(1)), true).is_ok());
+    }
+    let mut out = record(Repeat::Replayable);
+    out.permit_attempt(1_000, 0, Some(&at(0)), true).expect("the first");
+    assert_eq!(reason(out.permit_attempt(1_000, 1, Some(&at(0)), true)), Reason::AnotherAttemptIsOut);
+    assert_eq!(reason(out.permit_bytes(1_000, 1)), Reason::AnotherAttemptIsOut);
+    assert!(out.permit_bytes(1_000, 0).is_ok());
+}
+
+#[test]
+fn a_refusal_is_given_only_where_another_try_is_harmless() {
+    let anywhere = Repeat::Referenced { group: Group::All, window: 5_000 };
+    for (repeat, harmless) in
+        [(Repeat::Replayable, true), (anywhere, true), (KEYED, false), (Repeat::SingleUse, false)]
+    {
+        assert!(record(repeat).permit_answer(FinalAnswer::Refused).is_ok());
+        assert!(after(repeat, Ending::Full).permit_answer(FinalAnswer::Refused).is_ok());
+        assert_eq!(after(repeat, Ending::Broken).permit_answer(FinalAnswer::Refused).is_ok(), harmless);
+        assert!(after(repeat, Ending::Broken).permit_answer(FinalAnswer::Failed).is_ok());
+        let mut out = record(repeat);
+        out.permit_attempt(1_000, 0, Some(&at(0)), true).expect("the first");
+        assert_eq!(out.permit_answer(FinalAnswer::Refused).is_ok(), harmless, "while it is out");
+    }
+}
+
+#[test]
+fn a_worker_that_drains_or_is_gone_gets_nothing_new() {
+    let drains = Listing { standing: Standing::Draining, ..at(0) };
+    let gone = Listing { standing: Standing::Gone, ..at(0) };
+    for (to, expected) in [
+        (Some(&drains), Reason::WorkerDrains),
+        (Some(&gone), Reason::WorkerIsNotListed),
+        (None, Reason::WorkerIsNotListed),
+    ] {
+        assert_eq!(reason(record(KEYED).permit_attempt(1_000, 0, to, false)), expected);
+        assert_eq!(reason(record(KEYED).permit_place(1_000, to)), expected);
+        assert_eq!(expected.rule(), Rule::Drain);
+    }
+}
+
+#[test]
+fn nothing_is_forgotten_that_is_out_or_held() {
+    let mut record = record(KEYED);
+    assert!(record.permit_close(true).is_ok());
+    assert_eq!(reason(record.permit_close(false)), Reason::ClosedWhileHolding);
+    assert_eq!(Reason::ClosedWhileHolding.rule(), Rule::Pinned);
+    record.permit_attempt(1_000, 0, Some(&at(0)), false).expect("the first");
+    assert_eq!(reason(record.permit_close(true)), Reason::ClosedWithAttemptOut);
+    record.attempt_ended(0, Ending::Withdrawn);
+    assert!(record.permit_close(true).is_ok());
+}
--- a/crates/platform/src/exit.rs
+++ b/crates/platform/src/exit.rs
@@ -6,6 +6,7 @@
 use tideroute::interface::{Ending, Repeat, SubmissionId, WorkerId};
 use tideroute_host::{Answer, Shot, Submission, Timer, Ways};
 use tideroute_http::write;
+use tideroute_invariants::{AnswerPermit, AttemptPermit, ClosePermit, PlacePermit};
 use tideroute_wire::link::{Link, Outbox};
 use tideroute_wire::Micros;
 
@@ -85,7 +86,7 @@
     }
 
     /// An attempt leaves on its connection, which is up: it tells how long its client waits from now.
-    pub fn attempt(&mut self, link: Link, s: &Submission<Asked>) {
+    pub fn attempt(&mut self, link: Link, s: &Submission<Asked>, _permit: AttemptPermit) {
         let left = (s.cut_off.saturating_sub(self.now) / 1_000).to_string();
         let fields = s.asked.fields.iter().map(|(name, value)| (name.as_str(), value.as_str()));
         let fields = fields.chain([(words::LEFT, left.as_str())]);
@@ -119,7 +120,14 @@
 impl Ways for Exit<'_> {
     type Asked = Asked;
 
-    fn shoot(&mut self, id: SubmissionId, s: &Submission<Asked>, shot: &Shot, _left: Micros) {
+    fn shoot(
+        &mut self,
+        id: SubmissionId,
+        s: &Submission<Asked>,
+        shot: &Shot,
+        _left: Micros,
+        permit: AttemptPermit,
+    ) {
         if !shot.reading {
             // A place comes too late now.
             let (held, mut context) = self.held();
@@ -132,13 +140,20 @@
             return self.later.endings.push((id, shot.number, Ending::NeverSent));
         };
         if self.pools.shot_is_up(id) {
-            self.attempt(link, s);
+            self.attempt(link, s, permit);
             let (held, mut context) = self.held();
             held.pause(id, &mut context);
         }
     }
 
-    fn hold(&mut self, id: SubmissionId, s: &Submission<Asked>, at: WorkerId, _reader: WorkerId) {
+    fn hold(
+        &mut self,
+        id: SubmissionId,
+        s: &Submission<Asked>,
+        at: WorkerId,
+        _reader: WorkerId,
+        _permit: PlacePermit,
+    ) {
         let Some(conn) = self.pools.shot(id).and_then(|link| self.pools.get_mut(link)) else { return };
         if conn.written {
             self.place(id, &s.asked.trace, at);
@@ -195,12 +210,12 @@
         }
     }
 
-    fn closed(&mut self, id: SubmissionId) {
+    fn closed(&mut self, id: SubmissionId, _permit: ClosePermit) {
         let (held, mut context) = self.held();
         held.over(id, &mut context);
     }
 
-    fn answer(&mut self, id: SubmissionId, s: &Submission<Asked>, answer: Answer) {
+    fn answer(&mut self, id: SubmissionId, s: &Submission<Asked>, answer: Answer, _permit: AnswerPermit) {
         let link = s.asked.client;
         let Some(streams) = self.clients.streams(link, id) else { return };
         match answer {
--- a/crates/platform/src/program.rs
+++ b/crates/platform/src/program.rs
@@ -211,9 +211,13 @@
             return self.came_to_nothing(now, link, job, Ending::Unreachable, out);
         }
         let (books, mut exit) = self.parts(now, out);
-        if let Some(s) = books.submissions.get(id) {
-            exit.attempt(link, s);
-        }
+        let permit = books.permit_bytes(now, id, number);
+        let leaves = permit.and_then(|permit| Some((permit, books.submissions.get(id)?)));
+        let Some((permit, s)) = leaves else {
+            self.pools.end(link, out);
+            return self.came_to_nothing(now, link, job, Ending::NeverSent, out);
+        };
+        exit.attempt(link, s, permit);
         let (held, mut context) = self.held(now, out);
         held.pause(id, &mut context);
     }
