The log tells each request's story, and the soak compares it with what workers saw; lists are looked at once

crates/platform/src/story.rs: one event for each change of state of a request, its attempts and what is held, with id, trace id, attempt, worker and a reason of a closed list, target tideroute::request, at debug; nothing is made up below that level. crates/command/tests/soak/stories.rs: what came to workers must stand in a router's log.

--- a/crates/command/tests/soak.rs
+++ b/crates/command/tests/soak.rs
@@ -26,6 +26,8 @@
 mod clients;
 #[path = "soak/fleet.rs"]
 mod fleet;
+#[path = "soak/stories.rs"]
+mod stories;
 #[path = "soak/troubles.rs"]
 mod troubles;
 
@@ -138,9 +140,8 @@
     if let Some(failure) = lock(&failed).take() {
         return Err(failure);
     }
-    for violation in fleet.violations() {
-        judge.breaks(violation);
-    }
+    fleet.end();
+    fleet.violations().into_iter().chain(stories::gaps(&fleet)).for_each(|what| judge.breaks(what));
     let broken = judge.broken().map(|broken| format!("soak {seed}: {broken}"));
     if broken.is_some() {
         let path = std::env::temp_dir().join(format!("tideroute-soak-{seed}-{}.trace", std::process::id()));
--- a/crates/command/tests/soak/fleet.rs
+++ b/crates/command/tests/soak/fleet.rs
@@ -55,7 +55,7 @@
     pub running: Mutex<Running>,
     proxy: Mutex<Running>,
     /// Where its proxy is, which routers take for it, and where it is itself.
-    address: String,
+    pub address: String,
     own: String,
 }
 
@@ -402,7 +402,7 @@
     }
 
     /// The files that this run has made.
-    fn files(&self) -> Vec<PathBuf> {
+    pub fn files(&self) -> Vec<PathBuf> {
         let Ok(files) = std::fs::read_dir(std::env::temp_dir()) else { return vec![] };
         let (prefix, process) = (format!("tideroute-soak-{}-", self.seed), std::process::id().to_string());
         let own = |path: &PathBuf| {
--- a/crates/platform/src/entry.rs
+++ b/crates/platform/src/entry.rs
@@ -12,6 +12,7 @@
 use crate::exit::said;
 use crate::program::{key, Platform, Ring};
 use crate::rooms::{BODY, HEAD};
+use crate::story::{self, State};
 use crate::words;
 
 /// What a request may have.
@@ -121,6 +122,9 @@
     /// The client has gone, and what is open for it goes with it.
     pub(crate) fn client_gone(&mut self, now: Micros, link: Link, out: &mut Outbox) {
         if let Some(id) = self.clients.lose(link) {
+            if let Some(s) = self.books.submissions.get(id) {
+                story::tell(id, &s.asked.trace, State::ClientLeft);
+            }
             let (books, mut exit) = self.parts(now, out);
             books.dropped(now, id, &mut exit);
         }
@@ -240,7 +244,8 @@
         let asked = Asked { client: link, trace: ask.trace, target, fields, body };
         let s = Submission::new(asked, ask.track, (ask.session, ask.prefix), tokens).waits(now, left);
         let id = self.books.submissions.coming();
-        tracing::debug!(id, %trace, link = link.0, "takes a request");
+        story::tell(id, &trace, State::Taken);
+        tracing::debug!(id, link = link.0, "takes a request");
         self.clients.asked(link, trace, id);
         let (books, mut exit) = self.parts(now, out);
         books.submitted(now, s, None, &mut exit);
--- a/crates/platform/src/exit.rs
+++ b/crates/platform/src/exit.rs
@@ -17,6 +17,7 @@
 use crate::held::{Context, Held};
 use crate::pools::Pools;
 use crate::program::{key, Ring};
+use crate::story::{self, State};
 use crate::watch::Watch;
 use crate::words;
 
@@ -68,6 +69,7 @@
         let bytes = write::request("POST", &target, [("host", "worker")], Some(b""));
         let Some(link) = self.pools.call(self.now, at, Job::Place { id }, bytes, self.out) else { return };
         if let Some(conn) = self.pools.get_mut(link) {
+            story::tell(id, trace, State::PlaceAsked(conn.to));
             conn.patience.set(self.now + PLACE, key(Ring::Worker(link)), self.out);
         }
         let (held, mut context) = self.held();
@@ -139,6 +141,9 @@
         let Some(link) = self.pools.begin(self.now, shot.worker, job, self.out) else {
             return self.later.endings.push((id, shot.number, Ending::NeverSent));
         };
+        if let Some(conn) = self.pools.get_mut(link) {
+            story::tell(id, &s.asked.trace, State::AttemptChosen(shot.number, conn.to));
+        }
         if self.pools.shot_is_up(id) {
             self.attempt(link, s, permit);
             let (held, mut context) = self.held();
@@ -192,6 +197,7 @@
     fn settled(&mut self, id: SubmissionId, s: &Submission<Asked>, shot: &Shot, ending: Ending) {
         let sent = self.pools.over(id).unwrap_or(self.now);
         let trace = &s.asked.trace;
+        story::tell(id, trace, State::AttemptEnded(shot.number, ending));
         let (held, mut context) = self.held();
         let failed = ending != Ending::Honoured && !shot.started;
         // One that was sent with no state waiting for it has read the prompt itself.
@@ -217,6 +223,7 @@
 
     fn answer(&mut self, id: SubmissionId, s: &Submission<Asked>, answer: Answer, _permit: AnswerPermit) {
         let link = s.asked.client;
+        story::tell(id, &s.asked.trace, State::Answered(answer));
         let Some(streams) = self.clients.streams(link, id) else { return };
         match answer {
             Answer::Honoured(_) => {
--- a/crates/platform/src/held.rs
+++ b/crates/platform/src/held.rs
@@ -20,6 +20,7 @@
 use crate::conn::Job;
 use crate::patience::Patience;
 use crate::program::{key, Ring};
+use crate::story::{self, State};
 use crate::words;
 
 mod entry;
@@ -230,8 +231,8 @@
 
     /// A worker has answered a release, on that link. It frees nothing that an attempt waits with.
     pub fn released(&mut self, id: SubmissionId, on: Link, at: &mut Context) {
-        tracing::debug!(id, "what was held is released");
         let Some(entry) = self.entries.get_mut(&id) else { return };
+        story::tell(id, &entry.trace, State::Released);
         let began = entry.release.as_ref().map_or(at.now, |release| release.began);
         entry.forget_hung(at);
         entry.given_up.retain_mut(|given_up| given_up.outlives(began, at));
@@ -324,7 +325,9 @@
             let mut called = None;
             while let Some(worker) = called.is_none().then(|| release.left.pop_front()).flatten() {
                 called = at.pools.call(at.now, worker, Job::Release { id }, bytes.clone(), at.out);
-                tracing::debug!(id, ?worker, called = called.is_some(), "tells to release");
+                if let Some(conn) = called.and_then(|link| at.pools.get_mut(link)) {
+                    story::tell(id, &entry.trace, State::ReleaseSent(conn.to));
+                }
             }
             let Some(link) = called else { break };
             release.calls += 1;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,10 +14,12 @@
 mod file;
 mod held;
 mod list;
+mod objects;
 mod patience;
 mod pools;
 mod program;
 mod rooms;
+mod story;
 mod watch;
 mod words;
 
--- a/crates/platform/src/program.rs
+++ b/crates/platform/src/program.rs
@@ -16,6 +16,7 @@
 use crate::held::{Context, Held};
 use crate::list;
 use crate::pools::Pools;
+use crate::story::{self, State};
 use crate::watch::Watch;
 
 mod workers;
@@ -250,15 +251,15 @@
     fn drained(&mut self, now: Micros, link: Link, out: &mut Outbox) {
         let Some(conn) = self.pools.get_mut(link) else { return };
         conn.written = true;
-        let (place, job) = (conn.place.take(), conn.job);
+        let (place, job, to) = (conn.place.take(), conn.job, conn.to);
         if conn.silent() && matches!(job, Some(Job::Shot { .. })) {
             conn.patience.set(Micros::MAX, key(Ring::Worker(link)), out);
         }
-        if let (Some(at), Some(Job::Shot { id, .. })) = (place, job) {
-            let trace = self.books.submissions.get(id).map(|s| s.asked.trace.clone());
-            if let Some(trace) = trace {
-                self.parts(now, out).1.place(id, &trace, at);
-            }
+        let Some(Job::Shot { id, number, .. }) = job else { return };
+        let Some(trace) = self.books.submissions.get(id).map(|s| s.asked.trace.clone()) else { return };
+        story::tell(id, &trace, State::AttemptWritten(number, to));
+        if let Some(at) = place {
+            self.parts(now, out).1.place(id, &trace, at);
         }
     }
 
--- a/crates/platform/src/program/workers.rs
+++ b/crates/platform/src/program/workers.rs
@@ -10,6 +10,7 @@
 use crate::ask::Asked;
 use crate::conn::{Heard, Job};
 use crate::held::{Context, Place};
+use crate::story::{self, State};
 use crate::words;
 
 /// Microseconds without a byte after which a stream is taken for dead. Its client must not be left waiting for
@@ -86,6 +87,9 @@
         self.clients.begin(client);
         let (books, mut exit) = self.parts(now, out);
         books.started(now, id, &mut exit);
+        if let Some(s) = books.submissions.get(id) {
+            story::tell(id, &s.asked.trace, State::Began);
+        }
         let mut context = Context { now, pools: exit.pools, out: exit.out };
         exit.held.taken(id, &mut context);
         if let Some(s) = books.submissions.get_mut(id) {
--- /dev/null
+++ b/crates/platform/src/story.rs
@@ -0,0 +1,114 @@
+//! The story of each request in the log: one event for each change of state of the request, its attempts, and what is
+//! held for it. All have the target [`TARGET`], the request's id and trace id, and a `state` and `reason` of a closed
+//! list, so that the log alone tells what was sent where, when, and why it ended.
+
+use std::net::SocketAddrV4;
+
+use tideroute::interface::{Ending, SubmissionId};
+use tideroute_host::Answer;
+use tideroute_wire::Address;
+
+/// The target of all events here, by which they can be chosen.
+pub const TARGET: &str = "tideroute::request";
+
+/// What has become of a request, or of something that was done for it.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum State {
+    Taken,
+    /// An attempt has a worker, whose connection may have to be dialled.
+    AttemptChosen(u16, Address),
+    /// The last byte of an attempt has left.
+    AttemptWritten(u16, Address),
+    AttemptEnded(u16, Ending),
+    /// Its answer has begun to go to the client.
+    Began,
+    PlaceAsked(Address),
+    /// A worker is told to free what is held, and has answered.
+    ReleaseSent(Address),
+    Released,
+    Answered(Answer),
+    ClientLeft,
+}
+
+impl State {
+    fn name(self) -> &'static str {
+        match self {
+            State::Taken => "taken",
+            State::AttemptChosen(..) => "attempt-chosen",
+            State::AttemptWritten(..) => "attempt-written",
+            State::AttemptEnded(..) => "attempt-ended",
+            State::Began => "began",
+            State::PlaceAsked(_) => "place-asked",
+            State::ReleaseSent(_) => "release-sent",
+            State::Released => "released",
+            State::Answered(_) => "answered",
+            State::ClientLeft => "client-left",
+        }
+    }
+
+    fn attempt(self) -> Option<u16> {
+        match self {
+            State::AttemptChosen(number, _)
+            | State::AttemptWritten(number, _)
+            | State::AttemptEnded(number, _) => Some(number),
+            _ => None,
+        }
+    }
+
+    fn worker(self) -> Option<SocketAddrV4> {
+        match self {
+            State::AttemptChosen(_, at)
+            | State::AttemptWritten(_, at)
+            | State::PlaceAsked(at)
+            | State::ReleaseSent(at) => Some(socket_of(at)),
+            _ => None,
+        }
+    }
+
+    fn reason(self) -> Option<&'static str> {
+        match self {
+            State::AttemptEnded(_, ending) => Some(reason_of(ending)),
+            State::Answered(Answer::Honoured(_)) => Some("served"),
+            State::Answered(Answer::TurnedBack(_)) => Some("refused"),
+            State::Answered(Answer::Abandoned) => Some("failed"),
+            _ => None,
+        }
+    }
+}
+
+fn reason_of(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Honoured => "served",
+        Ending::Fault => "error",
+        Ending::Full => "turned-away",
+        Ending::Stateless => "no-state",
+        Ending::TimedOut => "timed-out",
+        Ending::Unreachable => "could-not-connect",
+        Ending::Broken => "reset",
+        Ending::Withdrawn => "called-back",
+        Ending::NeverSent => "never-sent",
+        Ending::Read => "read",
+    }
+}
+
+fn socket_of([a, b, c, d, high, low]: Address) -> SocketAddrV4 {
+    SocketAddrV4::new([a, b, c, d].into(), u16::from_be_bytes([high, low]))
+}
+
+/// Tells that a request, or something done for it, is in another state.
+pub fn tell(id: SubmissionId, trace: &str, state: State) {
+    // Nothing is made up for a log that does not want it.
+    if !tracing::enabled!(target: TARGET, tracing::Level::DEBUG) {
+        return;
+    }
+    let (attempt, worker, reason) = (state.attempt(), state.worker(), state.reason());
+    tracing::debug!(
+        target: TARGET,
+        id,
+        trace,
+        state = state.name(),
+        attempt,
+        worker = worker.map(tracing::field::display),
+        reason,
+    );
+}
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -9,6 +9,7 @@
 use tideroute_wire::link::{Link, Outbox};
 use tideroute_wire::{Address, Micros};
 
+use crate::objects::{NoObject, Objects};
 use crate::patience::Patience;
 use crate::program::{key, Ring};
 use crate::words;
@@ -32,8 +33,8 @@
 pub enum Unheard {
     #[error(transparent)]
     Http(#[from] Problem),
-    #[error("what it brings is no JSON")]
-    Json,
+    #[error(transparent)]
+    Json(#[from] NoObject),
 }
 
 #[derive(Debug)]
@@ -41,16 +42,15 @@
     link: Option<Link>,
     body: Option<Body>,
     arrived: BytesMut,
-    /// An object that has begun.
-    object: BytesMut,
+    objects: Objects,
     patience: Patience,
     pause: Micros,
 }
 
 impl Default for Watch {
     fn default() -> Self {
-        let (arrived, object) = (BytesMut::new(), BytesMut::new());
-        Watch { link: None, body: None, arrived, object, patience: Patience::ENDLESS, pause: AGAIN }
+        let (arrived, objects) = (BytesMut::new(), Objects::default());
+        Watch { link: None, body: None, arrived, objects, patience: Patience::ENDLESS, pause: AGAIN }
     }
 }
 
@@ -88,22 +88,24 @@
             }
         }
         let Some(body) = &mut self.body else { return Ok(vec![]) };
-        let (mut lines, pending) = (false, !self.object.is_empty());
+        let pending = !self.objects.is_empty();
+        let mut whole = vec![];
         while let Some(piece) = body.next(&mut self.arrived)? {
-            lines |= piece.contains(&b'\n');
-            self.object.extend_from_slice(&piece);
+            self.objects.push(&piece);
+            while let Some(object) = self.objects.next()? {
+                whole.push(object);
+            }
         }
-        let objects = if lines { whole_objects(&mut self.object)? } else { vec![] };
-        if self.object.len() > OBJECT {
+        if self.objects.len() > OBJECT {
             return Err(Problem::BodyTooLarge(OBJECT as u64).into());
         }
         // Guards against an object that is never whole, behind which empty lines still come.
-        if self.object.is_empty() || !objects.is_empty() || !pending {
+        if self.objects.is_empty() || !whole.is_empty() || !pending {
             self.patience.set(now + SILENCE, key(Ring::Watch), out);
         }
         // It works: the next loss is tried again soon.
         self.pause = AGAIN;
-        Ok(objects)
+        Ok(whole)
     }
 
     /// The watch has ended, or is to end: a new one is opened after a pause.
@@ -111,7 +113,7 @@
         if let Some(link) = self.link.take() {
             out.cut(link);
         }
-        (self.body, self.arrived, self.object) = (None, BytesMut::new(), BytesMut::new());
+        (self.body, self.arrived, self.objects) = (None, BytesMut::new(), Objects::default());
         self.patience.set(now + self.pause, key(Ring::Watch), out);
         self.pause = (self.pause * 2).min(AGAIN_MOST);
     }
@@ -128,24 +130,3 @@
         self.link.is_none()
     }
 }
-
-/// Takes the JSON values that are whole off the front, and the space between them. Only whole lines are looked at: a
-/// number that is cut in two can't be told from one that is none.
-fn whole_objects(bytes: &mut BytesMut) -> Result<Vec<Bytes>, Unheard> {
-    let mut ends = vec![0];
-    let lines = bytes.iter().rposition(|b| *b == b'\n').map_or(0, |last| last + 1);
-    let mut values =
-        serde_json::Deserializer::from_slice(&bytes[..lines]).into_iter::<serde::de::IgnoredAny>();
-    while let Some(value) = values.next() {
-        match value {
-            Ok(_) => ends.push(values.byte_offset()),
-            Err(problem) if problem.is_eof() => break,
-            Err(_) => return Err(Unheard::Json),
-        }
-    }
-    let objects = ends.windows(2).map(|ends| bytes.split_to(ends[1] - ends[0]).freeze()).collect();
-    if bytes.iter().all(u8::is_ascii_whitespace) {
-        bytes.clear();
-    }
-    Ok(objects)
-}
--- a/crates/platform/tests/list.rs
+++ b/crates/platform/tests/list.rs
@@ -160,6 +160,31 @@
     }
 }
 
+/// A list of the largest fleet, as it may come in small pieces. Looked at anew with each of them, it took 4.5 s of processor time.
+#[test]
+fn a_long_list_in_small_pieces_is_looked_at_once() {
+    let mut stage = Stage::new();
+    let mut newer = list(9);
+    let servers = newer["servers"].as_array_mut().expect("a list");
+    for n in 0..3_200 {
+        let mut server = entry(1, "DRAINING", 0);
+        server["id"] = json!(format!("more-{n} with a \\ \" {{ ["));
+        servers.push(server);
+    }
+    servers[4]["state"] = json!("DRAINING");
+    let (link, _) = stage.watch();
+    stage.say(link, "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+    let began = std::time::Instant::now();
+    for piece in format!("{newer:#}\n").as_bytes().chunks(64) {
+        stage.say(link, chunk(std::str::from_utf8(piece).expect("ASCII")));
+    }
+    assert!(began.elapsed().as_secs() < 2, "{:?}", began.elapsed());
+    assert_eq!(stage.watch().0, link, "nothing is wrong with it");
+    for n in 0..20 {
+        assert_ne!(reader_of(&mut stage, &format!("id{n}")), 4, "it drains");
+    }
+}
+
 #[test]
 fn a_list_older_than_the_one_in_force_is_passed_over_until_it_lasts() {
     let mut stage = Stage::new();
--- a/crates/rig/src/judge.rs
+++ b/crates/rig/src/judge.rs
@@ -87,6 +87,7 @@
     drains: Mutex<BTreeMap<usize, Micros>>,
     /// All that was told, with its time.
     notes: Mutex<Vec<String>>,
+    reports: Mutex<Vec<Report>>,
 }
 
 impl Judge {
@@ -99,6 +100,7 @@
             draw: Mutex::new(draw),
             drains: Mutex::default(),
             notes: Mutex::default(),
+            reports: Mutex::default(),
         }
     }
 
@@ -151,6 +153,11 @@
         self.notes.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// All that was reported, in order.
+    pub fn reports(&self) -> Vec<Report> {
+        self.reports.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Routers are told of a worker, since when it drains if it does.
     pub fn told(&self, worker: usize, drains: Option<Micros>) {
         let mut told = self.drains.lock().unwrap_or_else(PoisonError::into_inner);
@@ -175,6 +182,7 @@
     pub fn take(&self, report: Report) -> bool {
         let now = self.now();
         self.note(format!("{report:?}"));
+        self.reports.lock().unwrap_or_else(PoisonError::into_inner).push(report.clone());
         match report {
             Report::Arrives { on, head } => self.arrives(now, on, &head),
             Report::Read { on, request, left_state } => {
