Test that fails: a second answer that comes late passes for the next call's

Read in Pools::rested, forced on bytes: the client of a further request is served the events of an answer that no worker made for it, 1, 5 and 15 ms after the first stream's end.

--- a/crates/platform/tests/shots.rs
+++ b/crates/platform/tests/shots.rs
@@ -562,3 +562,31 @@
     }
     order
 }
+
+/// Some workers send a second answer some milliseconds behind the first: by then a call that took the connection would
+/// take it for its own.
+#[test]
+fn a_second_answer_that_comes_late_is_no_answer_to_the_next_call() {
+    for late in [1, 5, 15] {
+        let mut stage = Stage::without_places();
+        let client = stage.come();
+        stage.say(client, ask("first", "safe"));
+        let (reader, _) = stage.shot();
+        stage.say(reader, READ);
+        let (writer, at) = stage.shot();
+        stage.say(writer, stream());
+        // The next one comes at once, and is at the same writer when the second answer comes.
+        stage.say(client, ask("second", "safe"));
+        read(&mut stage);
+        let (second, again) = stage.shot();
+        stage.pass(late * MS);
+        stage.say(writer, stream());
+        assert_eq!(
+            stage.statuses(client),
+            [200],
+            "after {late} ms, at {at} and {again}: nobody has answered it"
+        );
+        stage.say(second, stream());
+        assert_eq!(stage.statuses(client), [200, 200]);
+    }
+}
