A connection whose stream has just ended takes no other call for 30 ms

Bytes on a resting connection end it, but bytes on one that is in use are its answer. Ruled out: single-use attempts, which have connections of their own. Now such a connection has settled before it is used; others are taken in its place.

--- a/crates/platform/src/conn.rs
+++ b/crates/platform/src/conn.rs
@@ -72,6 +72,8 @@
     /// When it last brought something.
     pub heard: Micros,
     pub rests_since: Micros,
+    /// From then on nothing comes any more that belongs to its last call.
+    pub settled_by: Micros,
     /// How long it had rested before this call.
     pub rested: Micros,
     pub arrived: BytesMut,
@@ -105,6 +107,7 @@
             opened: now,
             heard: 0,
             rests_since: 0,
+            settled_by: 0,
             rested: 0,
             arrived: BytesMut::new(),
             heads: 0,
--- a/crates/platform/src/pools.rs
+++ b/crates/platform/src/pools.rs
@@ -15,6 +15,9 @@
 const HANGS: Micros = 20_000_000;
 /// The same after a signal to end, which leaves little more.
 const HANGS_AT_END: Micros = 3_500_000;
+/// Microseconds for which a connection whose stream has ended takes no other call: a second answer may come some
+/// milliseconds behind the first, and would pass for the next call's.
+const SETTLES: Micros = 30_000;
 /// Calls for places that are long in being answered take this part of all connections at most.
 const LATE_PART: usize = 8;
 
@@ -238,7 +241,9 @@
 
     /// Takes the connection to a worker that rested last, if it can be trusted.
     fn rested(&mut self, now: Micros, worker: WorkerId, out: &mut Outbox) -> Option<Link> {
-        let link = self.resting.get_mut(&worker).and_then(Vec::pop)?;
+        let links = self.resting.get_mut(&worker)?;
+        let settled = |link: &Link| self.conns.get(link).is_some_and(|conn| conn.settled_by <= now);
+        let link = links.remove(links.iter().rposition(settled)?);
         let since = self.conns.get(&link)?.rests_since;
         if now.saturating_sub(since) <= self.trusted(now) {
             return Some(link);
@@ -316,6 +321,7 @@
         } else {
             conn.arrived = BytesMut::new();
             conn.rests_since = now;
+            conn.settled_by = if conn.streams { now + SETTLES } else { now };
             conn.patience.set(now + self.idle, key(Ring::Worker(link)), out);
             self.rests.insert((now, link));
             self.resting.entry(conn.worker).or_default().push(link);
