--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -295,7 +295,7 @@
         StoreError::Missing => missing(),
         StoreError::Fault(fault) => problem::of_field(422, "field", fault.to_string(), fault.field),
         StoreError::Full(_) => problem::reply(507, "full", problem.to_string()),
-        StoreError::Broken(_) | StoreError::Damaged(_) => {
+        StoreError::Broken(_) | StoreError::Closed | StoreError::Damaged(_) => {
             tracing::error!(%problem, "the store of tenants");
             problem::reply(503, "store", problem.to_string())
         }
--- a/crates/tenants/tests/store.rs
+++ b/crates/tenants/tests/store.rs
@@ -253,6 +253,31 @@
     }
 }
 
+/// A disk that was full, or failed, for a while: the same store goes on, with all that was confirmed.
+#[test]
+fn a_store_goes_on_once_its_disk_does() {
+    for room in (0..200_000).step_by(10_000) {
+        let disk = Disk { bytes: Arc::default(), left: Arc::new(Mutex::new(1 << 30)) };
+        let at = disk.clone();
+        let store = Store::on_each(move || at.clone()).expect("it opens");
+        store.change(1, "ann", "before", Expected::Absent, Some(tenant(1.0))).expect("there is room");
+        for again in 0..3 {
+            *disk.left.lock().expect("no panic") = room;
+            let refused = (0..400).find_map(|n| {
+                let name = format!("t{again}-{n}");
+                store.change(1, "ann", &name, Expected::Absent, Some(tenant(1.0))).err()
+            });
+            assert!(matches!(refused, Some(StoreError::Broken(_))), "room {room}: {refused:?}");
+            *disk.left.lock().expect("no panic") = 1 << 30;
+            assert_eq!(weight(&store, "before"), 1.0);
+            let name = format!("after-{again}");
+            store.change(1, "ann", &name, Expected::Absent, Some(tenant(2.0))).expect("it goes on");
+        }
+        let names = store.list("", 1_000).expect("read");
+        assert!(names.iter().filter(|entry| entry.name.starts_with("after")).count() == 3);
+    }
+}
+
 #[test]
 fn a_snapshot_is_taken_back_whole_or_not_at_all() {
     let store = memory();
