What is held is released once more behind a reset that its worker may see later

Cause: Exit::settled told Held only of attempts that this side had ended (withdrawn, timed out); one whose connection was reset was taken for gone at its worker, though a reset reaches both ends by itself. Held::released then paid the entry with the first answer. The same mistake elsewhere: attempts ended by the list were told already (worker_ends); places go by their own answer.

--- a/crates/platform/src/exit.rs
+++ b/crates/platform/src/exit.rs
@@ -14,7 +14,7 @@
 use crate::clients::{text, Clients};
 use crate::conn::Job;
 use crate::file::Terms;
-use crate::held::{Context, Held};
+use crate::held::{Context, EndedBy, Held};
 use crate::pools::Pools;
 use crate::program::{key, Ring};
 use crate::story::{self, State};
@@ -211,8 +211,13 @@
             let reached = !matches!(ending, Ending::Unreachable | Ending::NeverSent);
             held.stays(id, trace, (s.state, reached, spoke), &mut context);
         }
-        if matches!(ending, Ending::Withdrawn | Ending::TimedOut) {
-            held.gave_up(id, shot.worker, context.now);
+        let ended_by = match ending {
+            Ending::Withdrawn | Ending::TimedOut => Some(EndedBy::ThisSide),
+            Ending::Broken if !shot.started => Some(EndedBy::Reset),
+            _ => None,
+        };
+        if let Some(by) = ended_by {
+            held.gave_up(id, shot.worker, by, context.now);
         }
     }
 
--- a/crates/platform/src/held.rs
+++ b/crates/platform/src/held.rs
@@ -26,7 +26,7 @@
 mod entry;
 
 use entry::{round, stop, unsure_at, Clock, Entry, GivenUp, Release, AHEAD, AWAY, SEES};
-pub use entry::{Context, Place};
+pub use entry::{Context, EndedBy, Place};
 
 /// Microseconds after which a worker that has not answered is not waited for alone: some round trips and a
 /// handshake, and short enough that several can be tried within any release time.
@@ -126,10 +126,10 @@
         self.looks_again(id, COMES_UP, at);
     }
 
-    /// This side has ended an attempt at a worker.
-    pub fn gave_up(&mut self, id: SubmissionId, worker: WorkerId, now: Micros) {
+    /// The connection of an attempt at a worker was ended.
+    pub fn gave_up(&mut self, id: SubmissionId, worker: WorkerId, by: EndedBy, now: Micros) {
         if let Some(entry) = self.entries.get_mut(&id) {
-            entry.given_up.push(GivenUp { worker, when: now, heard: false });
+            entry.given_up.push(GivenUp { worker, when: now, by, heard: false });
         }
     }
 
--- a/crates/platform/src/held/entry.rs
+++ b/crates/platform/src/held/entry.rs
@@ -40,7 +40,7 @@
     pub asking: Vec<Link>,
     /// Releases that were answered while such calls were out: from the third each waits twice as long as the one before.
     pub rounds: u32,
-    /// Attempts that this side has ended, until their workers have seen that.
+    /// Attempts that were ended by this side or by a reset, until their workers have seen that.
     pub given_up: Vec<GivenUp>,
     /// Nobody will want it again.
     pub over: bool,
@@ -86,11 +86,20 @@
     pub out: &'a mut Outbox,
 }
 
-/// An attempt that this side has ended. Its worker may learn of that behind a release that was sent later, or first end
+/// Who ended the connection of an attempt that was out.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum EndedBy {
+    ThisSide,
+    /// The worker or the network: both ends see it by themselves, at about the same time.
+    Reset,
+}
+
+/// An attempt that this side has ended, or that was reset. Its worker may learn of that behind a release that was sent later, or first end
 /// well what it was at, after a hang: what it then holds outlives that release.
 pub struct GivenUp {
     pub worker: WorkerId,
     pub when: Micros,
+    pub by: EndedBy,
     /// The worker has been heard since.
     pub heard: bool,
 }
@@ -99,7 +108,7 @@
     /// Whether a release that began then, and has been answered, leaves something of it.
     pub fn outlives(&mut self, began: Micros, at: &Context) -> bool {
         let seen = self.when + SEES;
-        if began >= seen && self.heard {
+        if began >= seen && (self.heard || self.by == EndedBy::Reset) {
             return false;
         }
         // It runs, but one that has hung may take up the release before it sees the end: one more will do.
--- a/crates/platform/src/program/workers.rs
+++ b/crates/platform/src/program/workers.rs
@@ -9,7 +9,7 @@
 use super::{key, Platform, Ring};
 use crate::ask::Asked;
 use crate::conn::{Heard, Job};
-use crate::held::{Context, Place};
+use crate::held::{Context, EndedBy, Place};
 use crate::story::{self, State};
 use crate::words;
 
@@ -232,7 +232,7 @@
         out.cut(link);
         // Guards against a process that did get it, on a connection that came up behind its start.
         if let Some((worker, Some(Job::Shot { id, .. }))) = attempt {
-            self.held.gave_up(id, worker, now);
+            self.held.gave_up(id, worker, EndedBy::ThisSide, now);
         }
     }
 
