--- a/crates/command/tests/soak/clients.rs
+++ b/crates/command/tests/soak/clients.rs
@@ -52,7 +52,8 @@
     }
 }
 
-fn asks_once(fleet: &Fleet, router: &Router) {
+/// One request on a connection of its own.
+pub fn asks_once(fleet: &Fleet, router: &Router) {
     let Some(mut connection) = connect(router) else { return };
     let number = asked(fleet, &connection);
     let leaves = fleet.judge.unit() < 0.2;
--- a/crates/command/tests/soak/troubles.rs
+++ b/crates/command/tests/soak/troubles.rs
@@ -5,11 +5,14 @@
 
 use tideroute_rig::process::signal;
 
+use crate::clients;
 use crate::fleet::{lock, Fleet, Life, Router};
 use crate::Failure;
 
 /// A process that was told to end is there for no longer; then it is killed, and that is a break.
 const ENDS: Duration = Duration::from_secs(8);
+/// Clients that connect as a router is told to end, 0.3 ms behind each other.
+const CLIENTS_AT_THE_END: u64 = 12;
 /// Milliseconds for which a router may be held up.
 const HELD_UP_MS: f64 = 150.0;
 /// An hour, by which clocks are stepped.
@@ -145,10 +148,24 @@
         self.order(worker, "open");
     }
 
-    /// A planned restart: the process ends by itself.
+    /// A planned restart: the process ends by itself. Some clients connect just then.
     fn ends(&self, router: &Router) -> Result<(), Failure> {
         let life = router.life();
-        tell(&life, "-TERM");
+        std::thread::scope(|scope| {
+            for n in 0..CLIENTS_AT_THE_END {
+                scope.spawn(move || {
+                    std::thread::sleep(Duration::from_micros(n * 300));
+                    clients::asks_once(self, router);
+                });
+            }
+            tell(&life, "-TERM");
+            self.waits_for_the_end(router, &life)
+        })?;
+        self.restart_router(router, &life)
+    }
+
+    /// Until the process of a router has ended, or it is clear that it does not.
+    fn waits_for_the_end(&self, router: &Router, life: &Life) -> Result<(), Failure> {
         let told = Instant::now();
         loop {
             let ended = lock(&life.running).0.try_wait()?;
@@ -156,7 +173,7 @@
                 if !status.success() && !life.killed.load(Ordering::SeqCst) {
                     self.judge.breaks(format!("router {} ended with {status}", router.listen));
                 }
-                break;
+                return Ok(());
             }
             if told.elapsed() > ENDS {
                 self.judge.breaks(format!("router {} does not end", router.listen));
@@ -164,7 +181,6 @@
             }
             std::thread::sleep(Duration::from_millis(5));
         }
-        self.restart_router(router, &life)
     }
 
     fn is_killed(&self, router: &Router) -> Result<(), Failure> {
--- a/crates/rig/src/worker.rs
+++ b/crates/rig/src/worker.rs
@@ -16,6 +16,9 @@
 pub const LOOKS: Duration = Duration::from_millis(3);
 /// Milliseconds in which a place is answered of which no read is known.
 const UNKNOWN_PLACE_MS: u64 = 300;
+/// The part of streams that may last longer than the others, and milliseconds that they last at most.
+const LONG_STREAMS: f64 = 0.1;
+const LONG_MS: f64 = 3_000.0;
 /// The part of streams behind which a second answer comes, and milliseconds that it comes late at most.
 const SECOND_ANSWERS: f64 = 0.05;
 const LATE_MS: f64 = 20.0;
@@ -214,7 +217,8 @@
         }
         self.at.take(Report::Begins { request });
         self.say(&format!("{HEAD}{}", chunk(EVENTS[0])))?;
-        self.works(between(&*self.at, 1.0, 200.0))?;
+        let lasts_ms = if self.at.unit() < LONG_STREAMS { LONG_MS } else { 200.0 };
+        self.works(between(&*self.at, 1.0, lasts_ms))?;
         self.at.take(Report::Answered { on: self.on });
         self.say(&format!("{}{}0\r\n\r\n", chunk(EVENTS[1]), chunk(EVENTS[2])))?;
         if self.at.unit() < SECOND_ANSWERS {
