A refused attempt is told to the module, or its request would have no answer

The gate refused the attempt and pushed its end, but Books::settle passes over a shot that the submission does not have out, so the module took it for one that is out. It has it out now until it is settled as never sent.

--- a/crates/host/src/carry.rs
+++ b/crates/host/src/carry.rs
@@ -54,9 +54,12 @@
             Err(violation) => {
                 let number = s.shots;
                 s.shots += 1;
-                self.refuse_step(id, violation);
-                // The module takes it for one that was sent, and never came to run.
-                return self.settled.push((id, number, Ending::NeverSent));
+                // The module is told that it never left; one that is out all the same goes on.
+                if s.shot.is_none() {
+                    s.shot = Some(Shot::new(number, to, role == Role::Reader));
+                }
+                self.settled.push((id, number, Ending::NeverSent));
+                return self.refuse_step(id, violation);
             }
         };
         let (number, reading, left) = (s.shots, role == Role::Reader, s.cut_off.saturating_sub(now));
@@ -69,7 +72,7 @@
         }
         tracing::debug!(id, shot = number, worker = %shown(to), reading, "sends");
         counter!("tideroute_shots_total", "stage" => if reading { "read" } else { "write" }).increment(1);
-        let shot = Shot { number, worker: to, reading, started: false, tokens: 0, owed: 0 };
+        let shot = Shot::new(number, to, reading);
         ways.shoot(id, s, &shot, left, permit);
         s.shot = Some(shot);
     }
--- a/crates/host/src/submissions.rs
+++ b/crates/host/src/submissions.rs
@@ -84,6 +84,13 @@
     pub owed: u32,
 }
 
+impl Shot {
+    /// One that goes out now.
+    pub fn new(number: u16, worker: WorkerId, reading: bool) -> Shot {
+        Shot { number, worker, reading, started: false, tokens: 0, owed: 0 }
+    }
+}
+
 /// What a timer's key keeps of an id.
 pub fn short(id: SubmissionId) -> u64 {
     id & ((1 << COUNTED) - 1)
