--- a/crates/command/tests/soak.rs
+++ b/crates/command/tests/soak.rs
@@ -87,7 +87,7 @@
             while drawn.len() < many {
                 let next = ALL[(fleet.judge.unit() * ALL.len() as f64) as usize];
                 let one_of_all = next.is_of_all() && drawn.iter().any(|t| t.is_of_all());
-                if !one_of_all && !(next.makes_lists_late() && lists_are_in_time) {
+                if !(one_of_all || next.makes_lists_late() && lists_are_in_time) {
                     drawn.push(next);
                 }
             }
