--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -87,6 +87,8 @@
     rereads: Option<(Signals, PathBuf)>,
     /// How often the file that could not be used is tried yet.
     rereads_left: u32,
+    /// Looks at a door in vain since the program is done.
+    last_looks: u32,
     tap: Option<Tap>,
     keep: Option<PathBuf>,
     letters: Option<Letters>,
@@ -162,6 +164,7 @@
             signals: None,
             rereads: None,
             rereads_left: 0,
+            last_looks: 0,
             tap: None,
             keep: None,
             letters: None,
--- a/crates/reactor/src/reactor/doors.rs
+++ b/crates/reactor/src/reactor/doors.rs
@@ -12,6 +12,8 @@
 
 /// Connections taken at a door in one turn, so that a flood of them leaves time for those that are there.
 const ACCEPTS: usize = 64;
+/// Looks at a door where nobody can be taken, before the process ends all the same: a second in all.
+const LAST_LOOKS: u32 = 20;
 /// Microseconds until a door is looked at again where a connection could not be taken.
 const WANTING: Micros = 50_000;
 
@@ -126,13 +128,19 @@
         }
         let before = self.links;
         for door in 0..self.doors.len() {
-            if self.accept(door, program, out) != Look::Nobody {
-                return true;
+            let mut look = self.accept(door, program, out);
+            if look == Look::Nobody {
+                // Nobody is let in between the last look and the end.
+                self.doors[door].admit_no_more();
+                look = self.accept(door, program, out);
             }
-            // Nobody is let in between the last look and the end.
-            self.doors[door].admit_no_more();
-            if self.accept(door, program, out) != Look::Nobody {
-                return true;
+            match look {
+                Look::Nobody => {}
+                Look::Others => return true,
+                Look::Paused => {
+                    self.last_looks += 1;
+                    return self.last_looks < LAST_LOOKS;
+                }
             }
         }
         self.links > before
