--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -30,6 +30,8 @@
 mod closing;
 mod doors;
 
+use doors::Last;
+
 /// Microseconds a tick of the wheel: as fine as the decisions' own clock.
 const TICK: Micros = 100;
 /// Keys of the poller: doors come first, then those for datagrams, then the signals, then connections.
@@ -279,11 +281,14 @@
             }
             let lingers = self.patient && self.lingering > 0;
             if program.done() && !lingers && self.conns.iter().all(|(_, c)| c.waiting() == 0) {
-                if self.take_the_last(program, &mut out) {
-                    continue;
+                match self.take_the_last(program, &mut out) {
+                    Last::Came => continue,
+                    Last::Unknown => {}
+                    Last::Nobody => {
+                        self.note_process(What::Left);
+                        return Ok(Ended::Done);
+                    }
                 }
-                self.note_process(What::Left);
-                return Ok(Ended::Done);
             }
             let wait =
                 self.wheel.next().map(|at| Duration::from_micros((at * TICK).saturating_sub(self.now())));
--- a/crates/reactor/src/reactor/doors.rs
+++ b/crates/reactor/src/reactor/doors.rs
@@ -28,6 +28,15 @@
     Paused,
 }
 
+/// Who waited at the doors of a program that is done.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(super) enum Last {
+    Nobody,
+    Came,
+    /// Nobody can be taken just now; a timer is set for the next look.
+    Unknown,
+}
+
 /// Why nobody was taken at a door.
 enum Untaken {
     Nobody,
@@ -120,11 +129,11 @@
         Look::Paused
     }
 
-    /// Takes those who still wait at the doors of a program that is done. Whether there are any, or may be: with the
-    /// end of the process the kernel would reset their connections.
-    pub(super) fn take_the_last(&mut self, program: &mut impl Program, out: &mut Outbox) -> bool {
+    /// Takes those who still wait at the doors of a program that is done: with the end of the process the kernel would
+    /// reset their connections.
+    pub(super) fn take_the_last(&mut self, program: &mut impl Program, out: &mut Outbox) -> Last {
         if !self.patient {
-            return false;
+            return Last::Nobody;
         }
         let before = self.links;
         for door in 0..self.doors.len() {
@@ -136,14 +145,19 @@
             }
             match look {
                 Look::Nobody => {}
-                Look::Others => return true,
-                Look::Paused => {
+                Look::Others => return Last::Came,
+                Look::Paused if self.last_looks < LAST_LOOKS => {
                     self.last_looks += 1;
-                    return self.last_looks < LAST_LOOKS;
+                    return Last::Unknown;
                 }
+                Look::Paused => {}
             }
         }
-        self.links > before
+        if self.links > before {
+            Last::Came
+        } else {
+            Last::Nobody
+        }
     }
 
     /// Opens or shuts a door; what cannot be done leaves it as it is, told aloud.
