--- a/crates/command/tests/endings.rs
+++ b/crates/command/tests/endings.rs
@@ -404,6 +404,26 @@
     assert_eq!(unchunked(&kept), (EVENTS.concat(), true));
 }
 
+/// No second signal comes for it: within four seconds of the one that came it has to be in force.
+#[test]
+fn a_new_configuration_that_is_half_written_at_its_signal_is_read_once_it_is_whole() {
+    let mut rig = Rig::new("half", without_places);
+    let moved = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let new_address = moved.local_addr().expect("an address");
+    rig.file["discovery"] = json!(new_address.to_string());
+    listen(moved, DISCOVERY, rig._sender.clone());
+    let text = rig.file.to_string();
+    std::fs::write(&rig.path, &text[..text.len() / 2]).expect("a file");
+    rig.signal("-HUP");
+    let told = Instant::now();
+    std::thread::sleep(Duration::from_millis(400));
+    std::fs::write(&rig.path, text).expect("a file");
+    let watch = rig.call("GET /discovery/hosts?watch=1&after=");
+    let asked_at = watch.stream.local_addr().expect("an address");
+    assert!(asked_at == new_address && told.elapsed() < Duration::from_secs(4), "{:?}", told.elapsed());
+    assert_eq!(rig.up(), 200);
+}
+
 #[test]
 fn a_new_configuration_that_leaves_no_room_is_refused_and_the_old_one_goes_on() {
     let mut rig = Rig::new("room", without_places);
