Read again: a permit's number that nobody asked for is gone, a wait has the name of what it waits for

AttemptPermit::number was never called; wait_for_router also waits for workers and proxies; two comments ran over the line. Nothing done is changed.

--- a/crates/command/tests/soak/fleet.rs
+++ b/crates/command/tests/soak/fleet.rs
@@ -194,7 +194,7 @@
         }
         self.judge.note(format!("router {listen} starts as life {life}, shim {plan:?}"));
         let running = Running(command.spawn()?);
-        self.wait_for_router(listen)?;
+        self.wait_for_listener(listen)?;
         // A library that can't be loaded is passed over by the loader: a run without it is none.
         if plan.is_some() {
             std::fs::remove_file(&proof).map_err(|_| Failure(format!("{listen} runs without its shim")))?;
@@ -202,12 +202,12 @@
         Ok(Life { running: Mutex::new(running), killed: AtomicBool::new(false), asked: Mutex::default() })
     }
 
-    /// Until its door is open.
-    fn wait_for_router(&self, listen: &str) -> Result<(), Failure> {
+    /// Until a process of the run listens at its address.
+    fn wait_for_listener(&self, listen: &str) -> Result<(), Failure> {
         let began = Instant::now();
         while TcpStream::connect(listen).is_err() {
             if began.elapsed() > STARTS {
-                return Err(Failure(format!("router {listen} does not listen")));
+                return Err(Failure(format!("nobody listens at {listen}")));
             }
             std::thread::sleep(Duration::from_millis(10));
         }
@@ -241,7 +241,7 @@
         let kind = self.judge.customer.kind(number);
         let kind = serde_json::to_string(&kind)?;
         let running = stand_in("worker", &[listen.into(), kind, self.control.clone(), seed.to_string()])?;
-        self.wait_for_router(listen)?;
+        self.wait_for_listener(listen)?;
         Ok(running)
     }
 
@@ -254,7 +254,7 @@
         let running = self.spawn_worker(number, &own)?;
         let proxy =
             stand_in("proxy", &[address.clone(), number.to_string(), self.control.clone(), own.clone()])?;
-        self.wait_for_router(&address)?;
+        self.wait_for_listener(&address)?;
         Ok(Worker { running: Mutex::new(running), proxy: Mutex::new(proxy), address, own })
     }
 
--- a/crates/invariants/src/lib.rs
+++ b/crates/invariants/src/lib.rs
@@ -101,17 +101,9 @@
     }
 }
 
-/// An attempt of this number may be sent.
+/// An attempt may be sent.
 #[derive(PartialEq, Eq, Debug)]
-pub struct AttemptPermit {
-    number: u16,
-}
-
-impl AttemptPermit {
-    pub fn number(&self) -> u16 {
-        self.number
-    }
-}
+pub struct AttemptPermit(());
 
 /// A place may be asked for.
 #[derive(PartialEq, Eq, Debug)]
@@ -213,7 +205,7 @@
             self.permit_repeat(now, &to)?;
         }
         self.out = Some(Out { number, sent: now, to, writes });
-        Ok(AttemptPermit { number })
+        Ok(AttemptPermit(()))
     }
 
     /// Whether the effect may be had at a worker, given what may have had it before.
@@ -235,7 +227,7 @@
         if self.out.is_none_or(|out| out.number != number) {
             return Err(Violation { reason: Reason::AnotherAttemptIsOut });
         }
-        Ok(AttemptPermit { number })
+        Ok(AttemptPermit(()))
     }
 
     /// Asks whether a place may be asked for at a worker.
--- a/crates/platform/src/held/entry.rs
+++ b/crates/platform/src/held/entry.rs
@@ -94,8 +94,8 @@
     Reset,
 }
 
-/// An attempt that this side has ended, or that was reset. Its worker may learn of that behind a release that was sent later, or first end
-/// well what it was at, after a hang: what it then holds outlives that release.
+/// An attempt that this side has ended, or that was reset. Its worker may learn of that behind a release that was sent
+/// later, or first end well what it was at, after a hang: what it then holds outlives that release.
 pub struct GivenUp {
     pub worker: WorkerId,
     pub when: Micros,
--- a/crates/platform/src/pools.rs
+++ b/crates/platform/src/pools.rs
@@ -132,8 +132,8 @@
     }
 
     /// Where a worker is reached. Connections that can't serve any more come back: those that led to a process which
-    /// its present one has replaced, those that rest where it no longer is, and, to one that takes nothing new, those under way with what is
-    /// new: their first byte might leave after its grace.
+    /// its present one has replaced, those that rest where it no longer is, and, to one that takes nothing new, those
+    /// under way with what is new: their first byte might leave after its grace.
     pub fn listed(
         &mut self,
         worker: WorkerId,
