--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,10 +8,10 @@
 sys.path.insert(0, os.path.join(HERE, "..", "stand"))
 import stand  # noqa: E402
 
-MEMORY_MB = 64  # DAYS: 32 to 192 MB
+MEMORY_MB = 80  # DAYS: 32 to 192 MB
 SOCKETS = 1024  # DAYS: 256 to 1,024 descriptors
 AT_ONCE = SOCKETS // 3  # DAYS: clients hold at most a third of the descriptors for requests
-TEXT_BYTES = 250_000 if stand.TROUBLE else 20_000  # PROTOCOL: a body holds at most 256 KiB
+TEXT_BYTES = 261_900 if stand.TROUBLE else 20_000  # PROTOCOL: a body holds at most 256 KiB
 
 
 async def case(record):
