Count the bodies of open requests against the memory limit

Cause: a body counted against the limit only while it was being received (ClientConnection::buffered_bytes). Once its request was admitted, the router kept it until a worker's response began, and counted it against nothing; the number of open requests follows from the descriptors alone (Capacity::new).

Evidence: the log line "statistics", with a limit that is not enforced: open_requests=341, buffered_bytes=0, 4 attempts in flight, RssAnon 89,660 KB. That rules out requests being received (0 bytes) and copies being sent (4 bodies).

Why the fix works: each buffer of a request carries a charge against one budget, half of memory_mb, until its last reference is dropped; what is being received may use a quarter, as before. A request that doesn't fit gets 503 with Retry-After as soon as its head or the byte that is too many arrives. The rest of its body is discarded and the connection stays open, so no reset can overtake the answer. Buffers count by their allocation, which never exceeds the stated length.

Test: crates/gateway/tests/memory_limit.rs.

--- a/crates/gateway/src/capacity.rs
+++ b/crates/gateway/src/capacity.rs
@@ -12,6 +12,13 @@
 /// Percentage of the shared descriptors for clients. Workers get more, because reservations, releases and health checks
 /// need connections besides the attempts.
 const CLIENT_PERCENT: usize = 48;
+/// The memory divided by this is for all requests. The rest is for responses that clients have not read yet, the
+/// endpoint list, the program itself, and what the allocator cannot return.
+const REQUEST_DIVISOR: usize = 2;
+/// The memory divided by this is for requests that are being received, so that slow senders leave room for the others.
+const RECEIVING_DIVISOR: usize = 4;
+/// Bytes that an open request occupies besides its body: its head, and its state in the lifecycle and the scheduler.
+pub const REQUEST_OVERHEAD: usize = 8 << 10;
 /// Maximum size of a request's head in bytes. A waiting or lingering connection may hold as much besides its accounted
 /// buffers.
 pub const MAX_HEAD_BYTES: usize = 8 << 10;
@@ -29,8 +36,11 @@
     pub lingering_connections: usize,
     /// Maximum number of open requests: each needs a connection to a worker, and other calls need some more.
     pub open_requests: usize,
-    /// Maximum number of bytes of requests that are being received.
-    pub buffered_bytes: usize,
+    /// Maximum number of bytes of requests that are being received, as part of [`request_bytes`](Self::request_bytes).
+    pub receiving_bytes: usize,
+    /// Maximum number of bytes of all requests: being received, waiting behind an open one, or open, until the body is
+    /// no longer needed and no connection still sends it.
+    pub request_bytes: usize,
 }
 
 impl Capacity {
@@ -40,14 +50,15 @@
         let shared = descriptors.saturating_sub(PROCESS_DESCRIPTORS + lingering_connections).max(MIN_SHARED);
         let client_connections = shared * CLIENT_PERCENT / 100;
         let worker_connections = shared - client_connections;
+        let memory = memory_mb << 20;
         Capacity {
             client_connections,
             worker_connections,
             lingering_connections,
             // A sixth of the connections is left for reservations, releases and health checks.
             open_requests: worker_connections * 5 / 6,
-            // A quarter of the memory: outbound buffers may use as much, and the program itself some megabytes.
-            buffered_bytes: (memory_mb << 20) / 4,
+            receiving_bytes: memory / RECEIVING_DIVISOR,
+            request_bytes: memory / REQUEST_DIVISOR,
         }
     }
 }
--- a/crates/gateway/src/capacity/tests.rs
+++ b/crates/gateway/src/capacity/tests.rs
@@ -13,5 +13,5 @@
     }
     // A third of the descriptors may be held by requests.
     assert!(Capacity::new(256, 32).open_requests >= 256 / 3);
-    assert!(Capacity::new(256, 32).buffered_bytes >= 8 << 20);
+    assert!(Capacity::new(256, 32).receiving_bytes >= 8 << 20);
 }
--- a/crates/gateway/src/client_connection.rs
+++ b/crates/gateway/src/client_connection.rs
@@ -2,11 +2,13 @@
 
 use std::sync::Arc;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use tideroute::types::RequestId;
 use tideroute_http::Body;
 use tideroute_wire::Micros;
 
+use crate::body_buffer::BodyBuffer;
+use crate::memory::MemoryCharge;
 use crate::request_head::RequestHead;
 use crate::timers::Timeout;
 
@@ -16,6 +18,8 @@
     AwaitingHead,
     /// The rest of a request's body.
     ReceivingBody(Box<PartialRequest>),
+    /// The rest of the body of a request that was refused; it is discarded.
+    DiscardingBody(Body),
     /// The response to a request.
     AwaitingResponse {
         /// The open request.
@@ -34,15 +38,17 @@
     /// Decodes the body's framing.
     pub decoder: Body,
     /// The body so far.
-    pub body: BytesMut,
+    pub body: BodyBuffer,
 }
 
 /// One client's connection.
 pub struct ClientConnection {
     /// What the connection waits for.
     pub state: ClientState,
-    /// Bytes received that are not yet parsed.
+    /// Bytes received that are not yet parsed; [`receive`](Self::receive) appends to them.
     pub received: BytesMut,
+    /// Bytes allocated for `received`.
+    received_allocation: usize,
     /// The timeout of the request being received, or of the idle connection.
     pub timeout: Timeout,
     /// Whether the connection is closed after the next response.
@@ -53,22 +59,23 @@
     pub has_sent_request: bool,
     /// Since when the connection has had no open request; `None` while one is open.
     pub(crate) idle_since: Option<Micros>,
-    /// The connection's part of the buffered bytes of all clients.
-    pub(crate) accounted_bytes: usize,
+    /// The charge for the requests being received on the connection.
+    pub(crate) charge: MemoryCharge,
 }
 
 impl ClientConnection {
-    /// Creates a connection that has just been accepted.
-    pub fn new(now: Micros) -> ClientConnection {
+    /// Creates a connection that has just been accepted; `charge` is for the requests received on it.
+    pub fn new(now: Micros, charge: MemoryCharge) -> ClientConnection {
         ClientConnection {
             state: ClientState::AwaitingHead,
             received: BytesMut::new(),
+            received_allocation: 0,
             timeout: Timeout::NEVER,
             closes_after_response: false,
             discarded_bytes: 0,
             has_sent_request: false,
             idle_since: Some(now),
-            accounted_bytes: 0,
+            charge,
         }
     }
 
@@ -87,12 +94,28 @@
         matches!(self.state, ClientState::AwaitingResponse { is_streaming: true, .. })
     }
 
-    /// Returns the number of buffered bytes of requests that are being received.
-    pub(crate) fn buffered_bytes(&self) -> usize {
+    /// Appends received bytes.
+    pub fn receive(&mut self, bytes: &Bytes) {
+        self.received.extend_from_slice(bytes);
+        // Parsing shortens the buffer from its start, and its capacity with it, but not the allocation.
+        self.received_allocation = self.received_allocation.max(self.received.capacity());
+    }
+
+    /// Frees the buffer of received bytes if it is empty: one that has grown would keep its memory for as long as the
+    /// connection is open.
+    pub(crate) fn free_empty_buffer(&mut self) {
+        if self.received.is_empty() {
+            self.received = BytesMut::new();
+            self.received_allocation = 0;
+        }
+    }
+
+    /// Returns the number of bytes allocated for requests that are being received.
+    pub(crate) fn allocated_bytes(&self) -> usize {
         let body_bytes = match &self.state {
-            ClientState::ReceivingBody(request) => request.body.len(),
+            ClientState::ReceivingBody(request) => request.body.allocated_bytes(),
             _ => 0,
         };
-        self.received.len() + body_bytes
+        self.received_allocation + body_bytes
     }
 }
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -3,12 +3,14 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
-use bytes::BytesMut;
+use bytes::Bytes;
 use tideroute::types::RequestId;
 use tideroute_wire::event_loop::ConnectionId;
 use tideroute_wire::Micros;
 
+use crate::capacity::{Capacity, REQUEST_OVERHEAD};
 use crate::client_connection::{ClientConnection, ClientState};
+use crate::memory::{charged_bytes, MemoryBudget};
 
 /// A connection on which no request is open and no byte of a next one has been received.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -22,21 +24,37 @@
 }
 
 /// All clients' connections.
-#[derive(Default)]
 pub struct Clients {
     connections: HashMap<ConnectionId, ClientConnection>,
     /// Connections without an open request, the longest idle first; they are closed first to make room for others.
     idle: BTreeSet<(Micros, ConnectionId)>,
     /// Trace ids of open requests.
     open_trace_ids: HashMap<Arc<str>, RequestId>,
-    buffered_bytes: usize,
+    /// The memory for requests, received completely or not.
+    memory: MemoryBudget,
+    /// Bytes of requests that are being received.
+    receiving_bytes: usize,
+    max_receiving_bytes: usize,
 }
 
 impl Clients {
+    /// Creates the state of a router without clients, whose requests may occupy as much memory as `capacity` states.
+    pub fn new(capacity: &Capacity) -> Clients {
+        Clients {
+            connections: HashMap::new(),
+            idle: BTreeSet::new(),
+            open_trace_ids: HashMap::new(),
+            memory: MemoryBudget::new(capacity.request_bytes),
+            receiving_bytes: 0,
+            max_receiving_bytes: capacity.receiving_bytes,
+        }
+    }
+
     /// Adds a connection that has just been accepted.
     pub fn insert(&mut self, connection: ConnectionId, now: Micros) -> &mut ClientConnection {
         self.idle.insert((now, connection));
-        self.connections.entry(connection).or_insert(ClientConnection::new(now))
+        let charge = self.memory.charge(0);
+        self.connections.entry(connection).or_insert(ClientConnection::new(now, charge))
     }
 
     /// Returns the number of connections.
@@ -49,9 +67,25 @@
         self.connections.is_empty()
     }
 
-    /// Returns the bytes of requests that all connections buffer.
-    pub fn buffered_bytes(&self) -> usize {
-        self.buffered_bytes
+    /// Returns the bytes of requests that are being received on all connections.
+    pub fn receiving_bytes(&self) -> usize {
+        self.receiving_bytes
+    }
+
+    /// Returns the bytes that all requests occupy, received completely or not.
+    pub fn request_bytes(&self) -> usize {
+        self.memory.used()
+    }
+
+    /// Returns whether memory is lacking to receive `additional` more bytes of requests.
+    pub fn lacks_memory_for(&self, additional: usize) -> bool {
+        self.receiving_bytes + additional > self.max_receiving_bytes || self.memory.would_exceed(additional)
+    }
+
+    /// Returns the complete body of a request as shared bytes, charged until no one needs them any more.
+    pub fn charge_body(&self, body: Vec<u8>) -> Bytes {
+        let charge = self.memory.charge(body.capacity() + REQUEST_OVERHEAD);
+        charged_bytes(body, charge)
     }
 
     /// Returns a connection, if it is open.
@@ -110,17 +144,14 @@
         self.idle.insert((now, connection));
     }
 
-    /// Updates the buffered bytes by what a connection holds now.
+    /// Updates the charge of a connection by what is being received on it now.
     pub fn account(&mut self, connection: ConnectionId) {
         let Some(client) = self.connections.get_mut(&connection) else { return };
-        let bytes = client.buffered_bytes();
-        self.buffered_bytes += bytes;
-        self.buffered_bytes -= client.accounted_bytes;
-        client.accounted_bytes = bytes;
-        if client.received.is_empty() {
-            // A buffer that has grown would keep its memory for as long as the connection is open.
-            client.received = BytesMut::new();
-        }
+        client.free_empty_buffer();
+        let bytes = client.allocated_bytes();
+        self.receiving_bytes += bytes;
+        self.receiving_bytes -= client.charge.bytes();
+        client.charge.resize(bytes);
     }
 
     /// Removes a connection that has ended or is about to be closed; returns the request that was open on it.
@@ -129,7 +160,7 @@
         if let Some(idle_since) = client.idle_since {
             self.idle.remove(&(idle_since, connection));
         }
-        self.buffered_bytes -= client.accounted_bytes;
+        self.receiving_bytes -= client.charge.bytes();
         let ClientState::AwaitingResponse { id, trace_id, .. } = client.state else { return None };
         self.open_trace_ids.remove(&trace_id);
         Some(id)
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -1,12 +1,13 @@
 //! Parses the bytes that clients send into requests, which are admitted to the lifecycle or rejected.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, Bytes};
 use metrics::counter;
 use tideroute_http::{write, Body, Framing, Limits, Request};
 use tideroute_lifecycle::RequestState;
 use tideroute_wire::event_loop::{ConnectionId, Effects};
 use tideroute_wire::Micros;
 
+use crate::body_buffer::BodyBuffer;
 use crate::capacity::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
 use crate::client_connection::{ClientState, PartialRequest};
 use crate::egress::text_response;
@@ -31,6 +32,7 @@
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
 /// Maximum number of requests without a worker call that are answered in one event on a connection.
 const MAX_REQUESTS_AT_ONCE: usize = 16;
+const NO_MEMORY: Rejection = Rejection::new(503, "no memory for one more request");
 const DUPLICATE_TRACE_ID: Rejection = Rejection::new(409, "a request with this x-trace-id is open");
 
 /// Whether more of a connection's received bytes may be parsed now.
@@ -75,16 +77,16 @@
         bytes: &Bytes,
         effects: &mut Effects,
     ) {
-        let is_memory_full = self.clients.buffered_bytes() > self.config.capacity.buffered_bytes;
+        let lacks_memory = self.clients.lacks_memory_for(bytes.len());
         let Some(client) = self.clients.get_mut(connection) else { return };
         let pipelined_bytes = client.received.len() + bytes.len();
         let must_discard =
-            is_memory_full || client.discarded_bytes > 0 || pipelined_bytes > MAX_PIPELINED_BYTES;
+            lacks_memory || client.discarded_bytes > 0 || pipelined_bytes > MAX_PIPELINED_BYTES;
         if client.awaits_response() && must_discard {
             return self.discard(now, connection, bytes.len(), effects);
         }
         let is_first_byte = client.has_no_request();
-        client.received.extend_from_slice(bytes);
+        client.receive(bytes);
         if is_first_byte {
             client.timeout.set(now + REQUEST_TIMEOUT, TimerKey::Client(connection), effects);
         }
@@ -108,6 +110,7 @@
             let progress = match client.state {
                 ClientState::AwaitingHead => self.take_head(now, connection, effects),
                 ClientState::ReceivingBody(_) => self.take_body(now, connection, effects),
+                ClientState::DiscardingBody(_) => self.discard_body(connection, effects),
                 ClientState::AwaitingResponse { .. } => Progress::Wait,
             };
             self.clients.account(connection);
@@ -115,11 +118,8 @@
                 break;
             }
         }
-        if self.clients.buffered_bytes() > self.config.capacity.buffered_bytes
-            && self.clients.get(connection).is_some_and(|client| !client.awaits_response())
-        {
-            let rejection = Rejection::new(503, "no memory for one more request");
-            return self.reject(connection, rejection, effects);
+        if self.clients.lacks_memory_for(0) {
+            self.free_memory_of(connection, effects);
         }
         let Some(client) = self.clients.get_mut(connection) else { return };
         if client.has_no_request() && client.has_sent_request {
@@ -127,6 +127,74 @@
         }
     }
 
+    /// Refuses the request that is being received on a connection, unless it occupies no more than a head may.
+    fn free_memory_of(&mut self, connection: ConnectionId, effects: &mut Effects) {
+        let Some(client) = self.clients.get_mut(connection) else { return };
+        if client.awaits_response() || client.allocated_bytes() <= MAX_HEAD_BYTES {
+            return;
+        }
+        match std::mem::replace(&mut client.state, ClientState::AwaitingHead) {
+            ClientState::ReceivingBody(request) => {
+                self.refuse_for_memory(connection, request.decoder, effects);
+                self.clients.account(connection);
+            }
+            _ => self.reject(connection, NO_MEMORY, effects),
+        }
+    }
+
+    /// Refuses a request whose body is still being received: answers it at once and discards the rest of its body, so
+    /// that the connection can be used again.
+    fn refuse_for_memory(&mut self, connection: ConnectionId, decoder: Body, effects: &mut Effects) {
+        counter!("tideroute_requests_not_admitted_total", "reason" => "memory").increment(1);
+        tracing::debug!(connection = connection.0, "no memory for a request; refusing it");
+        let retry_after = self.lifecycle.retry_after();
+        let is_shutting_down = self.is_shutting_down;
+        let Some(client) = self.clients.get_mut(connection) else { return };
+        client.closes_after_response |= is_shutting_down;
+        client.state = ClientState::DiscardingBody(decoder);
+        let closes = client.closes_after_response;
+        effects.send(connection, text_response(NO_MEMORY.status, retry_after, NO_MEMORY.reason, closes));
+    }
+
+    /// Discards the body of a request that was refused. The next request may follow it.
+    fn discard_body(&mut self, connection: ConnectionId, effects: &mut Effects) -> Progress {
+        let Some(client) = self.clients.get_mut(connection) else { return Progress::Wait };
+        let ClientState::DiscardingBody(decoder) = &mut client.state else { return Progress::Wait };
+        let is_complete = loop {
+            match decoder.next(&mut client.received) {
+                Ok(Some(_)) => {}
+                Ok(None) => break decoder.done(),
+                Err(_) => {
+                    return self.close_answered(
+                        connection,
+                        "the body of a refused request is malformed",
+                        effects,
+                    )
+                }
+            }
+        };
+        if !is_complete {
+            return Progress::Wait;
+        }
+        if client.closes_after_response {
+            return self.close_answered(connection, "closed after its last response", effects);
+        }
+        client.state = ClientState::AwaitingHead;
+        Progress::More
+    }
+
+    /// Closes a connection whose request has been answered.
+    fn close_answered(
+        &mut self,
+        connection: ConnectionId,
+        reason: &'static str,
+        effects: &mut Effects,
+    ) -> Progress {
+        self.clients.remove(connection);
+        effects.close(connection, reason);
+        Progress::Wait
+    }
+
     /// Discards bytes that arrived before the open request was answered. The connection is closed after that response,
     /// because the next request can no longer be read.
     fn discard(&mut self, now: Micros, connection: ConnectionId, bytes: usize, effects: &mut Effects) {
@@ -205,6 +273,10 @@
     /// Checks the head of a request whose body follows.
     fn begin_body(&mut self, connection: ConnectionId, request: Request, effects: &mut Effects) -> Progress {
         let decoder = Body::new(request.framing, MAX_BODY_BYTES as u64);
+        let body_length = match request.framing {
+            Framing::Length(length) => Some(length as usize),
+            _ => None,
+        };
         let expects_continue =
             request.fields.one("expect").map(|expectation| expectation.eq_ignore_ascii_case("100-continue"));
         let head = match RequestHead::parse(request, &self.config.lifecycle.classes) {
@@ -218,11 +290,19 @@
         if self.clients.is_open(&head.trace_id) {
             return self.reject_and_wait(connection, DUPLICATE_TRACE_ID, effects);
         }
+        if self.clients.lacks_memory_for(body_length.unwrap_or(0)) {
+            if expects_continue.is_some() {
+                // The client may leave out the body, so that the start of its next request is unknown.
+                return self.reject_and_wait(connection, NO_MEMORY, effects);
+            }
+            self.refuse_for_memory(connection, decoder, effects);
+            return Progress::More;
+        }
         if expects_continue.is_some() {
             effects.send(connection, write::response(100, [], b"", false));
         }
         if let Some(client) = self.clients.get_mut(connection) {
-            let request = PartialRequest { head, decoder, body: BytesMut::new() };
+            let request = PartialRequest { head, decoder, body: BodyBuffer::new(body_length) };
             client.state = ClientState::ReceivingBody(Box::new(request));
         }
         Progress::More
@@ -233,11 +313,7 @@
         let ClientState::ReceivingBody(request) = &mut client.state else { return Progress::Wait };
         loop {
             match request.decoder.next(&mut client.received) {
-                // A body that arrives in one piece is not copied.
-                Ok(Some(piece)) if request.body.is_empty() && request.decoder.done() => {
-                    request.body = piece.into();
-                }
-                Ok(Some(piece)) => request.body.extend_from_slice(&piece),
+                Ok(Some(piece)) => request.body.append(&piece),
                 Ok(None) => break,
                 Err(problem) => {
                     let rejection = Rejection::new(problem.status(), "the body cannot be read");
@@ -250,7 +326,7 @@
         }
         let state = std::mem::replace(&mut client.state, ClientState::AwaitingHead);
         let ClientState::ReceivingBody(request) = state else { return Progress::Wait };
-        self.admit(now, connection, request.head, request.body.freeze(), effects)
+        self.admit(now, connection, request.head, request.body.into_bytes(), effects)
     }
 
     /// Admits a complete request to the lifecycle, unless the lifecycle sheds load.
@@ -259,7 +335,7 @@
         now: Micros,
         connection: ConnectionId,
         head: RequestHead,
-        body: Bytes,
+        body: Vec<u8>,
         effects: &mut Effects,
     ) -> Progress {
         if !is_json(&body) {
@@ -291,12 +367,13 @@
         now: Micros,
         client: ConnectionId,
         head: RequestHead,
-        body: Bytes,
+        body: Vec<u8>,
     ) -> RequestState<RequestContext> {
         let remaining_time = self.lifecycle.remaining_time(head.remaining_time);
         let remaining_time = remaining_time.saturating_sub(self.config.travel_time);
         let prompt_tokens = head.prompt_tokens(body.len());
         let RequestHead { trace_id, class, session, prefix, target, headers, .. } = head;
+        let body = self.clients.charge_body(body);
         let context = RequestContext { client, trace_id, target, headers, body };
         RequestState::new(context, class, (session, prefix), prompt_tokens).with_deadline(now, remaining_time)
     }
@@ -333,6 +410,8 @@
         if client.has_no_request() {
             self.clients.remove(connection);
             effects.close(connection, "idle");
+        } else if matches!(client.state, ClientState::DiscardingBody(_)) {
+            self.close_answered(connection, "the body of a refused request was not whole in time", effects);
         } else {
             let rejection = Rejection::new(408, "the request was not whole in time");
             self.reject(connection, rejection, effects);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,7 @@
 //!
 //! The modules form layers, each of which uses only the layers before it:
 //!
-//! 1. `timers`, `headers`, `request_trace`, `capacity`, `json_splitter`
+//! 1. `timers`, `headers`, `request_trace`, `capacity`, `memory`, `body_buffer`, `json_splitter`
 //! 2. `config`, `request_head`, `request_context`, `endpoint_list`, `worker_connection`, `client_connection`
 //! 3. `worker_pool`, `clients`, `discovery_watch`, `reserved_state`, and `release_calls`, which connects `worker_pool` and `reserved_state`
 //! 4. `egress` (decisions to calls) and `state` (all parts together), then what each kind of event does: `ingress`,
@@ -19,6 +19,7 @@
 
 #![warn(missing_docs)]
 
+mod body_buffer;
 mod capacity;
 mod client_connection;
 mod clients;
@@ -31,6 +32,7 @@
 mod headers;
 mod ingress;
 mod json_splitter;
+mod memory;
 mod release_calls;
 mod request_context;
 mod request_head;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -61,7 +61,7 @@
         let max_connections = config.capacity.worker_connections;
         GatewayState {
             lifecycle: RequestLifecycle::new(config.lifecycle.clone(), now),
-            clients: Clients::default(),
+            clients: Clients::new(&config.capacity),
             workers: WorkerPool::new(max_connections, config.connect_timeout, idle_timeout),
             reserved_state: ReservedStateManager::new(config.release_timeout),
             config,
@@ -135,7 +135,8 @@
         tracing::debug!(
             open_requests = self.lifecycle.requests.len(),
             clients = self.clients.len(),
-            buffered_bytes = self.clients.buffered_bytes(),
+            receiving_bytes = self.clients.receiving_bytes(),
+            request_bytes = self.clients.request_bytes(),
             connections = pool.connections,
             idle_connections = pool.idle,
             workers = self.workers.workers().count(),
--- /dev/null
+++ b/crates/gateway/tests/memory_limit.rs
@@ -0,0 +1,102 @@
+//! Requests stay within the memory that the configuration allows. The gateway runs in virtual time.
+
+mod common;
+
+use common::*;
+use tideroute_wire::event_loop::ConnectionId;
+
+/// Bytes of the largest bodies that the tests send; a body may have 256 KiB.
+const LARGE_BODY: usize = 250_000;
+/// Bytes of memory that the configuration allows.
+const MEMORY: usize = 32 << 20;
+/// The text of a response to a request that was refused for memory.
+const NO_MEMORY: &str = "no memory for one more request";
+
+/// Returns a request with a body of `length` bytes.
+fn request_with_body(trace_id: &str, length: usize) -> String {
+    let body = format!("\"{}\"", "x".repeat(length - 2));
+    chat_request_with(trace_id, "safe", 4_000, &body)
+}
+
+/// Sends requests with large bodies, each on a connection of its own, and returns the connections.
+fn send_large_requests(harness: &mut Harness, count: usize) -> Vec<ConnectionId> {
+    let send = |n| {
+        let client = harness.connect_client();
+        harness.deliver(client, request_with_body(&format!("id{n}"), LARGE_BODY));
+        client
+    };
+    (0..count).map(send).collect()
+}
+
+/// Returns those of the clients that have received no response yet.
+fn without_response(harness: &Harness, clients: &[ConnectionId]) -> Vec<ConnectionId> {
+    clients.iter().copied().filter(|client| harness.statuses(*client).is_empty()).collect()
+}
+
+/// Guards against a router that is killed because the bodies of open requests count against no limit of memory.
+#[test]
+fn bodies_of_open_requests_stay_within_the_memory_limit() {
+    let mut harness = Harness::new();
+    let clients = send_large_requests(&mut harness, 90);
+    let open = without_response(&harness, &clients);
+    assert!(open.len() * LARGE_BODY <= MEMORY / 2, "{} requests of 250 KB are open", open.len());
+    assert!(open.len() * LARGE_BODY >= MEMORY / 4, "only {} requests of 250 KB are open", open.len());
+    for client in clients.iter().filter(|client| !open.contains(client)) {
+        assert_eq!(harness.statuses(*client), [503]);
+        let response = harness.sent_text(*client);
+        assert!(response.contains("\r\nretry-after: 0.500\r\n"), "{response}");
+    }
+}
+
+/// Guards against refused requests whose answer is lost with a reset, and whose connection is lost with it.
+#[test]
+fn a_connection_goes_on_after_a_request_that_was_refused_for_memory() {
+    let mut harness = Harness::new();
+    let clients = send_large_requests(&mut harness, 90);
+    let open = without_response(&harness, &clients);
+    let refused = clients.iter().copied().find(|client| !open.contains(client)).expect("a refused request");
+    assert!(!harness.ended.contains_key(&refused), "the connection stays open");
+    // Once the other requests have ended, there is memory for one on the same connection.
+    open.iter().for_each(|client| harness.reset(*client));
+    harness.advance(2_000 * MS);
+    harness.deliver(refused, request_with_body("again", LARGE_BODY));
+    assert_eq!(harness.sent_text(refused).matches(NO_MEMORY).count(), 1, "{}", harness.sent_text(refused));
+    assert!(!harness.ended.contains_key(&refused), "the connection stays open");
+}
+
+/// Guards against a refused request that is answered only once its client has sent all of it, or twice.
+#[test]
+fn a_request_is_refused_for_memory_before_its_body_has_arrived() {
+    let mut harness = Harness::new();
+    send_large_requests(&mut harness, 90);
+    let client = harness.connect_client();
+    let request = request_with_body("late", LARGE_BODY);
+    let (start, rest) = request.split_at(1_000);
+    harness.deliver(client, start);
+    assert_eq!(harness.statuses(client), [503]);
+    harness.deliver(client, rest);
+    harness.deliver(client, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert_eq!(
+        harness.statuses(client).len(),
+        2,
+        "the rest of the body is discarded, and the next request answered"
+    );
+    // A client that never sends the rest gets no second answer.
+    let client = harness.connect_client();
+    harness.deliver(client, request_with_body("incomplete", LARGE_BODY).split_at(1_000).0);
+    harness.advance(2_100 * MS);
+    assert_eq!((harness.statuses(client), harness.ended.get(&client)), (vec![503], Some(&false)));
+}
+
+/// Guards against charges that are not returned: requests would be refused although none is open.
+#[test]
+fn memory_is_returned_when_requests_end() {
+    let mut harness = Harness::new();
+    for round in 0..6 {
+        let clients = send_large_requests(&mut harness, MEMORY / 2 / LARGE_BODY - 4);
+        let refused = clients.iter().filter(|client| harness.sent_text(**client).contains(NO_MEMORY)).count();
+        assert_eq!(refused, 0, "requests refused for memory in round {round}");
+        clients.into_iter().for_each(|client| harness.reset(client));
+        harness.advance(20_000 * MS);
+    }
+}
