Send the bodies of attempts without copying them

While an attempt is being written, its body was in memory twice, and for a moment three times: stored with its request, joined with the head (write::request), and copied to the connection's output. No limit counted the copies, so requests that memory was charged for once could occupy it twice while workers don't read.

Cause: Connection::queue in the reactor copied each frame to one buffer, and Egress::send_attempt joined head and body to one frame.

Change: the output of a connection is a queue (output_queue.rs). An attempt's body is sent as a frame of its own, which shares the stored body's memory; the charge of that memory lasts until the last of the two lets go.

Test: a_large_frame_that_waits_to_be_written_is_not_copied (reactor, real sockets) fails on ("the loop waits to write a copy of the frame"). On processes a difference could not be shown: over loopback the kernel takes a whole body at once.

--- a/crates/gateway/src/egress.rs
+++ b/crates/gateway/src/egress.rs
@@ -141,8 +141,9 @@
         let remaining_ms = (request.deadline.saturating_sub(self.now) / 1_000).to_string();
         let forwarded = context.headers.iter().map(|(name, value)| (name.as_str(), value.as_str()));
         let fields = forwarded.chain([(headers::EXPIRES_IN_MS, remaining_ms.as_str())]);
-        let bytes = write::request("POST", &context.target, fields, Some(&context.body));
-        self.effects.send(connection, bytes);
+        let head = write::request_head("POST", &context.target, fields, context.body.len());
+        self.effects.send(connection, head);
+        self.effects.send(connection, context.body.clone());
     }
 
     /// Returns whether the last byte of an attempt may have been written; true also if its connection is unknown.
--- a/crates/http/src/write.rs
+++ b/crates/http/src/write.rs
@@ -22,6 +22,19 @@
     with_body(head, body)
 }
 
+/// Encodes the head of a request whose body of `body_length` bytes the caller sends behind it.
+pub fn request_head<'a>(
+    method: &str,
+    target: &str,
+    fields: impl IntoIterator<Item = (&'a str, &'a str)>,
+    body_length: usize,
+) -> Bytes {
+    let mut head = format!("{method} {target} HTTP/1.1\r\n");
+    write_fields(&mut head, fields);
+    end_head(&mut head, body_length);
+    head.into()
+}
+
 /// Encodes a response with a complete body. With `last`, the response announces that the connection closes after it.
 pub fn response<'a>(
     status: u16,
@@ -79,13 +92,19 @@
     }
 }
 
+/// Appends the Content-Length field and the end of the head.
+fn end_head(head: &mut String, body_length: usize) {
+    // Writing to a String never fails.
+    let _ = write!(head, "content-length: {body_length}\r\n\r\n");
+}
+
 /// Returns the message of a head and a body, with a Content-Length field if there is a body.
 fn with_body(mut head: String, body: Option<&[u8]>) -> Bytes {
     let Some(body) = body else {
         head.push_str("\r\n");
         return head.into();
     };
-    let _ = write!(head, "content-length: {}\r\n\r\n", body.len());
+    end_head(&mut head, body.len());
     [head.as_bytes(), body].concat().into()
 }
 
--- a/crates/reactor/src/connection.rs
+++ b/crates/reactor/src/connection.rs
@@ -1,14 +1,15 @@
 //! A connection with its socket, its input buffer and its output buffer.
 
-use std::io::{self, Read, Write};
+use std::io::{self, Read};
 use std::net::TcpStream;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use socket2::{Domain, Protocol, Socket, Type};
 use tideroute_wire::event_loop::ConnectionId;
 use tideroute_wire::{frame, Address, Malformed, Micros};
 
 use crate::address;
+use crate::output_queue::OutputQueue;
 
 /// Maximum number of bytes read from a connection at a time, before other connections are handled.
 pub const READ_CHUNK: usize = 64 << 10;
@@ -70,7 +71,7 @@
     pub frames_sent: u64,
     pub frames_received: u64,
     input: BytesMut,
-    output: BytesMut,
+    output: OutputQueue,
 }
 
 /// Why nothing more can be read from a connection.
@@ -106,7 +107,7 @@
             frames_sent: 0,
             frames_received: 0,
             input: BytesMut::new(),
-            output: BytesMut::new(),
+            output: OutputQueue::default(),
         }
     }
 
@@ -135,9 +136,9 @@
     /// Appends a frame to the output.
     pub fn queue(&mut self, body: &Bytes) {
         if self.raw {
-            self.output.extend_from_slice(body);
+            self.output.push(body);
         } else {
-            frame::put(&mut self.output, body);
+            self.output.collect(|collected| frame::put(collected, body));
         }
     }
 
@@ -156,18 +157,9 @@
 
     /// Sends as much output as the socket accepts now.
     pub fn flush(&mut self) -> io::Result<()> {
-        while !self.output.is_empty() {
-            match self.stream.write(&self.output) {
-                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(sent) => self.output.advance(sent),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
-            }
-        }
-        // A buffer that once held a lot of output would keep its memory until the connection ends.
+        self.output.write_to(&mut self.stream)?;
         if self.raw {
-            self.output = BytesMut::new();
+            self.output.free_if_empty();
         }
         Ok(())
     }
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -22,6 +22,7 @@
 mod error;
 mod listener;
 mod mailbox;
+mod output_queue;
 mod poll_key;
 mod reactor;
 mod signal_pipe;
--- a/crates/reactor/tests/connections.rs
+++ b/crates/reactor/tests/connections.rs
@@ -2,7 +2,9 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -292,6 +294,36 @@
     assert_eq!(thread.join().unwrap(), RunOutcome::Finished);
 }
 
+/// Guards against a second copy of each large body that is being sent, which no limit of memory counts.
+#[test]
+fn a_large_frame_that_waits_to_be_written_is_not_copied() {
+    let mut reactor = Reactor::new(&["127.0.0.1:0".parse().unwrap()]).unwrap();
+    reactor.set_raw(8);
+    let address = reactor.addresses()[0];
+    // More than the kernel takes for a peer that does not read.
+    let frame = Bytes::from(vec![7; MAX_BUFFERED]);
+    let is_shared = Arc::new(AtomicBool::new(false));
+    let was_shared = is_shared.clone();
+    let script = move |call: &Observed, connection, effects: &mut Effects, now| match call {
+        Observed::Accepted(ConnectionId(0)) => {
+            effects.send(connection, frame.clone());
+            effects.set_timer(now + 100_000, 9);
+        }
+        Observed::TimerFired(9) => is_shared.store(!frame.is_unique(), Ordering::Relaxed),
+        _ => {}
+    };
+    let (observed, calls) = channel();
+    let mut handler = ScriptedHandler { observed, script, finished: false };
+    let thread = std::thread::spawn(move || reactor.run(&mut handler).unwrap());
+    let stream = TcpStream::connect(address).unwrap();
+    while next_call(&calls) != Observed::TimerFired(9) {}
+    assert!(was_shared.load(Ordering::Relaxed), "the loop waits to write a copy of the frame");
+    drop(stream);
+    let mut last = TcpStream::connect(address).unwrap();
+    last.write_all(b"end").unwrap();
+    assert_eq!(thread.join().unwrap(), RunOutcome::Finished);
+}
+
 /// Finishes once its first client has disconnected. In that iteration it connects a second client, which sends a
 /// request and waits at the listener.
 struct LateClientHandler {
