Limit the memory of responses that clients do not read

Cause: output that waits was limited for each connection (4 MB, with backpressure from 32 KB and a read of 64 KB beyond it), but not for all of them. Besides, a worker's connection kept a whole read buffer of 64 KB for the few bytes of it that were not parsed yet.

Change: output that waits on accepted connections may use an eighth of memory_mb. If more waits, the loop first writes what the sockets accept; if that doesn't help, it closes the connection whose peer has taken nothing for longest (reactor/output_limit.rs). A client that reads has nothing waiting by then. Parsed bytes of a worker's response are freed at once.

Why it works: the sum is checked after each batch of effects, so it exceeds the limit by one read at most.

The loop's own test is the_peer_that_has_read_nothing_for_longest_is_disconnected_when_too_much_output_waits. Blocking HTTP peers that two tests of the program use are now in test-support.

--- a/crates/command/src/platform.rs
+++ b/crates/command/src/platform.rs
@@ -23,6 +23,7 @@
     let config = read_config(&path)?;
     let mut reactor = Reactor::new(&[config.listen])?;
     reactor.set_raw(config.capacity.lingering_connections);
+    reactor.limit_unsent_responses(config.capacity.response_bytes);
     reactor.drain_on_shutdown();
     reactor.catch_signals()?;
     reactor.reload_config_on_sighup(path)?;
--- a/crates/command/tests/gateway_signals.rs
+++ b/crates/command/tests/gateway_signals.rs
@@ -2,7 +2,7 @@
 //! clients. The five rules are checked on what the emulated processes observed.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{ErrorKind, Read, Write};
+use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -11,6 +11,7 @@
 
 use serde_json::{json, Value};
 
+use tideroute_test_support::http_connection::{field, is_up, read_message, serve};
 use tideroute_test_support::http_messages::{NEVER_RAN, PREFILL_COMPLETE, STREAM_EVENTS};
 use tideroute_test_support::process::{send_signal, unused_address, wait_for, KillOnDrop};
 use tideroute_test_support::{fixture, http_messages};
@@ -47,53 +48,6 @@
     access(&mut observations.lock().unwrap_or_else(|e| e.into_inner()))
 }
 
-/// Reads one message, framed by Content-Length or chunks, and returns its head in lower case and its body. Returns
-/// `None` at the end of the connection.
-fn read_message(stream: &mut TcpStream, received: &mut Vec<u8>) -> Option<(String, Vec<u8>)> {
-    let mut piece = [0; 4096];
-    loop {
-        if let Some(end) = received.windows(4).position(|w| w == b"\r\n\r\n") {
-            let head = String::from_utf8_lossy(&received[..end]).to_lowercase();
-            let field = |name: &str| {
-                head.split(&format!("\r\n{name}: ")).nth(1).map(|v| v.split("\r\n").next().unwrap_or(""))
-            };
-            let length = field("content-length").and_then(|l| l.parse::<usize>().ok()).unwrap_or(0);
-            let message_end = if field("transfer-encoding").is_some() {
-                received[end..].windows(5).position(|w| w == b"0\r\n\r\n").map(|at| end + at + 5)
-            } else {
-                (received.len() >= end + 4 + length).then_some(end + 4 + length)
-            };
-            if let Some(message_end) = message_end {
-                let body = received[end + 4..message_end].to_vec();
-                received.drain(..message_end);
-                return Some((head, body));
-            }
-        }
-        match stream.read(&mut piece) {
-            Ok(0) => return None,
-            Ok(length) => received.extend_from_slice(&piece[..length]),
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(_) => return None,
-        }
-    }
-}
-
-/// Returns the value of a header field, or an empty text if the field is missing.
-fn field<'a>(head: &'a str, name: &str) -> &'a str {
-    head.split(&format!("\r\n{name}: ")).nth(1).and_then(|v| v.split("\r\n").next()).unwrap_or("")
-}
-
-/// Accepts connections and handles each on a thread of its own.
-fn serve(listener: TcpListener, handle_connection: impl Fn(TcpStream) + Send + Sync + 'static) {
-    let handle_connection = Arc::new(handle_connection);
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let (handle_connection, _) = (handle_connection.clone(), stream.set_nodelay(true));
-            std::thread::spawn(move || handle_connection(stream));
-        }
-    });
-}
-
 /// Serves an emulated prefill or decode worker.
 fn serve_worker(observations: SharedObservations, number: usize, listener: TcpListener) {
     serve(listener, move |mut stream| {
@@ -250,13 +204,6 @@
     }
 }
 
-fn is_up(router: &str) -> Option<()> {
-    let mut stream = TcpStream::connect(router).ok()?;
-    stream.write_all(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n").ok()?;
-    let (head, _) = read_message(&mut stream, &mut vec![])?;
-    head.starts_with("http/1.1 200").then_some(())
-}
-
 #[test]
 fn reload_and_shutdown_under_load_break_no_rule() {
     let observations = SharedObservations::default();
--- a/crates/gateway/src/capacity.rs
+++ b/crates/gateway/src/capacity.rs
@@ -12,11 +12,13 @@
 /// Percentage of the shared descriptors for clients. Workers get more, because reservations, releases and health checks
 /// need connections besides the attempts.
 const CLIENT_PERCENT: usize = 48;
-/// The memory divided by this is for all requests. The rest is for responses that clients have not read yet, the
-/// endpoint list, the program itself, and what the allocator cannot return.
+/// The memory divided by this is for all requests. What is left beside responses is for the endpoint list, the program
+/// itself, and what the allocator cannot return.
 const REQUEST_DIVISOR: usize = 2;
 /// The memory divided by this is for requests that are being received, so that slow senders leave room for the others.
 const RECEIVING_DIVISOR: usize = 4;
+/// The memory divided by this is for responses that clients have not read yet.
+const RESPONSE_DIVISOR: usize = 8;
 /// Bytes that an open request occupies besides its body: its head, and its state in the lifecycle and the scheduler.
 pub const REQUEST_OVERHEAD: usize = 8 << 10;
 /// Maximum size of a request's head in bytes. A waiting or lingering connection may hold as much besides its accounted
@@ -41,6 +43,8 @@
     /// Maximum number of bytes of all requests: being received, waiting behind an open one, or open, until the body is
     /// no longer needed and no connection still sends it.
     pub request_bytes: usize,
+    /// Maximum number of bytes of responses that wait until clients read them.
+    pub response_bytes: usize,
 }
 
 impl Capacity {
@@ -59,6 +63,7 @@
             open_requests: worker_connections * 5 / 6,
             receiving_bytes: memory / RECEIVING_DIVISOR,
             request_bytes: memory / REQUEST_DIVISOR,
+            response_bytes: memory / RESPONSE_DIVISOR,
         }
     }
 }
--- a/crates/gateway/src/worker_connection.rs
+++ b/crates/gateway/src/worker_connection.rs
@@ -172,6 +172,11 @@
         self.received.extend_from_slice(bytes);
     }
 
+    /// Frees the received bytes that are parsed. The last few would otherwise keep the whole buffer in memory.
+    pub fn free_parsed_bytes(&mut self) {
+        self.received = BytesMut::from(&self.received[..]);
+    }
+
     /// Parses the next part of the received bytes.
     pub fn next_event(&mut self) -> Result<ResponseEvent, HttpError> {
         while self.response.is_none() {
--- a/crates/reactor/src/connection.rs
+++ b/crates/reactor/src/connection.rs
@@ -66,6 +66,8 @@
     pub backpressure: bool,
     /// Bytes are passed as they arrive instead of in frames.
     pub raw: bool,
+    /// When the output last began to wait, or was last written in part.
+    pub stalled_since: Micros,
     /// Events for which the poller currently watches the connection.
     pub watched: Interest,
     pub frames_sent: u64,
@@ -103,6 +105,7 @@
             reading_paused: false,
             backpressure: false,
             raw: false,
+            stalled_since: 0,
             watched: Interest::default(),
             frames_sent: 0,
             frames_received: 0,
@@ -142,6 +145,11 @@
         }
     }
 
+    /// Discards the output that waits to be sent.
+    pub fn discard_output(&mut self) {
+        self.output = OutputQueue::default();
+    }
+
     /// Returns the number of output bytes that wait to be sent.
     pub fn buffered(&self) -> usize {
         self.output.len()
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -29,6 +29,7 @@
 mod event_loop;
 mod listener_state;
 mod messages;
+mod output_limit;
 mod polling_sources;
 mod reading;
 mod setup;
@@ -87,6 +88,10 @@
     lingering: usize,
     /// Maximum number of raw connections that may linger at a time.
     max_lingering: usize,
+    /// Number of bytes that wait to be sent on accepted connections.
+    unsent_responses: usize,
+    /// Maximum of `unsent_responses`.
+    max_unsent_responses: usize,
     /// Listeners stay open after a shutdown signal, and further signals are ignored.
     drain_on_shutdown: bool,
     read_buffer: Box<[u8]>,
--- a/crates/reactor/src/reactor/closing.rs
+++ b/crates/reactor/src/reactor/closing.rs
@@ -146,6 +146,9 @@
         }
         connection.state = ConnectionState::Closed;
         let _ = self.poller.delete(&connection.stream);
+        let unsent = connection.buffered();
+        connection.discard_output();
+        self.account_output(slot, unsent);
         self.closed.push(slot);
     }
 
--- a/crates/reactor/src/reactor/effects.rs
+++ b/crates/reactor/src/reactor/effects.rs
@@ -15,6 +15,7 @@
         for effect in effects.take() {
             self.execute_one(effect);
         }
+        self.enforce_output_limit();
     }
 
     fn execute_one(&mut self, effect: Effect) {
--- a/crates/reactor/src/reactor/event_loop.rs
+++ b/crates/reactor/src/reactor/event_loop.rs
@@ -106,12 +106,7 @@
             self.deliver_notifications(handler, effects);
             handler.on_iteration(self.clock.now(), effects);
             self.execute(effects);
-            // The capture is flushed before the output is sent, so that the capture of a killed process holds
-            // everything that the process sent.
-            self.flush_capture();
-            for slot in std::mem::take(&mut self.to_flush) {
-                self.flush(slot);
-            }
+            self.flush_all();
             if self.notifications.is_empty() {
                 break;
             }
--- a/crates/reactor/src/reactor/setup.rs
+++ b/crates/reactor/src/reactor/setup.rs
@@ -84,6 +84,8 @@
             raw: false,
             lingering: 0,
             max_lingering: usize::MAX,
+            unsent_responses: 0,
+            max_unsent_responses: usize::MAX,
             drain_on_shutdown: false,
             read_buffer: vec![0; READ_CHUNK].into(),
             accepted: 0,
@@ -112,6 +114,12 @@
         self.max_lingering = max_lingering;
     }
 
+    /// Limits the bytes that wait to be sent on all accepted connections together. If more wait although all sockets have
+    /// taken what they accept, the connection whose peer has taken nothing for longest is closed.
+    pub fn limit_unsent_responses(&mut self, bytes: usize) {
+        self.max_unsent_responses = bytes;
+    }
+
     /// After a shutdown signal, keeps the listeners open until the handler has finished, and ignores further signals.
     pub fn drain_on_shutdown(&mut self) {
         self.drain_on_shutdown = true;
--- a/crates/reactor/src/reactor/writing.rs
+++ b/crates/reactor/src/reactor/writing.rs
@@ -18,14 +18,20 @@
         if !matches!(target.state, ConnectionState::Connecting { .. } | ConnectionState::Open) {
             return;
         }
+        let before = target.buffered();
+        if before == 0 {
+            target.stalled_since = now;
+        }
         target.queue(frame);
         if let Some(capture) = &mut self.capture {
             capture.record(now, connection, CaptureEvent::Sent, target.frames_sent, frame);
         }
         target.frames_sent += 1;
-        if target.buffered() > MAX_BUFFERED {
+        let (buffered, state) = (target.buffered(), target.state);
+        self.account_output(slot, before);
+        if buffered > MAX_BUFFERED {
             self.disconnect(slot, DisconnectReason::Reset, "the peer does not read");
-        } else if target.state == ConnectionState::Open {
+        } else if state == ConnectionState::Open {
             self.to_flush.push(slot);
         }
     }
@@ -38,12 +44,17 @@
             return;
         }
         let before = connection.buffered();
-        if connection.flush().is_err() {
+        let flushed = connection.flush();
+        self.account_output(slot, before);
+        if flushed.is_err() {
             return self.disconnect(slot, DisconnectReason::Reset, "sending failed");
         }
-        let buffered = connection.buffered();
+        let buffered = self.connections[slot].buffered();
+        if buffered > 0 && buffered < before {
+            self.connections[slot].stalled_since = self.clock.now();
+        }
         counter!("tideroute_bytes_total", "direction" => "out").increment((before - buffered) as u64);
-        let closing = connection.state != ConnectionState::Open;
+        let closing = self.connections[slot].state != ConnectionState::Open;
         if closing && buffered == 0 {
             return self.finish_output(slot);
         }
@@ -60,6 +71,16 @@
         self.update_interest(slot);
     }
 
+    /// Sends the output of all connections on which some was queued.
+    pub(super) fn flush_all(&mut self) {
+        // The capture is flushed before the output is sent, so that the capture of a killed process holds everything
+        // that the process sent.
+        self.flush_capture();
+        for slot in std::mem::take(&mut self.to_flush) {
+            self.flush(slot);
+        }
+    }
+
     /// Notifies the handler if the amount of waiting output has crossed a watermark.
     fn update_backpressure(&mut self, slot: usize) {
         let connection = &mut self.connections[slot];
--- a/crates/reactor/tests/connections.rs
+++ b/crates/reactor/tests/connections.rs
@@ -324,6 +324,53 @@
     assert_eq!(thread.join().unwrap(), RunOutcome::Finished);
 }
 
+/// Sends to its first connection until there is backpressure and then to its second one, each time by a timer. Sends the
+/// order in which the connections were lost, with the bytes sent to the second one since its backpressure began.
+fn send_to_two_peers_that_do_not_read(lost: Sender<(ConnectionId, usize)>) -> SocketAddr {
+    let chunk = Bytes::from(vec![7; 64 << 10]);
+    let (mut accepted, mut target, mut sent_under_backpressure) = (0, ConnectionId(0), None);
+    let script = move |call: &Observed, connection, effects: &mut Effects, now| match call {
+        Observed::Accepted(_) => {
+            accepted += 1;
+            effects.set_timer(now, 0);
+        }
+        Observed::TimerFired(0) if accepted == 2 => {
+            effects.send(target, chunk.clone());
+            sent_under_backpressure = sent_under_backpressure.map(|sent| sent + chunk.len());
+            effects.set_timer(now + 200, 0);
+        }
+        Observed::Backpressure(true) if connection == ConnectionId(0) => target = ConnectionId(1),
+        Observed::Backpressure(true) => sent_under_backpressure = Some(0),
+        Observed::Disconnected(_) => drop(lost.send((connection, sent_under_backpressure.unwrap_or(0)))),
+        _ => {}
+    };
+    let mut reactor = Reactor::new(&["127.0.0.1:0".parse().unwrap()]).unwrap();
+    reactor.set_raw(8);
+    reactor.limit_unsent_responses(UNSENT_LIMIT);
+    let address = reactor.addresses()[0];
+    let mut handler = ScriptedHandler { observed: channel().0, script, finished: false };
+    std::thread::spawn(move || reactor.run(&mut handler));
+    address
+}
+
+/// The limit of output on all connections together in the test of that limit.
+const UNSENT_LIMIT: usize = 512 << 10;
+
+/// Guards against output that grows without a common limit for peers that do not read: 4 MB on each connection.
+#[test]
+fn the_peer_that_has_read_nothing_for_longest_is_disconnected_when_too_much_output_waits() {
+    let (lost, lost_connections) = channel();
+    let address = send_to_two_peers_that_do_not_read(lost);
+    let streams = [TcpStream::connect(address).unwrap(), TcpStream::connect(address).unwrap()];
+    let next_lost = || lost_connections.recv_timeout(Duration::from_secs(20)).expect("a lost connection");
+    let (first, _) = next_lost();
+    assert_eq!(first, ConnectionId(0), "the first to stop reading");
+    let (second, sent) = next_lost();
+    assert_eq!(second, ConnectionId(1), "one connection alone is limited too");
+    assert!(sent <= UNSENT_LIMIT + (128 << 10), "{sent} bytes were queued");
+    drop(streams);
+}
+
 /// Finishes once its first client has disconnected. In that iteration it connects a second client, which sends a
 /// request and waits at the listener.
 struct LateClientHandler {
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -5,8 +5,8 @@
 //! - [`checker`]: a simple model of the rules that every router must keep, independent of how a router makes its
 //!   decisions; [`monitor`] runs it in real time and [`monitor_channel`] connects other processes to it;
 //! - [`emulated_worker`] and [`proxy`]: workers on real sockets, and proxies between them and a router;
-//! - [`fixture`], [`http_messages`], [`virtual_time`], [`process`]: a fixed deployment, HTTP messages, times and
-//!   addresses in virtual time, and child processes.
+//! - [`fixture`], [`http_messages`], [`http_connection`], [`virtual_time`], [`process`]: a fixed deployment, HTTP messages
+//!   and connections, times and addresses in virtual time, and child processes.
 
 #![warn(missing_docs)]
 
@@ -14,6 +14,7 @@
 pub mod deployment;
 pub mod emulated_worker;
 pub mod fixture;
+pub mod http_connection;
 pub mod http_messages;
 pub mod monitor;
 pub mod monitor_channel;
