Answer pipelined commands in turns, and only while the client reads

Cause: all commands that had been received were answered in one iteration of the loop (run_scheduling_passes repeated until no client had one left), so the responses to 64 KB of commands of each client, and an effect for each, were in memory at once. A client that didn't read its responses got further ones added up to 4 MB.

Change: a client has 16 commands answered before others get their turn; what is left follows in the next iteration, set off by a timer that is due at once. While commands wait for their turn, or the client has to read responses first, nothing more is read from it. While a request is open, everything is read as before, since a disconnect is only seen once all bytes before it have been.

The test of timer keys lists the new key.

--- a/crates/command/tests/memory_limit/main.rs
+++ b/crates/command/tests/memory_limit/main.rs
@@ -3,10 +3,10 @@
 
 mod harness;
 
-use std::io::Write;
+use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use harness::{Limits, Router, Worker};
 use tideroute_test_support::http_connection::{field, read_message};
@@ -93,6 +93,53 @@
     router.assert_within_limit();
 }
 
+/// Sends commands at full speed for `duration`, and reads the responses if `reads` is set.
+fn flood_with_commands(stream: TcpStream, duration: Duration, reads: bool) {
+    let mut stream = stream;
+    let _ = stream.set_nonblocking(true);
+    let commands = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n".repeat(1_000);
+    let (mut written, mut responses) = (0, vec![0; 64 << 10]);
+    let started = Instant::now();
+    while started.elapsed() < duration {
+        match stream.write(&commands.as_bytes()[written..]) {
+            Ok(length) => written = (written + length) % commands.len(),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+        match stream.read(&mut responses) {
+            _ if !reads => std::thread::sleep(Duration::from_millis(1)),
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                std::thread::sleep(Duration::from_micros(100));
+            }
+            Err(_) => return,
+        }
+    }
+}
+
+/// Guards against responses to many small commands that are all made at once and count against no limit.
+#[test]
+fn commands_at_full_speed_stay_within_the_memory_limit() {
+    let limits = Limits { memory_mb: 32, sockets: 256 };
+    let router = Router::start(limits, 1, Worker::Prefill(PREFILL_TIME), Worker::Stream(1));
+    run_clients(&router, limits.clients(), |_, stream| {
+        flood_with_commands(stream, Duration::from_secs(3), true);
+    });
+    router.assert_within_limit();
+}
+
+/// Guards against responses to commands that clients do not read and that count against no limit.
+#[test]
+fn commands_whose_responses_are_not_read_stay_within_the_memory_limit() {
+    let limits = Limits { memory_mb: 32, sockets: 256 };
+    let router = Router::start(limits, 1, Worker::Prefill(PREFILL_TIME), Worker::Stream(1));
+    run_clients(&router, limits.clients(), |_, stream| {
+        flood_with_commands(stream, Duration::from_secs(3), false);
+    });
+    router.assert_within_limit();
+}
+
 /// Guards against requests that wait behind an open one and count against no limit.
 #[test]
 fn requests_behind_an_open_one_stay_within_the_memory_limit() {
--- a/crates/gateway/src/client_connection.rs
+++ b/crates/gateway/src/client_connection.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use tideroute::types::RequestId;
 use tideroute_http::Body;
+use tideroute_wire::event_loop::{ConnectionId, Effects};
 use tideroute_wire::Micros;
 
 use crate::body_buffer::BodyBuffer;
@@ -51,6 +52,10 @@
     received_allocation: usize,
     /// The timeout of the request being received, or of the idle connection.
     pub timeout: Timeout,
+    /// Whether responses wait because the client does not read them.
+    pub is_congested: bool,
+    /// Whether nothing is read from the connection, because requests that have been received wait for their turn.
+    pub is_reading_paused: bool,
     /// Whether the connection is closed after the next response.
     pub closes_after_response: bool,
     /// Number of bytes discarded because they arrived while a request was open.
@@ -71,6 +76,8 @@
             received: BytesMut::new(),
             received_allocation: 0,
             timeout: Timeout::NEVER,
+            is_congested: false,
+            is_reading_paused: false,
             closes_after_response: false,
             discarded_bytes: 0,
             has_sent_request: false,
@@ -79,6 +86,14 @@
         }
     }
 
+    /// Pauses or resumes reading from the connection, unless that is its state already.
+    pub fn pause_reading(&mut self, connection: ConnectionId, paused: bool, effects: &mut Effects) {
+        if paused != self.is_reading_paused {
+            self.is_reading_paused = paused;
+            effects.pause_reading(connection, paused);
+        }
+    }
+
     /// Returns whether no byte of a next request has been received and no request is open.
     pub fn has_no_request(&self) -> bool {
         self.received.is_empty() && matches!(self.state, ClientState::AwaitingHead)
--- a/crates/gateway/src/egress.rs
+++ b/crates/gateway/src/egress.rs
@@ -1,5 +1,6 @@
 //! Carries out the lifecycle's decisions: sends calls to workers and responses to clients.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -32,14 +33,7 @@
     /// Attempts that ended before they could be sent.
     pub attempt_outcomes: Vec<AttemptEnded>,
     /// Clients whose response is complete; their next request may already have been received.
-    pub completed_clients: Vec<ConnectionId>,
-}
-
-impl DeferredEvents {
-    /// Returns whether there are no events.
-    pub fn is_empty(&self) -> bool {
-        self.attempt_outcomes.is_empty() && self.completed_clients.is_empty()
-    }
+    pub completed_clients: BTreeSet<ConnectionId>,
 }
 
 /// How an attempt ended.
@@ -175,7 +169,7 @@
             self.effects.close(connection, "closed after its last response");
         } else {
             self.clients.response_completed(self.now, connection);
-            self.deferred.completed_clients.push(connection);
+            self.deferred.completed_clients.insert(connection);
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,5 +1,7 @@
 //! The gateway's event handler: passes each event of the event loop to the part that handles it.
 
+use std::collections::BTreeSet;
+
 use bytes::Bytes;
 use tideroute_lifecycle::Timer;
 use tideroute_wire::event_loop::{ConnectionId, DisconnectReason, Effects, EventHandler};
@@ -29,22 +31,31 @@
         lifecycle.timer_fired(now, timer, &mut egress);
     }
 
-    /// Runs scheduling passes until one leaves no deferred events.
+    /// Runs scheduling passes until one leaves no deferred events. Each client whose response is complete gets one turn;
+    /// what it has sent beyond that is handled in the next iteration, after the events and timers of others.
     fn run_scheduling_passes(&mut self, now: Micros, effects: &mut Effects) {
+        let mut served = BTreeSet::new();
         loop {
             let (lifecycle, mut egress) = self.state.lifecycle(now, effects);
             lifecycle.run_scheduling_pass(now, &mut egress);
-            if self.state.deferred.is_empty() {
-                return;
+            let deferred = &mut self.state.deferred;
+            let outcomes = std::mem::take(&mut deferred.attempt_outcomes);
+            let clients: Vec<_> = deferred.completed_clients.difference(&served).copied().collect();
+            if outcomes.is_empty() && clients.is_empty() {
+                break;
             }
-            let deferred = std::mem::take(&mut self.state.deferred);
-            for ended in deferred.attempt_outcomes {
+            deferred.completed_clients.retain(|client| served.contains(client));
+            for ended in outcomes {
                 self.state.finish_attempt(now, ended, effects);
             }
-            for connection in deferred.completed_clients {
+            for connection in clients {
+                served.insert(connection);
                 self.state.next_request(now, connection, effects);
             }
         }
+        if !self.state.deferred.completed_clients.is_empty() {
+            TimerKey::PipelinedRequests.set(now, effects);
+        }
     }
 }
 
@@ -140,6 +151,8 @@
                     self.state.open_watch(now, effects);
                 }
             }
+            // The iteration that follows the timer gives the clients their turn.
+            TimerKey::PipelinedRequests => {}
             TimerKey::ShutdownGrace => self.state.end_shutdown_grace(),
             TimerKey::Statistics => self.state.log_statistics(now, effects),
         }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -30,7 +30,7 @@
 const MAX_PIPELINED_BYTES: usize = MAX_HEAD_BYTES + MAX_BODY_BYTES + (8 << 10);
 /// Number of discarded bytes after which a client is disconnected and its open request is cancelled.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
-/// Maximum number of requests without a worker call that are answered in one event on a connection.
+/// Maximum number of requests without a worker call that are answered on a connection before others get their turn.
 const MAX_REQUESTS_AT_ONCE: usize = 16;
 const NO_MEMORY: Rejection = Rejection::new(503, "no memory for one more request");
 const DUPLICATE_TRACE_ID: Rejection = Rejection::new(409, "a request with this x-trace-id is open");
@@ -42,6 +42,8 @@
     More,
     /// More bytes have to arrive, a request is open, or the connection is closed.
     Wait,
+    /// The client has to read the responses that it has been sent.
+    Congested,
 }
 
 impl GatewayState {
@@ -102,31 +104,64 @@
         self.take_requests(now, connection, effects);
     }
 
-    /// Parses requests until one is open or more bytes are needed. An open request is answered before the next one is
-    /// parsed.
+    /// Parses requests until one is open, more bytes are needed, or the client's turn is over. An open request is answered
+    /// before the next one is parsed.
     fn take_requests(&mut self, now: Micros, connection: ConnectionId, effects: &mut Effects) {
+        let mut progress = Progress::More;
         for _ in 0..MAX_REQUESTS_AT_ONCE {
-            let Some(client) = self.clients.get_mut(connection) else { return };
-            let progress = match client.state {
-                ClientState::AwaitingHead => self.take_head(now, connection, effects),
-                ClientState::ReceivingBody(_) => self.take_body(now, connection, effects),
-                ClientState::DiscardingBody(_) => self.discard_body(connection, effects),
-                ClientState::AwaitingResponse { .. } => Progress::Wait,
-            };
+            progress = self.take_request(now, connection, effects);
             self.clients.account(connection);
-            if progress == Progress::Wait {
+            if progress != Progress::More {
                 break;
             }
         }
         if self.clients.lacks_memory_for(0) {
             self.free_memory_of(connection, effects);
         }
-        let Some(client) = self.clients.get_mut(connection) else { return };
+        let Some(client) = self.clients.get_mut(connection) else {
+            self.deferred.completed_clients.remove(&connection);
+            return;
+        };
+        if progress == Progress::More {
+            self.deferred.completed_clients.insert(connection);
+        } else {
+            self.deferred.completed_clients.remove(&connection);
+        }
+        // While a request is open, everything is read: a disconnect is only seen once all bytes before it have been.
+        client.pause_reading(connection, progress != Progress::Wait, effects);
         if client.has_no_request() && client.has_sent_request {
             client.timeout.set(now + IDLE_TIMEOUT, TimerKey::Client(connection), effects);
         }
     }
 
+    /// Parses the next part of what a client has sent.
+    fn take_request(&mut self, now: Micros, connection: ConnectionId, effects: &mut Effects) -> Progress {
+        let Some(client) = self.clients.get_mut(connection) else { return Progress::Wait };
+        match client.state {
+            ClientState::AwaitingResponse { .. } => Progress::Wait,
+            _ if client.is_congested => Progress::Congested,
+            ClientState::AwaitingHead => self.take_head(now, connection, effects),
+            ClientState::ReceivingBody(_) => self.take_body(now, connection, effects),
+            ClientState::DiscardingBody(_) => self.discard_body(connection, effects),
+        }
+    }
+
+    /// Handles a client that reads its responses too slowly, or reads fast enough again. No request of a client that does
+    /// not read is parsed, since its response would only wait too.
+    pub fn client_congestion_changed(
+        &mut self,
+        now: Micros,
+        connection: ConnectionId,
+        is_congested: bool,
+        effects: &mut Effects,
+    ) {
+        let Some(client) = self.clients.get_mut(connection) else { return };
+        client.is_congested = is_congested;
+        if !is_congested && !client.awaits_response() {
+            self.next_request(now, connection, effects);
+        }
+    }
+
     /// Refuses the request that is being received on a connection, unless it occupies no more than a head may.
     fn free_memory_of(&mut self, connection: ConnectionId, effects: &mut Effects) {
         let Some(client) = self.clients.get_mut(connection) else { return };
--- a/crates/gateway/src/timers/tests.rs
+++ b/crates/gateway/src/timers/tests.rs
@@ -15,11 +15,12 @@
         TimerKey::DiscoveryWatch,
         TimerKey::ShutdownGrace,
         TimerKey::Statistics,
+        TimerKey::PipelinedRequests,
     ];
     for (kind, timer) in timers.into_iter().enumerate() {
         let key = timer.encode();
         assert_eq!(key >> PAYLOAD_BITS, kind as u64, "{timer:?}");
         assert_eq!(TimerKey::decode(key), Some(timer));
     }
-    assert_eq!(TimerKey::decode(10 << PAYLOAD_BITS), None);
+    assert_eq!(TimerKey::decode(11 << PAYLOAD_BITS), None);
 }
--- a/crates/gateway/src/worker_events.rs
+++ b/crates/gateway/src/worker_events.rs
@@ -316,6 +316,7 @@
         is_congested: bool,
         effects: &mut Effects,
     ) {
+        self.client_congestion_changed(now, connection, is_congested, effects);
         let Some(client) = self.clients.get(connection) else { return };
         let ClientState::AwaitingResponse { id, .. } = client.state else { return };
         let Some(worker) = self.workers.attempt_connection(id) else { return };
--- a/crates/gateway/tests/client_connections.rs
+++ b/crates/gateway/tests/client_connections.rs
@@ -327,3 +327,33 @@
         }
     }
 }
+
+/// Guards against responses that pile up in memory for a client that does not read them.
+#[test]
+fn commands_of_a_client_that_does_not_read_wait_until_it_does() {
+    let mut harness = Harness::new();
+    let client = harness.connect_client();
+    let commands = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n".repeat(100);
+    harness.set_backpressure(client, true);
+    harness.deliver(client, &commands);
+    assert_eq!(harness.statuses(client).len(), 0, "no response is added to those that wait");
+    assert!(harness.paused.contains(&client), "no more is read from the client");
+    harness.set_backpressure(client, false);
+    assert_eq!(harness.statuses(client).len(), 100);
+    assert!(!harness.paused.contains(&client) && !harness.ended.contains_key(&client));
+}
+
+/// Guards against a disconnect that is not seen, because nothing is read from a client whose request is open.
+#[test]
+fn an_open_request_behind_many_commands_is_cancelled_when_its_client_disconnects() {
+    let mut harness = Harness::without_reservations();
+    let client = harness.connect_client();
+    let commands = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n".repeat(100);
+    harness.deliver(client, format!("{commands}{}", chat_request("id", "safe")));
+    assert_eq!(harness.statuses(client).len(), 100);
+    let (prefill, _) = harness.new_attempt();
+    assert!(!harness.paused.contains(&client));
+    harness.reset(client);
+    harness.advance(20 * MS);
+    assert!(harness.ended.contains_key(&prefill), "the disconnect cancels the attempt");
+}
