Answer the requests that are refused behind an open one

What callers saw: requests on a connection whose request is open are read, discarded when memory is lacking (or when over 272 KiB of them wait), and never answered: of 20 requests of 20 KB one is answered, and the connection closes.

Cause: GatewayState::discard dropped the bytes without looking at them, so that neither the number of requests in them nor the end of the last was known.

Change: the discarded bytes are parsed as they arrive (refused_requests.rs). Only the number of requests is kept, and the part of the next head, 8 KiB at most. After the open request each gets 503 with Retry-After, in turns as commands do, and the connection goes on behind them. Bytes that can't be parsed close it, as before. The handling of refusals for memory is a module of its own now (memory_refusals.rs).

--- a/crates/gateway/src/client_connection.rs
+++ b/crates/gateway/src/client_connection.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use tideroute::types::RequestId;
 use tideroute_http::Body;
 use tideroute_wire::event_loop::{ConnectionId, Effects};
@@ -10,6 +10,7 @@
 
 use crate::body_buffer::BodyBuffer;
 use crate::memory::MemoryCharge;
+use crate::refused_requests::RefusedRequests;
 use crate::request_head::RequestHead;
 use crate::timers::Timeout;
 
@@ -32,6 +33,17 @@
     },
 }
 
+/// Whether more of a connection's received bytes may be parsed now.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Progress {
+    /// Another request may have been received.
+    More,
+    /// More bytes have to arrive, a request is open, or the connection is closed.
+    Wait,
+    /// The client has to read the responses that it has been sent.
+    Congested,
+}
+
 /// A request whose body is not yet complete.
 pub struct PartialRequest {
     /// The request's head.
@@ -60,6 +72,8 @@
     pub closes_after_response: bool,
     /// Number of bytes discarded because they arrived while a request was open.
     pub discarded_bytes: usize,
+    /// The requests in the discarded bytes, which are answered after the open request.
+    pub refused: Option<RefusedRequests>,
     /// Whether the head of a request has been received on the connection.
     pub has_sent_request: bool,
     /// Since when the connection has had no open request; `None` while one is open.
@@ -80,6 +94,7 @@
             is_reading_paused: false,
             closes_after_response: false,
             discarded_bytes: 0,
+            refused: None,
             has_sent_request: false,
             idle_since: Some(now),
             charge,
@@ -96,7 +111,7 @@
 
     /// Returns whether no byte of a next request has been received and no request is open.
     pub fn has_no_request(&self) -> bool {
-        self.received.is_empty() && matches!(self.state, ClientState::AwaitingHead)
+        self.received.is_empty() && self.refused.is_none() && matches!(self.state, ClientState::AwaitingHead)
     }
 
     /// Returns whether a request is open.
@@ -110,12 +125,19 @@
     }
 
     /// Appends received bytes.
-    pub fn receive(&mut self, bytes: &Bytes) {
+    pub fn receive(&mut self, bytes: &[u8]) {
         self.received.extend_from_slice(bytes);
         // Parsing shortens the buffer from its start, and its capacity with it, but not the allocation.
         self.received_allocation = self.received_allocation.max(self.received.capacity());
     }
 
+    /// Inserts bytes before those received.
+    pub fn prepend(&mut self, bytes: &[u8]) {
+        let received = std::mem::take(&mut self.received);
+        self.receive(bytes);
+        self.receive(&received);
+    }
+
     /// Frees the buffer of received bytes if it is empty: one that has grown would keep its memory for as long as the
     /// connection is open.
     pub(crate) fn free_empty_buffer(&mut self) {
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -2,24 +2,23 @@
 
 use bytes::{Buf, Bytes};
 use metrics::counter;
-use tideroute_http::{write, Body, Framing, Limits, Request};
+use tideroute_http::{write, Body, Framing, Request};
 use tideroute_lifecycle::RequestState;
 use tideroute_wire::event_loop::{ConnectionId, Effects};
 use tideroute_wire::Micros;
 
 use crate::body_buffer::BodyBuffer;
 use crate::capacity::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
-use crate::client_connection::{ClientState, PartialRequest};
+use crate::client_connection::{ClientState, PartialRequest, Progress};
 use crate::egress::text_response;
 use crate::headers;
+use crate::memory_refusals::NO_MEMORY;
 use crate::request_context::RequestContext;
-use crate::request_head::{is_json, Rejection, RequestHead};
+use crate::request_head::{is_json, Rejection, RequestHead, REQUEST_LIMITS};
 use crate::request_trace::{self, TraceEvent};
 use crate::state::GatewayState;
 use crate::timers::TimerKey;
 
-/// Limits of a client's request.
-const REQUEST_LIMITS: Limits = Limits { head: MAX_HEAD_BYTES, fields: 64, body: MAX_BODY_BYTES as u64 };
 /// Microseconds in which a request must be complete after its first byte, and in which a new connection must send
 /// something: clients send their requests at once.
 const REQUEST_TIMEOUT: Micros = 2_000_000;
@@ -28,24 +27,10 @@
 /// Maximum number of bytes kept that arrive while a request is open: one more request of the largest size. Further
 /// bytes are read and discarded, because a disconnect is only seen once all bytes before it have been read.
 const MAX_PIPELINED_BYTES: usize = MAX_HEAD_BYTES + MAX_BODY_BYTES + (8 << 10);
-/// Number of discarded bytes after which a client is disconnected and its open request is cancelled.
-const MAX_DISCARDED_BYTES: usize = 1 << 20;
 /// Maximum number of requests without a worker call that are answered on a connection before others get their turn.
 const MAX_REQUESTS_AT_ONCE: usize = 16;
-const NO_MEMORY: Rejection = Rejection::new(503, "no memory for one more request");
 const DUPLICATE_TRACE_ID: Rejection = Rejection::new(409, "a request with this x-trace-id is open");
 
-/// Whether more of a connection's received bytes may be parsed now.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Progress {
-    /// Another request may have been received.
-    More,
-    /// More bytes have to arrive, a request is open, or the connection is closed.
-    Wait,
-    /// The client has to read the responses that it has been sent.
-    Congested,
-}
-
 impl GatewayState {
     /// Accepts a client's connection. At the connection limit, the longest idle one is closed to make room.
     pub fn client_connected(&mut self, now: Micros, connection: ConnectionId, effects: &mut Effects) {
@@ -82,10 +67,9 @@
         let lacks_memory = self.clients.lacks_memory_for(bytes.len());
         let Some(client) = self.clients.get_mut(connection) else { return };
         let pipelined_bytes = client.received.len() + bytes.len();
-        let must_discard =
-            lacks_memory || client.discarded_bytes > 0 || pipelined_bytes > MAX_PIPELINED_BYTES;
+        let must_discard = lacks_memory || client.refused.is_some() || pipelined_bytes > MAX_PIPELINED_BYTES;
         if client.awaits_response() && must_discard {
-            return self.discard(now, connection, bytes.len(), effects);
+            return self.discard(now, connection, bytes, effects);
         }
         let is_first_byte = client.has_no_request();
         client.receive(bytes);
@@ -140,6 +124,7 @@
         match client.state {
             ClientState::AwaitingResponse { .. } => Progress::Wait,
             _ if client.is_congested => Progress::Congested,
+            _ if client.refused.is_some() => self.answer_refused(connection, effects),
             ClientState::AwaitingHead => self.take_head(now, connection, effects),
             ClientState::ReceivingBody(_) => self.take_body(now, connection, effects),
             ClientState::DiscardingBody(_) => self.discard_body(connection, effects),
@@ -162,96 +147,6 @@
         }
     }
 
-    /// Refuses the request that is being received on a connection, unless it occupies no more than a head may.
-    fn free_memory_of(&mut self, connection: ConnectionId, effects: &mut Effects) {
-        let Some(client) = self.clients.get_mut(connection) else { return };
-        if client.awaits_response() || client.allocated_bytes() <= MAX_HEAD_BYTES {
-            return;
-        }
-        match std::mem::replace(&mut client.state, ClientState::AwaitingHead) {
-            ClientState::ReceivingBody(request) => {
-                self.refuse_for_memory(connection, request.decoder, effects);
-                self.clients.account(connection);
-            }
-            _ => self.reject(connection, NO_MEMORY, effects),
-        }
-    }
-
-    /// Refuses a request whose body is still being received: answers it at once and discards the rest of its body, so
-    /// that the connection can be used again.
-    fn refuse_for_memory(&mut self, connection: ConnectionId, decoder: Body, effects: &mut Effects) {
-        counter!("tideroute_requests_not_admitted_total", "reason" => "memory").increment(1);
-        tracing::debug!(connection = connection.0, "no memory for a request; refusing it");
-        let retry_after = self.lifecycle.retry_after();
-        let is_shutting_down = self.is_shutting_down;
-        let Some(client) = self.clients.get_mut(connection) else { return };
-        client.closes_after_response |= is_shutting_down;
-        client.state = ClientState::DiscardingBody(decoder);
-        let closes = client.closes_after_response;
-        effects.send(connection, text_response(NO_MEMORY.status, retry_after, NO_MEMORY.reason, closes));
-    }
-
-    /// Discards the body of a request that was refused. The next request may follow it.
-    fn discard_body(&mut self, connection: ConnectionId, effects: &mut Effects) -> Progress {
-        let Some(client) = self.clients.get_mut(connection) else { return Progress::Wait };
-        let ClientState::DiscardingBody(decoder) = &mut client.state else { return Progress::Wait };
-        let is_complete = loop {
-            match decoder.next(&mut client.received) {
-                Ok(Some(_)) => {}
-                Ok(None) => break decoder.done(),
-                Err(_) => {
-                    return self.close_answered(
-                        connection,
-                        "the body of a refused request is malformed",
-                        effects,
-                    )
-                }
-            }
-        };
-        if !is_complete {
-            return Progress::Wait;
-        }
-        if client.closes_after_response {
-            return self.close_answered(connection, "closed after its last response", effects);
-        }
-        client.state = ClientState::AwaitingHead;
-        Progress::More
-    }
-
-    /// Closes a connection whose request has been answered.
-    fn close_answered(
-        &mut self,
-        connection: ConnectionId,
-        reason: &'static str,
-        effects: &mut Effects,
-    ) -> Progress {
-        self.clients.remove(connection);
-        effects.close(connection, reason);
-        Progress::Wait
-    }
-
-    /// Discards bytes that arrived before the open request was answered. The connection is closed after that response,
-    /// because the next request can no longer be read.
-    fn discard(&mut self, now: Micros, connection: ConnectionId, bytes: usize, effects: &mut Effects) {
-        let Some(client) = self.clients.get_mut(connection) else { return };
-        client.closes_after_response = true;
-        client.discarded_bytes += bytes + std::mem::take(&mut client.received).len();
-        let exceeds_discard_limit = client.discarded_bytes > MAX_DISCARDED_BYTES;
-        let is_streaming = client.is_streaming();
-        self.clients.account(connection);
-        if !exceeds_discard_limit {
-            return;
-        }
-        let reason = "sends without end while its request is open";
-        counter!("tideroute_clients_rejected_total").increment(1);
-        self.client_disconnected(now, connection, effects);
-        // The open request was received completely, so it gets a response.
-        if !is_streaming {
-            effects.send(connection, text_response(400, 0, reason, true));
-        }
-        effects.close(connection, reason);
-    }
-
     /// Handles a client's disconnect: cancels its open request.
     pub fn client_disconnected(&mut self, now: Micros, connection: ConnectionId, effects: &mut Effects) {
         let Some(id) = self.clients.remove(connection) else { return };
@@ -415,7 +310,7 @@
 
     /// Rejects a request, with Retry-After if capacity is lacking (status 503), and closes its connection, because the
     /// start of a next request on it may not be known.
-    fn reject(&mut self, connection: ConnectionId, rejection: Rejection, effects: &mut Effects) {
+    pub fn reject(&mut self, connection: ConnectionId, rejection: Rejection, effects: &mut Effects) {
         let Rejection { status, reason } = rejection;
         counter!("tideroute_invalid_requests_total", "status" => status.to_string()).increment(1);
         tracing::debug!(connection = connection.0, status, reason, "request rejected");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,11 +10,11 @@
 //!
 //! The modules form layers, each of which uses only the layers before it:
 //!
-//! 1. `timers`, `headers`, `request_trace`, `capacity`, `memory`, `body_buffer`, `json_splitter`
+//! 1. `timers`, `headers`, `request_trace`, `capacity`, `memory`, `body_buffer`, `refused_requests`, `json_splitter`
 //! 2. `config`, `request_head`, `request_context`, `endpoint_list`, `worker_connection`, `client_connection`
 //! 3. `worker_pool`, `clients`, `discovery_watch`, `reserved_state`, and `release_calls`, which connects `worker_pool` and `reserved_state`
-//! 4. `egress` (decisions to calls) and `state` (all parts together), then what each kind of event does: `ingress`,
-//!    `streaming`, `worker_events`, `endpoint_updates`, `shutdown`
+//! 4. `egress` (decisions to calls) and `state` (all parts together), then what each kind of event does: `ingress` with
+//!    `memory_refusals`, `streaming`, `worker_events`, `endpoint_updates`, `shutdown`
 //! 5. `gateway`, which implements the event loop's trait
 
 #![warn(missing_docs)]
@@ -33,6 +33,8 @@
 mod ingress;
 mod json_splitter;
 mod memory;
+mod memory_refusals;
+mod refused_requests;
 mod release_calls;
 mod request_context;
 mod request_head;
--- a/crates/gateway/src/request_head.rs
+++ b/crates/gateway/src/request_head.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
-use tideroute_http::{number, Fields, Request};
+use tideroute_http::{number, Fields, Limits, Request};
 use tideroute_wire::Micros;
 
+use crate::capacity::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
 use crate::headers::{self, hash_name, is_valid_trace_id};
 
 /// Maximum remaining time in microseconds: a day is longer than any client waits, and keeps sums of times far from
@@ -12,6 +13,8 @@
 const MAX_REMAINING_TIME: Micros = 86_400_000_000;
 /// Bytes of a body for each prompt token, used if the client does not send the prompt's length.
 const BYTES_PER_TOKEN: usize = 4;
+/// Limits of a client's request.
+pub const REQUEST_LIMITS: Limits = Limits { head: MAX_HEAD_BYTES, fields: 64, body: MAX_BODY_BYTES as u64 };
 const BAD_REQUEST: u16 = 400;
 
 /// Why a request is not admitted, with the status of the response.
--- a/crates/gateway/tests/memory_limit.rs
+++ b/crates/gateway/tests/memory_limit.rs
@@ -100,3 +100,56 @@
         harness.advance(20_000 * MS);
     }
 }
+
+/// Lets the open request of a client complete, whose prefill attempt is the only new one.
+fn complete_request(harness: &mut Harness) {
+    complete_prefill(harness);
+    let (decode, _) = harness.new_attempt();
+    harness.deliver(decode, streamed_response());
+}
+
+/// Guards against requests behind an open one that are read, discarded for lack of memory, and never answered.
+#[test]
+fn requests_refused_behind_an_open_one_are_answered_after_it() {
+    let mut harness = Harness::without_reservations();
+    let client = harness.connect_client();
+    harness.deliver(client, chat_request("open", "safe"));
+    // More than one connection may keep behind an open request.
+    for number in 0..20 {
+        let request = request_with_body(&format!("behind{number}"), 20_000);
+        request.as_bytes().chunks(3_000).for_each(|piece| harness.deliver(client, piece));
+    }
+    assert_eq!(harness.statuses(client).len(), 0, "no response overtakes that of the open request");
+    complete_request(&mut harness);
+    let statuses = harness.statuses(client);
+    assert_eq!((statuses[0], &statuses[1..]), (200, &[503; 20][..]), "{}", harness.sent_text(client));
+    assert_eq!(harness.sent_text(client).matches("retry-after").count(), 20);
+    // The connection is in step: it serves one more request.
+    harness.deliver(client, chat_request("next", "safe"));
+    complete_request(&mut harness);
+    assert_eq!(harness.statuses(client).last(), Some(&200));
+    assert!(!harness.ended.contains_key(&client));
+}
+
+/// Guards against a connection that is out of step with its client after a request was refused in part.
+#[test]
+fn a_request_refused_in_part_behind_an_open_one_is_answered_once() {
+    // A request of which only a part of the head has arrived in time is served.
+    for (arrived_bytes, last_status) in [(40, 200), (30_000, 503)] {
+        let mut harness = Harness::without_reservations();
+        let client = harness.connect_client();
+        harness.deliver(client, chat_request("open", "safe"));
+        harness.deliver(client, request_with_body("first", 200_000));
+        harness.deliver(client, request_with_body("second", 80_000));
+        let third = request_with_body("third", 100_000);
+        let (arrived, rest) = third.split_at(arrived_bytes);
+        harness.deliver(client, arrived);
+        complete_request(&mut harness);
+        harness.deliver(client, rest);
+        if last_status == 200 {
+            complete_request(&mut harness);
+        }
+        assert_eq!(harness.statuses(client), [200, 503, 503, last_status]);
+        assert!(!harness.ended.contains_key(&client));
+    }
+}
