Limit the memory of responses whose first event is incomplete

A response is passed on once its first event is complete, and may take 64 KB until then.

Change: these bytes are charged to a budget of an eighth of memory_mb. A response that goes beyond it before its first event is complete has failed, as one has that goes beyond 64 KB; a load report that goes beyond it is a failed health check.

Test: incomplete_first_events_stay_within_the_memory_limit fails on ("5400000 bytes of incomplete events are kept").

--- a/crates/gateway/src/capacity.rs
+++ b/crates/gateway/src/capacity.rs
@@ -17,7 +17,7 @@
 const REQUEST_DIVISOR: usize = 2;
 /// The memory divided by this is for requests that are being received, so that slow senders leave room for the others.
 const RECEIVING_DIVISOR: usize = 4;
-/// The memory divided by this is for responses that clients have not read yet.
+/// The memory divided by this is for responses that clients have not read yet, and as much for those that have not begun.
 const RESPONSE_DIVISOR: usize = 8;
 /// Bytes that an open request occupies besides its body: its head, and its state in the lifecycle and the scheduler.
 pub const REQUEST_OVERHEAD: usize = 8 << 10;
@@ -43,7 +43,8 @@
     /// Maximum number of bytes of all requests: being received, waiting behind an open one, or open, until the body is
     /// no longer needed and no connection still sends it.
     pub request_bytes: usize,
-    /// Maximum number of bytes of responses that wait until clients read them.
+    /// Maximum number of bytes of responses that wait until clients read them; and of those of which the first event is
+    /// not complete yet.
     pub response_bytes: usize,
 }
 
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -1,4 +1,4 @@
-//! Accounts for the memory that requests occupy. Each buffer carries a [`MemoryCharge`], which counts against the
+//! Accounts for the memory that requests and unfinished responses occupy. Each buffer carries a [`MemoryCharge`], which counts against the
 //! [`MemoryBudget`] until the buffer is dropped, wherever it is by then: still being received, stored with its request,
 //! or queued on a connection to a worker.
 
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 
-/// The memory that requests may occupy together.
+/// The memory that buffers of one purpose may occupy together.
 #[derive(Debug)]
 pub struct MemoryBudget {
     used: Arc<AtomicUsize>,
@@ -68,6 +68,33 @@
     }
 }
 
+/// Bytes that are collected piece by piece, with the charge for them.
+#[derive(Default)]
+pub struct ChargedBuffer {
+    bytes: Vec<u8>,
+    charge: Option<MemoryCharge>,
+}
+
+impl ChargedBuffer {
+    /// Returns the collected bytes.
+    pub fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    /// Appends a piece and charges it to `budget`.
+    pub fn append(&mut self, piece: &[u8], budget: &MemoryBudget) {
+        self.bytes.extend_from_slice(piece);
+        let allocated = self.bytes.capacity();
+        self.charge.get_or_insert_with(|| budget.charge(0)).resize(allocated);
+    }
+
+    /// Takes the collected bytes, which are no longer charged.
+    pub fn take(&mut self) -> Vec<u8> {
+        self.charge = None;
+        std::mem::take(&mut self.bytes)
+    }
+}
+
 /// A request's body with the charge for it.
 struct ChargedBody {
     body: Vec<u8>,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,6 +12,7 @@
 use crate::config::Config;
 use crate::discovery_watch::DiscoveryWatch;
 use crate::egress::{AttemptEnded, DeferredEvents, Egress};
+use crate::memory::MemoryBudget;
 use crate::request_context::RequestContext;
 use crate::reserved_state::{Context, ReservedStateManager};
 use crate::timers::TimerKey;
@@ -36,6 +37,8 @@
     pub workers: WorkerPool,
     /// The manager of what workers hold for requests.
     pub reserved_state: ReservedStateManager,
+    /// The memory for responses of which the first event is incomplete, and for load reports.
+    pub response_memory: MemoryBudget,
     /// The watch at discovery.
     pub watch: DiscoveryWatch,
     /// Events to hand to the lifecycle after its decisions have been carried out.
@@ -64,6 +67,7 @@
             clients: Clients::new(&config.capacity),
             workers: WorkerPool::new(max_connections, config.connect_timeout, idle_timeout),
             reserved_state: ReservedStateManager::new(config.release_timeout),
+            response_memory: MemoryBudget::new(config.capacity.response_bytes),
             config,
             watch: DiscoveryWatch::default(),
             deferred: DeferredEvents::default(),
--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -1,6 +1,6 @@
 //! Forwards the streams of decode workers to clients. A response begins only once the first event is complete.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use tideroute::types::{AttemptOutcome, RequestId};
 use tideroute_http::write;
 use tideroute_wire::event_loop::{ConnectionId, Effects};
@@ -32,7 +32,7 @@
 }
 
 impl StreamStart {
-    fn of(buffered: &BytesMut) -> StreamStart {
+    fn of(buffered: &[u8]) -> StreamStart {
         let may_begin_with = |prefix: &[u8]| buffered.starts_with(prefix) || prefix.starts_with(buffered);
         if !EVENT_PREFIXES.into_iter().any(may_begin_with) || buffered.len() > MAX_FIRST_EVENT_BYTES {
             StreamStart::Invalid
@@ -45,7 +45,8 @@
 }
 
 impl GatewayState {
-    /// Forwards a piece of a stream. Returns false if the bytes are not a valid response stream.
+    /// Forwards a piece of a stream. Returns false if the bytes are not a valid response stream, or if its first event is
+    /// incomplete and memory is lacking to wait for the rest.
     pub fn stream_data(
         &mut self,
         now: Micros,
@@ -69,13 +70,13 @@
             effects.send(client, write::chunk(&piece));
             return true;
         }
-        stream.buffered.extend_from_slice(&piece);
-        match StreamStart::of(&stream.buffered) {
+        stream.buffered.append(&piece, &self.response_memory);
+        match StreamStart::of(stream.buffered.bytes()) {
             StreamStart::Invalid => false,
-            StreamStart::Incomplete => true,
+            StreamStart::Incomplete => !self.response_memory.would_exceed(0),
             StreamStart::Complete => {
                 stream.is_streaming = true;
-                let first_event = std::mem::take(&mut stream.buffered);
+                let first_event = stream.buffered.take();
                 self.start_response(now, id, client, &first_event, effects);
                 true
             }
--- a/crates/gateway/src/worker_connection.rs
+++ b/crates/gateway/src/worker_connection.rs
@@ -6,6 +6,7 @@
 use tideroute_wire::{Address, Micros};
 
 use crate::headers;
+use crate::memory::ChargedBuffer;
 use crate::timers::Timeout;
 
 /// Limits of the head of a worker's response, and of the bytes of a stream.
@@ -81,7 +82,7 @@
     /// Whether the response is being forwarded to the client.
     pub is_streaming: bool,
     /// The start of a stream until its first event is complete; or a load report.
-    pub buffered: BytesMut,
+    pub buffered: ChargedBuffer,
     /// The timeout of the call, or of the idle connection.
     pub timeout: Timeout,
     /// When the connection was dialled.
@@ -132,7 +133,7 @@
             dispatch_deadline: Micros::MAX,
             pending_reservation: None,
             is_streaming: false,
-            buffered: BytesMut::new(),
+            buffered: ChargedBuffer::default(),
             timeout: Timeout::NEVER,
             opened_at: now,
             last_received_at: 0,
--- a/crates/gateway/src/worker_events.rs
+++ b/crates/gateway/src/worker_events.rs
@@ -90,7 +90,10 @@
                 Ok(ResponseEvent::Body(200, piece))
                     if matches!(worker_connection.call, Some(Call::HealthCheck { .. })) =>
                 {
-                    worker_connection.buffered.extend_from_slice(&piece);
+                    if self.response_memory.would_exceed(piece.len()) {
+                        return self.response_invalid(now, connection, effects);
+                    }
+                    worker_connection.buffered.append(&piece, &self.response_memory);
                 }
                 Ok(ResponseEvent::Body(..)) => {}
                 Ok(ResponseEvent::Complete(response)) => {
@@ -115,7 +118,7 @@
         let Some(worker_connection) = self.workers.get_mut(connection) else { return };
         let worker = worker_connection.worker;
         let is_streaming = worker_connection.is_streaming;
-        let report = std::mem::take(&mut worker_connection.buffered);
+        let report = worker_connection.buffered.take();
         let Some(call) = self.workers.call_finished(now, connection, effects) else { return };
         match call {
             Call::Attempt { id, number, is_prefill, .. } => {
--- a/crates/gateway/src/worker_pool.rs
+++ b/crates/gateway/src/worker_pool.rs
@@ -321,7 +321,7 @@
         let connection = self.connections.get_mut(&id)?;
         let call = connection.call.take();
         let response = connection.response.take();
-        connection.buffered = BytesMut::new();
+        connection.buffered.take();
         let is_unlisted = !self.addresses.contains_key(&connection.worker);
         let closes = response.is_none_or(|response| response.closes_connection);
         // Bytes after the response belong to no call. The bytes of a call that was answered early may still be written.
--- a/crates/gateway/tests/memory_limit.rs
+++ b/crates/gateway/tests/memory_limit.rs
@@ -153,3 +153,34 @@
         assert!(!harness.ended.contains_key(&client));
     }
 }
+
+/// Guards against responses whose first event never ends: each may have 64 KB, and together they count against no limit.
+#[test]
+fn incomplete_first_events_stay_within_the_memory_limit() {
+    const EVENT_PART: usize = 60_000;
+    const SMALL_MEMORY: usize = 16 << 20;
+    let mut config = router_config();
+    config["limits"]["memory_mb"] = (SMALL_MEMORY >> 20).into();
+    config["settings"]["family_info"]["ahead"] = false.into();
+    let mut harness = Harness::with_config(&config);
+    let mut waiting = vec![];
+    for number in 0..90 {
+        let client = harness.connect_client();
+        harness.deliver(client, chat_request(&format!("id{number}"), "safe"));
+        for (prefill, _) in harness.new_attempts() {
+            harness.deliver(prefill, PREFILL_COMPLETE);
+        }
+        for (decode, _) in harness.new_attempts() {
+            let part = format!("data: {}", "x".repeat(EVENT_PART));
+            harness.deliver(decode, format!("{STREAM_HEAD}{}", chunk(&part)));
+            waiting.push(decode);
+        }
+    }
+    assert!(waiting.len() * EVENT_PART > SMALL_MEMORY / 8, "only {} responses have begun", waiting.len());
+    waiting.retain(|decode| !harness.ended.contains_key(decode));
+    let bytes = waiting.len() * EVENT_PART;
+    assert!(
+        (SMALL_MEMORY / 16..=SMALL_MEMORY / 8).contains(&bytes),
+        "{bytes} bytes of incomplete events are kept"
+    );
+}
