Answer an incomplete request whose connection is closed to make room

What callers saw: a client that has sent a head and a part of the body, and whose connection is the longest idle when another client needs it, is closed without a word; it is owed 408. Found by reading, next to the refusals for memory.

Cause: close_to_make_room took an empty receive buffer for a client that has sent nothing; the part of a body is no longer in that buffer.

Change: ClientConnection::owes_no_response, which the timeout of a connection uses too: no request has begun, or the rest of a refused one is being discarded. In the second case the 408 would have been a second answer.

Test: an_incomplete_request_closed_to_make_room_is_answered fails on ("213 bytes have arrived, left: [], right: [408]").

--- a/crates/gateway/src/client_connection.rs
+++ b/crates/gateway/src/client_connection.rs
@@ -114,6 +114,12 @@
         self.received.is_empty() && self.refused.is_none() && matches!(self.state, ClientState::AwaitingHead)
     }
 
+    /// Returns whether each request on the connection has been answered: none has begun, or the rest of one that was
+    /// refused is being discarded.
+    pub fn owes_no_response(&self) -> bool {
+        self.has_no_request() || matches!(self.state, ClientState::DiscardingBody(_))
+    }
+
     /// Returns whether a request is open.
     pub fn awaits_response(&self) -> bool {
         matches!(self.state, ClientState::AwaitingResponse { .. })
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -9,7 +9,7 @@
 
 use crate::body_buffer::BodyBuffer;
 use crate::capacity::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
-use crate::client_connection::{ClientState, PartialRequest, Progress};
+use crate::client_connection::{ClientConnection, ClientState, PartialRequest, Progress};
 use crate::egress::text_response;
 use crate::headers;
 use crate::memory_refusals::NO_MEMORY;
@@ -48,7 +48,7 @@
     /// Closes an idle connection to make room for another. A client that has sent part of a request gets a response;
     /// one that has sent nothing does not.
     fn close_to_make_room(&mut self, idle: ConnectionId, effects: &mut Effects) {
-        if self.clients.get(idle).is_some_and(|client| client.received.is_empty()) {
+        if self.clients.get(idle).is_some_and(ClientConnection::owes_no_response) {
             self.clients.remove(idle);
             effects.close(idle, "idle; closed to make room for another client");
         } else {
@@ -340,7 +340,7 @@
         if client.has_no_request() {
             self.clients.remove(connection);
             effects.close(connection, "idle");
-        } else if matches!(client.state, ClientState::DiscardingBody(_)) {
+        } else if client.owes_no_response() {
             self.close_answered(connection, "the body of a refused request was not whole in time", effects);
         } else {
             let rejection = Rejection::new(408, "the request was not whole in time");
--- a/crates/gateway/tests/client_connections.rs
+++ b/crates/gateway/tests/client_connections.rs
@@ -357,3 +357,18 @@
     harness.advance(20 * MS);
     assert!(harness.ended.contains_key(&prefill), "the disconnect cancels the attempt");
 }
+
+/// Guards against a client that is closed without an answer although it has sent a head and a part of the body.
+#[test]
+fn an_incomplete_request_closed_to_make_room_is_answered() {
+    let complete = chat_request("id", "safe");
+    let body_start = complete.find("\r\n\r\n").expect("a head") + 4;
+    for arrived_bytes in [10, body_start, body_start + 5] {
+        let mut harness = Harness::new();
+        let client = harness.connect_client();
+        harness.deliver(client, &complete[..arrived_bytes]);
+        (0..200).for_each(|_| drop(harness.connect_client()));
+        assert_eq!(harness.statuses(client), [408], "{arrived_bytes} bytes have arrived");
+        assert_eq!(harness.ended.get(&client), Some(&false));
+    }
+}
