Refuse pipelined commands one by one when memory is lacking

What callers saw: since commands are answered in turns, those that wait for their turn count as being received. When other requests filled the memory meanwhile, the client got one 503 and a close, and of 2,000 commands 17 were answered.

Cause: GatewayState::free_memory_of rejected the connection instead of the requests. By reading the same function: the rest of a refused request with a chunked body could be refused a second time while the memory was still full.

Change: what waits is discarded as behind an open request, and each request in it gets its 503. A connection that discards a body is left alone. The receive buffer is freed when most of it has been parsed.

Tests: pipelined_commands_are_all_answered_while_memory_is_lacking ("left: 17, right: 2000" before); it holds on. a_refused_request_with_a_chunked_body_is_answered_ once held before too: the second refusal could not be forced.

--- a/crates/gateway/src/client_connection.rs
+++ b/crates/gateway/src/client_connection.rs
@@ -11,9 +11,12 @@
 use crate::body_buffer::BodyBuffer;
 use crate::memory::MemoryCharge;
 use crate::refused_requests::RefusedRequests;
-use crate::request_head::RequestHead;
+use crate::request_head::{RequestHead, REQUEST_LIMITS};
 use crate::timers::Timeout;
 
+/// A buffer is freed when it is this many times as large as the bytes in it that are not parsed yet.
+const PARSED_BUFFER_FACTOR: usize = 4;
+
 /// What a client's connection waits for.
 pub enum ClientState {
     /// The next request's head; the part received so far is in [`ClientConnection::received`].
@@ -144,12 +147,17 @@
         self.receive(&received);
     }
 
-    /// Frees the buffer of received bytes if it is empty: one that has grown would keep its memory for as long as the
-    /// connection is open.
-    pub(crate) fn free_empty_buffer(&mut self) {
-        if self.received.is_empty() {
-            self.received = BytesMut::new();
-            self.received_allocation = 0;
+    /// Discards the received bytes; the requests in them count as refused.
+    pub fn refuse_received(&mut self) {
+        let received = std::mem::take(&mut self.received);
+        self.refused.get_or_insert_default().discard(&received, &REQUEST_LIMITS);
+    }
+
+    /// Frees the buffer of received bytes if most of it has been parsed: a few bytes would keep all of its memory.
+    pub(crate) fn free_parsed_bytes(&mut self) {
+        if self.received.len() * PARSED_BUFFER_FACTOR <= self.received_allocation {
+            self.received = BytesMut::from(&self.received[..]);
+            self.received_allocation = self.received.capacity();
         }
     }
 
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -147,7 +147,7 @@
     /// Updates the charge of a connection by what is being received on it now.
     pub fn account(&mut self, connection: ConnectionId) {
         let Some(client) = self.connections.get_mut(&connection) else { return };
-        client.free_empty_buffer();
+        client.free_parsed_bytes();
         let bytes = client.allocated_bytes();
         self.receiving_bytes += bytes;
         self.receiving_bytes -= client.charge.bytes();
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -106,6 +106,9 @@
             self.deferred.completed_clients.remove(&connection);
             return;
         };
+        if progress == Progress::Wait && client.refused.is_some() && !client.awaits_response() {
+            progress = Progress::More;
+        }
         if progress == Progress::More {
             self.deferred.completed_clients.insert(connection);
         } else {
--- a/crates/gateway/src/memory_refusals.rs
+++ b/crates/gateway/src/memory_refusals.rs
@@ -11,7 +11,7 @@
 use crate::client_connection::{ClientState, Progress};
 use crate::egress::text_response;
 use crate::refused_requests::{AfterRefused, RefusedRequests};
-use crate::request_head::{Rejection, REQUEST_LIMITS};
+use crate::request_head::Rejection;
 use crate::state::GatewayState;
 
 /// The rejection of a request for which memory is lacking.
@@ -20,19 +20,19 @@
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
 
 impl GatewayState {
-    /// Refuses the request that is being received on a connection, unless it occupies no more than a head may.
+    /// Frees what the requests being received on a connection occupy beyond a head, and refuses them.
     pub fn free_memory_of(&mut self, connection: ConnectionId, effects: &mut Effects) {
         let Some(client) = self.clients.get_mut(connection) else { return };
-        if client.awaits_response() || client.allocated_bytes() <= MAX_HEAD_BYTES {
-            return;
-        }
-        match std::mem::replace(&mut client.state, ClientState::AwaitingHead) {
+        match &client.state {
+            ClientState::AwaitingResponse { .. } | ClientState::DiscardingBody(_) => return,
+            ClientState::AwaitingHead if client.received.len() <= MAX_HEAD_BYTES => return,
+            ClientState::AwaitingHead => client.refuse_received(),
             ClientState::ReceivingBody(request) => {
-                self.refuse_for_memory(connection, request.decoder, effects);
-                self.clients.account(connection);
+                let decoder = request.decoder.clone();
+                self.refuse_for_memory(connection, decoder, effects);
             }
-            _ => self.reject(connection, NO_MEMORY, effects),
         }
+        self.clients.account(connection);
     }
 
     /// Refuses a request of which the body is still being received.
@@ -92,11 +92,9 @@
     /// them are answered after the open one.
     pub fn discard(&mut self, now: Micros, connection: ConnectionId, bytes: &Bytes, effects: &mut Effects) {
         let Some(client) = self.clients.get_mut(connection) else { return };
-        let kept = std::mem::take(&mut client.received);
-        client.discarded_bytes += bytes.len() + kept.len();
-        let refused = client.refused.get_or_insert_default();
-        refused.discard(&kept, &REQUEST_LIMITS);
-        refused.discard(bytes, &REQUEST_LIMITS);
+        client.discarded_bytes += bytes.len() + client.received.len();
+        client.receive(bytes);
+        client.refuse_received();
         let exceeds_discard_limit = client.discarded_bytes > MAX_DISCARDED_BYTES;
         let is_streaming = client.is_streaming();
         self.clients.account(connection);
--- a/crates/gateway/tests/memory_limit.rs
+++ b/crates/gateway/tests/memory_limit.rs
@@ -184,3 +184,36 @@
         "{bytes} bytes of incomplete events are kept"
     );
 }
+
+/// Guards against a second answer to a request that was refused while its chunked body was being received.
+#[test]
+fn a_refused_request_with_a_chunked_body_is_answered_once() {
+    let mut harness = Harness::new();
+    send_large_requests(&mut harness, 90);
+    let client = harness.connect_client();
+    let complete = chat_request("chunked", "safe");
+    let (head, _) = complete.split_once("Content-Length").expect("a length");
+    let body = chunk(&"x".repeat(LARGE_BODY));
+    harness.deliver(client, format!("{head}Transfer-Encoding: chunked\r\n\r\n{body}"));
+    assert_eq!(harness.statuses(client), [503]);
+    // More large requests keep the memory full.
+    send_large_requests(&mut harness, 5);
+    "1;extension\r\nx\r\n0\r\n\r\n".bytes().for_each(|byte| harness.deliver(client, [byte]));
+    assert_eq!(harness.statuses(client), [503]);
+    harness.deliver(client, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert_eq!(harness.statuses(client).len(), 2, "the connection goes on behind the body");
+}
+
+/// Guards against commands that are read, and not answered because memory has become scarce before their turn.
+#[test]
+fn pipelined_commands_are_all_answered_while_memory_is_lacking() {
+    let mut harness = Harness::new();
+    send_large_requests(&mut harness, 90);
+    let client = harness.connect_client();
+    let commands = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n".repeat(2_000);
+    for piece in commands.as_bytes().chunks(60_000) {
+        harness.deliver(client, piece);
+    }
+    assert_eq!(harness.statuses(client).len(), 2_000);
+    assert!(!harness.ended.contains_key(&client), "the connection stays open");
+}
