Soak of mixed loads under the memory limit, and tests that share no port

Each load of the tests before keeps within the limit alone.

Traced: "cannot listen at 127.0.0.1:45141: Address already in use" in the same output; another socket had taken the port between unused_address and the program's start, and the readiness check reached that test's router. All statements are as before.

--- a/crates/command/tests/memory_limit/main.rs
+++ b/crates/command/tests/memory_limit/main.rs
@@ -2,6 +2,7 @@
 //! load keeps to the protocol: clients hold a third of the descriptors at most, and a body has 256 KiB at most.
 
 mod harness;
+mod mixed_load;
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
