Begin the next turns of clients by a timer, not within the same iteration

Cause: each turn's responses are written at once, and the loop then tells the gateway that they are (Notification::WriteComplete) and asks it to decide again before it polls.

Change: clients wait for their turn in ClientTurns. The next turns begin when a timer fires that is due at once, so after the events and timers of others.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,7 +32,7 @@
     }
 
     /// Runs scheduling passes until one leaves no deferred events. Each client whose response is complete gets one turn;
-    /// what it has sent beyond that is handled in the next iteration, after the events and timers of others.
+    /// what it has sent beyond that waits for the next one.
     fn run_scheduling_passes(&mut self, now: Micros, effects: &mut Effects) {
         let mut served = BTreeSet::new();
         loop {
@@ -53,9 +53,10 @@
                 self.state.next_request(now, connection, effects);
             }
         }
-        if !self.state.deferred.completed_clients.is_empty() {
-            TimerKey::PipelinedRequests.set(now, effects);
+        for connection in std::mem::take(&mut self.state.deferred.completed_clients) {
+            self.state.client_turns.wait(connection);
         }
+        self.state.client_turns.end_iteration(now, effects);
     }
 }
 
@@ -151,8 +152,10 @@
                     self.state.open_watch(now, effects);
                 }
             }
-            // The iteration that follows the timer gives the clients their turn.
-            TimerKey::PipelinedRequests => {}
+            TimerKey::ClientTurns => {
+                let clients = self.state.client_turns.begin();
+                self.state.deferred.completed_clients.extend(clients);
+            }
             TimerKey::ShutdownGrace => self.state.end_shutdown_grace(),
             TimerKey::Statistics => self.state.log_statistics(now, effects),
         }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -27,8 +27,6 @@
 /// Maximum number of bytes kept that arrive while a request is open: one more request of the largest size. Further
 /// bytes are read and discarded, because a disconnect is only seen once all bytes before it have been read.
 const MAX_PIPELINED_BYTES: usize = MAX_HEAD_BYTES + MAX_BODY_BYTES + (8 << 10);
-/// Maximum number of requests without a worker call that are answered on a connection before others get their turn.
-const MAX_REQUESTS_AT_ONCE: usize = 16;
 const DUPLICATE_TRACE_ID: Rejection = Rejection::new(409, "a request with this x-trace-id is open");
 
 impl GatewayState {
@@ -92,7 +90,8 @@
     /// before the next one is parsed.
     fn take_requests(&mut self, now: Micros, connection: ConnectionId, effects: &mut Effects) {
         let mut progress = Progress::More;
-        for _ in 0..MAX_REQUESTS_AT_ONCE {
+        for _ in 0..self.client_turns.length() {
+            self.client_turns.request_taken();
             progress = self.take_request(now, connection, effects);
             self.clients.account(connection);
             if progress != Progress::More {
@@ -102,17 +101,14 @@
         if self.clients.lacks_memory_for(0) {
             self.free_memory_of(connection, effects);
         }
-        let Some(client) = self.clients.get_mut(connection) else {
-            self.deferred.completed_clients.remove(&connection);
-            return;
-        };
+        self.deferred.completed_clients.remove(&connection);
+        self.client_turns.remove(connection);
+        let Some(client) = self.clients.get_mut(connection) else { return };
         if progress == Progress::Wait && client.refused.is_some() && !client.awaits_response() {
             progress = Progress::More;
         }
         if progress == Progress::More {
-            self.deferred.completed_clients.insert(connection);
-        } else {
-            self.deferred.completed_clients.remove(&connection);
+            self.client_turns.wait(connection);
         }
         // While a request is open, everything is read: a disconnect is only seen once all bytes before it have been.
         client.pause_reading(connection, progress != Progress::Wait, effects);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
 use tideroute_wire::event_loop::Effects;
 use tideroute_wire::Micros;
 
+use crate::client_turns::ClientTurns;
 use crate::clients::Clients;
 use crate::config::Config;
 use crate::discovery_watch::DiscoveryWatch;
@@ -41,6 +42,8 @@
     pub response_memory: MemoryBudget,
     /// The watch at discovery.
     pub watch: DiscoveryWatch,
+    /// Clients that have sent more requests than one iteration answers.
+    pub client_turns: ClientTurns,
     /// Events to hand to the lifecycle after its decisions have been carried out.
     pub deferred: DeferredEvents,
     /// Since when discovery offers versions of the list that are older than the one in force.
@@ -70,6 +73,7 @@
             response_memory: MemoryBudget::new(config.capacity.response_bytes),
             config,
             watch: DiscoveryWatch::default(),
+            client_turns: ClientTurns::default(),
             deferred: DeferredEvents::default(),
             stale_since: None,
             is_discovery_synced: false,
--- a/crates/gateway/src/timers.rs
+++ b/crates/gateway/src/timers.rs
@@ -45,8 +45,8 @@
     ShutdownGrace,
     /// The periodic log line of statistics.
     Statistics,
-    /// More requests of clients have been received than one iteration answers.
-    PipelinedRequests,
+    /// The next turns of clients that have sent more requests than one iteration answers.
+    ClientTurns,
 }
 
 impl TimerKey {
@@ -63,7 +63,7 @@
             TimerKey::DiscoveryWatch => (7, 0),
             TimerKey::ShutdownGrace => (8, 0),
             TimerKey::Statistics => (9, 0),
-            TimerKey::PipelinedRequests => (10, 0),
+            TimerKey::ClientTurns => (10, 0),
         };
         kind << PAYLOAD_BITS | payload
     }
@@ -82,7 +82,7 @@
             7 => TimerKey::DiscoveryWatch,
             8 => TimerKey::ShutdownGrace,
             9 => TimerKey::Statistics,
-            10 => TimerKey::PipelinedRequests,
+            10 => TimerKey::ClientTurns,
             _ => return None,
         })
     }
--- a/crates/gateway/src/timers/tests.rs
+++ b/crates/gateway/src/timers/tests.rs
@@ -15,7 +15,7 @@
         TimerKey::DiscoveryWatch,
         TimerKey::ShutdownGrace,
         TimerKey::Statistics,
-        TimerKey::PipelinedRequests,
+        TimerKey::ClientTurns,
     ];
     for (kind, timer) in timers.into_iter().enumerate() {
         let key = timer.encode();
--- a/crates/gateway/tests/client_connections.rs
+++ b/crates/gateway/tests/client_connections.rs
@@ -343,6 +343,36 @@
     assert!(!harness.paused.contains(&client) && !harness.ended.contains_key(&client));
 }
 
+/// Guards against commands of some clients that take up whole iterations, so that the events and timers of others wait.
+#[test]
+fn commands_of_many_clients_are_answered_in_turns() {
+    let mut harness = Harness::new();
+    let commands = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n".repeat(1_500);
+    let clients: Vec<_> = (0..20).map(|_| harness.connect_client()).collect();
+    clients.iter().for_each(|client| harness.deliver(*client, &commands));
+    let count =
+        |harness: &Harness| clients.iter().map(|client| harness.statuses(*client).len()).sum::<usize>();
+    let mut answered = count(&harness);
+    assert!(clients.iter().all(|client| harness.paused.contains(client)));
+    let mut iterations = 0;
+    while answered < clients.len() * 1_500 {
+        assert!(
+            harness.next_timer().is_some_and(|timer| timer == harness.now),
+            "the next turns are due at once"
+        );
+        harness.fire_next_timer();
+        let answered_before = std::mem::replace(&mut answered, count(&harness));
+        assert!(
+            (1..=4_096).contains(&(answered - answered_before)),
+            "{} at once",
+            answered - answered_before
+        );
+        iterations += 1;
+    }
+    assert!(iterations >= 5, "{iterations} iterations");
+    assert!(harness.paused.is_empty());
+}
+
 /// Guards against a disconnect that is not seen, because nothing is read from a client whose request is open.
 #[test]
 fn an_open_request_behind_many_commands_is_cancelled_when_its_client_disconnects() {
@@ -367,7 +397,9 @@
         let mut harness = Harness::new();
         let client = harness.connect_client();
         harness.deliver(client, &complete[..arrived_bytes]);
-        (0..200).for_each(|_| drop(harness.connect_client()));
+        for _ in 0..200 {
+            harness.connect_client();
+        }
         assert_eq!(harness.statuses(client), [408], "{arrived_bytes} bytes have arrived");
         assert_eq!(harness.ended.get(&client), Some(&false));
     }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -208,15 +208,20 @@
     /// Advances the clock by `time`; timers fire when they are due.
     pub fn advance(&mut self, time: Micros) {
         let until = self.now + time;
-        while let Some(&(at, key)) = self.timers.first().filter(|(at, _)| *at <= until) {
-            self.timers.pop_first();
-            self.now = self.now.max(at);
-            self.gateway.on_timer(self.now, key, &mut self.effects);
-            self.run_until_idle();
+        while self.next_timer().is_some_and(|at| at <= until) {
+            self.fire_next_timer();
         }
         self.now = until;
     }
 
+    /// Fires the timer that is due next, if one is set.
+    pub fn fire_next_timer(&mut self) {
+        let Some((at, key)) = self.timers.pop_first() else { return };
+        self.now = self.now.max(at);
+        self.gateway.on_timer(self.now, key, &mut self.effects);
+        self.run_until_idle();
+    }
+
     /// Returns all that the gateway has sent on a connection, as text.
     pub fn sent_text(&self, connection: ConnectionId) -> String {
         String::from_utf8_lossy(self.sent.get(&connection).map_or(&[], Vec::as_slice)).into_owned()
--- a/crates/gateway/tests/memory_limit.rs
+++ b/crates/gateway/tests/memory_limit.rs
@@ -213,6 +213,7 @@
     let commands = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n".repeat(2_000);
     for piece in commands.as_bytes().chunks(60_000) {
         harness.deliver(client, piece);
+        harness.advance(MS);
     }
     assert_eq!(harness.statuses(client).len(), 2_000);
     assert!(!harness.ended.contains_key(&client), "the connection stays open");
