Show that a load report in a head that is no text ends a good stream

Cause: Fields::new refuses a whole head if any field's value isn't UTF-8, so a stream with a load report that can't be read counts as an error of its worker, and is cut off after its first event.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Plays the case once; see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")" || exit 2
+command -v python3 >/dev/null || exit 2
+exec python3 -B case.py
