--- a/review/8/case.py
+++ b/review/8/case.py
@@ -47,4 +47,5 @@
     return broken
 
 
-world.play(__file__, body)
+# What was sent, answered and run goes to record.txt in this folder.
+world.play(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"), body)
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -22,10 +22,10 @@
 
 
 class Record:
-    """Writes record.txt: one line for each event, with the seconds since the start."""
+    """Writes the record of a play: one line for each event, with the seconds since the start."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w")
+    def __init__(self, path):
+        self.file = open(path, "w")
         self.start = time.monotonic()
         self.lock = threading.Lock()
 
@@ -621,11 +621,10 @@
 
 
 class Case:
-    """One play of a case: `with Case(__file__) as case`. Ends what it started, whatever happens."""
+    """One play of a case. `end` ends what it started."""
 
-    def __init__(self, file):
-        self.folder = os.path.dirname(os.path.abspath(file))
-        self.record = Record(self.folder)
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self.temporary = tempfile.mkdtemp(prefix="review-")
         self.states = States(self.record)
         self.agent = Agent(self.record).start()
@@ -656,13 +655,13 @@
         shutil.rmtree(self.temporary, ignore_errors=True)
 
 
-def play(file, body):
-    """Runs `body(case)`, which returns the broken rules as texts, and exits with 0, 1 or 2."""
+def play(record_path, body):
+    """Runs `body(case)`, which returns the broken rules as texts, writes the record, and exits with 0, 1 or 2."""
     case, code = None, COULD_NOT_RUN
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: sys.exit(COULD_NOT_RUN))  # what was started is ended below
     try:
-        case = Case(file)
+        case = Case(record_path)
         broken = body(case)
         for text in broken:
             case.record("verdict", "BROKEN: " + text)
