Accept fields that are no text in heads of responses and requests

Cause: Fields::new failed the whole head if the value of any field was not UTF-8, whether it was used or not. RFC 9110, 5.5 allows bytes over 0x7F.

Change: values are bytes, read as text only where they are needed as text. Framing fields that are no text are rejected as before.

It works because no field that the router does not use can fail a head any more by its bytes.

--- a/crates/gateway/src/egress.rs
+++ b/crates/gateway/src/egress.rs
@@ -133,8 +133,8 @@
     ) {
         let context = &request.context;
         let remaining_ms = (request.deadline.saturating_sub(self.now) / 1_000).to_string();
-        let forwarded = context.headers.iter().map(|(name, value)| (name.as_str(), value.as_str()));
-        let fields = forwarded.chain([(headers::EXPIRES_IN_MS, remaining_ms.as_str())]);
+        let forwarded = context.headers.iter().map(|(name, value)| (name.as_str(), value.as_slice()));
+        let fields = forwarded.chain([(headers::EXPIRES_IN_MS, remaining_ms.as_bytes())]);
         let head = write::request_head("POST", &context.target, fields, context.body.len());
         self.effects.send(connection, head);
         self.effects.send(connection, context.body.clone());
--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -70,7 +70,7 @@
 /// Returns the id of a worker. Routers rank workers by id, so it is derived from the name, which every router sees, and
 /// not from the address.
 pub fn worker_id(name: &str) -> WorkerId {
-    let [a, b, c, d, e, f, ..] = hash_name(name).to_le_bytes();
+    let [a, b, c, d, e, f, ..] = hash_name(name.as_bytes()).to_le_bytes();
     [a, b, c, d, e, f]
 }
 
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -48,8 +48,8 @@
 }
 
 /// Hashes a name to a number that is the same at every router and after every start.
-pub fn hash_name(name: &str) -> u64 {
-    let hash = blake3::hash(name.as_bytes());
+pub fn hash_name(name: &[u8]) -> u64 {
+    let hash = blake3::hash(name);
     let mut first = [0; 8];
     first.copy_from_slice(&hash.as_bytes()[..8]);
     u64::from_le_bytes(first)
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -14,7 +14,7 @@
     /// The request target, as the client sent it.
     pub target: String,
     /// Header fields that are forwarded to workers.
-    pub headers: Vec<(String, String)>,
+    pub headers: Vec<(String, Vec<u8>)>,
     /// The body, kept while a retry may need it.
     pub body: Bytes,
 }
--- a/crates/gateway/src/request_head.rs
+++ b/crates/gateway/src/request_head.rs
@@ -55,7 +55,7 @@
     /// The request target, as it was sent.
     pub target: String,
     /// Header fields that are forwarded to workers.
-    pub headers: Vec<(String, String)>,
+    pub headers: Vec<(String, Vec<u8>)>,
 }
 
 impl RequestHead {
@@ -95,7 +95,7 @@
 }
 
 fn parse_session(fields: &Fields) -> Result<u64, Rejection> {
-    match (fields.one(headers::SESSION), fields.has(headers::SESSION)) {
+    match (fields.one_value(headers::SESSION), fields.has(headers::SESSION)) {
         (Some(name), _) => Ok(hash_name(name)),
         (None, false) => Ok(0),
         (None, true) => Err(Rejection::bad_request("x-object must be there once at most")),
@@ -104,11 +104,11 @@
 
 /// Returns the header fields to forward: all except the remaining time, which is computed anew for each attempt. The
 /// key by which workers deduplicate is forwarded too.
-fn forwarded_headers(fields: &Fields) -> Vec<(String, String)> {
+fn forwarded_headers(fields: &Fields) -> Vec<(String, Vec<u8>)> {
     fields
         .end_to_end()
         .filter(|(name, _)| *name != headers::EXPIRES_IN_MS)
-        .map(|(name, value)| (name.to_string(), value.to_string()))
+        .map(|(name, value)| (name.to_string(), value.to_vec()))
         .collect()
 }
 
@@ -130,13 +130,15 @@
         if !fields.has(headers::PROPERTIES) {
             return Ok(properties);
         }
-        let list = fields.one(headers::PROPERTIES).ok_or(rejection)?;
-        for pair in list.split(',').map(str::trim).filter(|pair| !pair.is_empty()) {
-            let (name, value) = pair.split_once('=').ok_or(rejection)?;
-            match name.trim() {
-                "prefix" => properties.prefix = hash_name(value.trim()).max(1),
-                "prompt_len" => properties.tokens = Some(parse_length(value).ok_or(rejection)?),
-                "prefix_len" | "max_out" => drop(parse_length(value).ok_or(rejection)?),
+        let list = fields.one_value(headers::PROPERTIES).ok_or(rejection)?;
+        let pairs = list.split(|&byte| byte == b',').map(<[u8]>::trim_ascii);
+        for pair in pairs.filter(|pair| !pair.is_empty()) {
+            let equals = pair.iter().position(|&byte| byte == b'=').ok_or(rejection)?;
+            let (name, value) = (pair[..equals].trim_ascii(), pair[equals + 1..].trim_ascii());
+            match name {
+                b"prefix" => properties.prefix = hash_name(value).max(1),
+                b"prompt_len" => properties.tokens = Some(parse_length(value).ok_or(rejection)?),
+                b"prefix_len" | b"max_out" => drop(parse_length(value).ok_or(rejection)?),
                 _ => {}
             }
         }
@@ -144,8 +146,8 @@
     }
 }
 
-fn parse_length(value: &str) -> Option<u32> {
-    u32::try_from(number(value.trim())?).ok()
+fn parse_length(value: &[u8]) -> Option<u32> {
+    u32::try_from(number(std::str::from_utf8(value).ok()?)?).ok()
 }
 
 /// Returns whether a body is one JSON value. A body cut short by a wrong length is not, and is not sent to a worker.
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -12,9 +12,6 @@
     /// The head is not valid HTTP.
     #[error("the head cannot be read: {0}")]
     Malformed(httparse::Error),
-    /// The value of a field is not UTF-8.
-    #[error("a field is no text")]
-    NoText,
     /// The message has a version of HTTP other than 1.1.
     #[error("HTTP/1.1 is spoken here")]
     Version,
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -42,7 +42,7 @@
     if head.version != Some(1) {
         return Err(HttpError::Version);
     }
-    let fields = Fields::new(head.headers)?;
+    let fields = Fields::new(head.headers);
     let hosts = fields.all("host").count();
     if hosts != 1 {
         return Err(HttpError::Host(hosts));
@@ -68,7 +68,7 @@
         return Err(HttpError::Version);
     }
     let status = head.code.unwrap_or_default();
-    let fields = Fields::new(head.headers)?;
+    let fields = Fields::new(head.headers);
     let framing = match status {
         // RFC 9112, 6.3: responses with these statuses have no body, whatever their fields say.
         100..=199 | 204 | 304 => Framing::Length(0),
--- a/crates/http/src/write.rs
+++ b/crates/http/src/write.rs
@@ -1,7 +1,5 @@
 //! Encodes messages as bytes.
 
-use std::fmt::Write;
-
 use bytes::{BufMut, Bytes, BytesMut};
 
 /// Maximum number of bytes that a chunk adds to its data: up to eight hexadecimal digits and two line breaks.
@@ -17,19 +15,20 @@
     fields: impl IntoIterator<Item = (&'a str, &'a str)>,
     body: Option<&[u8]>,
 ) -> Bytes {
-    let mut head = format!("{method} {target} HTTP/1.1\r\n");
+    let mut head = format!("{method} {target} HTTP/1.1\r\n").into_bytes();
     write_fields(&mut head, fields);
     with_body(head, body)
 }
 
-/// Encodes the head of a request whose body of `body_length` bytes the caller sends behind it.
+/// Encodes the head of a request whose body of `body_length` bytes the caller sends behind it. The values of the fields
+/// need not be text.
 pub fn request_head<'a>(
     method: &str,
     target: &str,
-    fields: impl IntoIterator<Item = (&'a str, &'a str)>,
+    fields: impl IntoIterator<Item = (&'a str, &'a [u8])>,
     body_length: usize,
 ) -> Bytes {
-    let mut head = format!("{method} {target} HTTP/1.1\r\n");
+    let mut head = format!("{method} {target} HTTP/1.1\r\n").into_bytes();
     write_fields(&mut head, fields);
     end_head(&mut head, body_length);
     head.into()
@@ -45,7 +44,7 @@
     let mut head = response_head(status, fields, last);
     // RFC 9110, 8.6: a response with status 1xx or 204 has no Content-Length.
     if status == 204 || status < 200 {
-        head.push_str("\r\n");
+        head.extend_from_slice(b"\r\n");
         return head.into();
     }
     with_body(head, Some(body))
@@ -59,7 +58,7 @@
     last: bool,
 ) -> Bytes {
     let mut head = response_head(status, fields, last);
-    head.push_str("transfer-encoding: chunked\r\n\r\n");
+    head.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
     head.into()
 }
 
@@ -76,36 +75,41 @@
     status: u16,
     fields: impl IntoIterator<Item = (&'a str, &'a str)>,
     last: bool,
-) -> String {
-    let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(status));
+) -> Vec<u8> {
+    let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(status)).into_bytes();
     write_fields(&mut head, fields);
     if last {
-        head.push_str("connection: close\r\n");
+        head.extend_from_slice(b"connection: close\r\n");
     }
     head
 }
 
-fn write_fields<'a>(head: &mut String, fields: impl IntoIterator<Item = (&'a str, &'a str)>) {
+fn write_fields<'a, V: AsRef<[u8]> + ?Sized + 'a>(
+    head: &mut Vec<u8>,
+    fields: impl IntoIterator<Item = (&'a str, &'a V)>,
+) {
     for (name, value) in fields {
-        // Writing to a String never fails.
-        let _ = write!(head, "{name}: {value}\r\n");
+        head.extend_from_slice(name.as_bytes());
+        head.extend_from_slice(b": ");
+        head.extend_from_slice(value.as_ref());
+        head.extend_from_slice(b"\r\n");
     }
 }
 
 /// Appends the Content-Length field and the end of the head.
-fn end_head(head: &mut String, body_length: usize) {
-    // Writing to a String never fails.
-    let _ = write!(head, "content-length: {body_length}\r\n\r\n");
+fn end_head(head: &mut Vec<u8>, body_length: usize) {
+    head.extend_from_slice(format!("content-length: {body_length}\r\n\r\n").as_bytes());
 }
 
 /// Returns the message of a head and a body, with a Content-Length field if there is a body.
-fn with_body(mut head: String, body: Option<&[u8]>) -> Bytes {
+fn with_body(mut head: Vec<u8>, body: Option<&[u8]>) -> Bytes {
     let Some(body) = body else {
-        head.push_str("\r\n");
+        head.extend_from_slice(b"\r\n");
         return head.into();
     };
     end_head(&mut head, body.len());
-    [head.as_bytes(), body].concat().into()
+    head.extend_from_slice(body);
+    head.into()
 }
 
 /// Returns the reason phrase of a status code (RFC 9110, 15).
--- a/crates/http/tests/parsing.rs
+++ b/crates/http/tests/parsing.rs
@@ -194,3 +194,22 @@
     QuickCheck::new().rng(Gen::new(60)).tests(CASES / 4).max_tests(CASES / 4).quickcheck(check);
     assert_eq!(write::chunk(b"abc"), Bytes::from_static(b"3\r\nabc\r\n"));
 }
+
+/// Guards against framing fields that are overlooked because their values are no text, and so read differently by others.
+#[test]
+fn a_framing_field_that_is_no_text_is_rejected() {
+    for (line, status) in [
+        (&b"content-length: 5\xff"[..], 400),
+        (b"content-length: 5\r\ncontent-length: \xff", 400),
+        (b"transfer-encoding: chunked\xff", 501),
+        (b"transfer-encoding: chunked\r\ntransfer-encoding: \xff", 501),
+        (b"transfer-encoding: \xff\r\ncontent-length: 5", 400),
+        (b"host: \xff", 400),
+    ] {
+        let head = [b"POST / HTTP/1.1\r\nhost: a\r\n", line, b"\r\n\r\n"].concat();
+        let result = request(&head, &LIMITS).map_err(HttpError::status).map(|_| ());
+        assert_eq!(result, Err(status), "{}", String::from_utf8_lossy(line));
+    }
+    let head = b"HTTP/1.1 200 OK\r\nconnection: \xff, close\r\ncontent-length: 0\r\n\r\n";
+    assert!(response(head, &LIMITS).expect("valid").expect("complete").0.last);
+}
