Discard long chunk extensions and trailers, and accept leading zeros of chunk sizes

What callers saw: a whole stream with a long extension or trailer ended without the last chunk, its single-use request could not be repeated.

Cause: a size line had 256 bytes at most, a size 8 digits with leading zeros, trailers 4 KiB. All of it is ignored (RFC 9112, 7.1.1 and 7.1.2).

Change: extensions and trailers are discarded as they arrive, up to 16 KiB for each chunk and 64 KiB; leading zeros do not count.

--- a/crates/gateway/tests/additional_content.rs
+++ b/crates/gateway/tests/additional_content.rs
@@ -92,3 +92,20 @@
     harness.deliver(watch, chunk(&format!("{}\n", endpoint_list(5))));
     assert_eq!(ready_status(&mut harness), 200);
 }
+
+/// Guards against whole streams that end without the last chunk, for what their chunks carry besides the events.
+#[test]
+fn streams_with_long_chunk_extensions_and_trailers_are_served() {
+    let report = "inflight=7, ".repeat(1_000);
+    let chunks =
+        STREAM_EVENTS.map(|event| format!("0000000000{:x};r=\"{report}\"\r\n{event}\r\n", event.len()));
+    let stream = format!(
+        "{STREAM_HEAD}{}0\r\nEndpoint-Load-Metrics: TEXT {report}\r\nx: \u{1}\r\n\r\n",
+        chunks.concat()
+    );
+    for length in [100, stream.len()] {
+        let (mut harness, client, decode) = decoding_request("once");
+        stream.as_bytes().chunks(length).for_each(|piece| harness.deliver(decode, piece));
+        assert_eq!(decode_chunked(&harness.sent_text(client)), (STREAM_EVENTS.concat(), true));
+    }
+}
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -4,15 +4,17 @@
 
 use crate::{Framing, HttpError};
 
-/// Maximum number of bytes of a chunk's size line, with its extensions.
-const MAX_SIZE_LINE: usize = 256;
-/// Maximum number of bytes of the fields after the last chunk.
-const MAX_TRAILER: usize = 4 << 10;
+/// Maximum number of bytes of a chunk's extensions. They are ignored (RFC 9112, 7.1.1).
+const MAX_EXTENSIONS: usize = 16 << 10;
+/// Maximum number of bytes of the fields after the last chunk, which are ignored.
+const MAX_TRAILER: usize = 64 << 10;
 /// Maximum number of data bytes of a chunk. The chunks of a response hold a few events; a larger size is a mistake or
 /// an attack.
 const MAX_CHUNK: u64 = 1 << 20;
-/// Maximum number of digits of a chunk's size, so that the size fits into 32 bits.
+/// Maximum number of digits of a chunk's size behind leading zeros, so that the size fits into 32 bits.
 const MAX_SIZE_DIGITS: usize = 8;
+/// Maximum number of digits of a chunk's size with leading zeros.
+const MAX_PADDED_SIZE_DIGITS: usize = 256;
 
 /// The part of a body that comes next.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -21,14 +23,16 @@
     Plain(u64),
     /// All bytes up to the end of the connection.
     ToEnd,
-    /// The size line of a chunk.
+    /// The size of a chunk.
     ChunkSize,
+    /// The rest of a size line, after this size, with the number of its bytes that have been read.
+    Extensions(u64, usize),
     /// The remaining data bytes of a chunk.
     ChunkData(u64),
     /// The line break after a chunk.
     ChunkEnd,
-    /// The fields after the last chunk, with the number of their bytes that have been read.
-    Trailer(usize),
+    /// The fields after the last chunk: the number of bytes read of complete lines, and of the line that is being read.
+    Trailer(usize, usize),
     /// Nothing: the body has been read in full.
     Complete,
 }
@@ -95,32 +99,39 @@
                     };
                     return Ok(piece.bytes);
                 }
-                BodyState::ChunkEnd | BodyState::ChunkSize | BodyState::Trailer(_) => {
-                    match self.next_line(buffer)? {
-                        Some(state) => self.state = state,
-                        None => return Ok(None),
-                    }
-                }
+                state => match Self::after_framing(state, buffer)? {
+                    next if next == state => return Ok(None),
+                    next => self.state = next,
+                },
             }
         }
     }
 
-    /// Removes the next line and returns the state after it; `None` while the line is incomplete.
-    fn next_line(&self, buffer: &mut BytesMut) -> Result<Option<BodyState>, HttpError> {
-        match self.state {
-            BodyState::ChunkEnd => Ok(take_chunk_end(buffer)?.then_some(BodyState::ChunkSize)),
-            BodyState::ChunkSize => Ok(take_chunk_size(buffer)?.map(|size| match size {
-                0 => BodyState::Trailer(0),
-                size => BodyState::ChunkData(size),
-            })),
-            BodyState::Trailer(read) => {
-                let line = take_line(buffer, MAX_TRAILER - read, HttpError::ChunkEnd)?;
-                Ok(line.map(|line| match line.len() {
-                    0 => BodyState::Complete,
-                    length => BodyState::Trailer(read + length),
-                }))
+    /// Removes received bytes that frame the chunks, and returns the state after them: the same state if more have to
+    /// arrive first.
+    fn after_framing(state: BodyState, buffer: &mut BytesMut) -> Result<BodyState, HttpError> {
+        match state {
+            BodyState::ChunkEnd if take_chunk_end(buffer)? => Ok(BodyState::ChunkSize),
+            BodyState::ChunkSize => {
+                Ok(take_chunk_size(buffer)?.map_or(state, |size| BodyState::Extensions(size, 0)))
+            }
+            BodyState::Extensions(size, read) => {
+                let line = discard_line(buffer, read, MAX_EXTENSIONS, HttpError::ChunkSize)?;
+                Ok(match line {
+                    DiscardedLine::Incomplete(read) => BodyState::Extensions(size, read),
+                    DiscardedLine::Complete(_) if size == 0 => BodyState::Trailer(0, 0),
+                    DiscardedLine::Complete(_) => BodyState::ChunkData(size),
+                })
             }
-            state => Ok(Some(state)),
+            BodyState::Trailer(lines, read) => {
+                let line = discard_line(buffer, read, MAX_TRAILER - lines, HttpError::ChunkEnd)?;
+                Ok(match line {
+                    DiscardedLine::Incomplete(read) => BodyState::Trailer(lines, read),
+                    DiscardedLine::Complete(0) => BodyState::Complete,
+                    DiscardedLine::Complete(length) => BodyState::Trailer(lines + length, 0),
+                })
+            }
+            state => Ok(state),
         }
     }
 
@@ -146,34 +157,56 @@
     }
 }
 
-/// Removes a chunk's size line and returns the size; `None` while the line is incomplete. The line holds hexadecimal
-/// digits, optionally followed by extensions, which are ignored (RFC 9112, 7.1.1).
+/// Removes a chunk's size, which is hexadecimal digits, and returns it; `None` while it is incomplete.
 fn take_chunk_size(buffer: &mut BytesMut) -> Result<Option<u64>, HttpError> {
-    // A size line begins with a digit; other input is rejected at its first byte.
     let digits = buffer.iter().take_while(|byte| byte.is_ascii_hexdigit()).count();
-    let ends_badly = buffer.get(digits).is_some_and(|byte| !matches!(byte, b'\r' | b';' | b' ' | b'\t'));
-    if digits > MAX_SIZE_DIGITS || ends_badly || (digits == 0 && !buffer.is_empty()) {
-        return Err(HttpError::ChunkSize);
+    let zeros = buffer[..digits].iter().take_while(|&&byte| byte == b'0').count();
+    let is_too_long = digits - zeros > MAX_SIZE_DIGITS || digits > MAX_PADDED_SIZE_DIGITS;
+    match buffer.get(digits) {
+        _ if is_too_long => return Err(HttpError::ChunkSize),
+        None => return Ok(None),
+        Some(b'\r' | b';' | b' ' | b'\t') if digits > 0 => {}
+        Some(_) => return Err(HttpError::ChunkSize),
     }
-    let Some(line) = take_line(buffer, MAX_SIZE_LINE, HttpError::ChunkSize)? else { return Ok(None) };
-    let text = std::str::from_utf8(&line[..digits]).map_err(|_| HttpError::ChunkSize)?;
-    let size = u64::from_str_radix(text, 16).map_err(|_| HttpError::ChunkSize)?;
+    let text = std::str::from_utf8(&buffer[zeros..digits]).map_err(|_| HttpError::ChunkSize)?;
+    let size = if text.is_empty() { 0 } else { u64::from_str_radix(text, 16).unwrap_or(u64::MAX) };
     if size > MAX_CHUNK {
         return Err(HttpError::ChunkSize);
     }
+    buffer.advance(digits);
     Ok(Some(size))
 }
 
-/// Removes a line with its CR LF and returns it without them; `None` while it is incomplete. Returns `error` if the
-/// line is longer than `max_length` or ends in LF alone.
-fn take_line(buffer: &mut BytesMut, max_length: usize, error: HttpError) -> Result<Option<Bytes>, HttpError> {
-    match buffer.iter().take(max_length).position(|&byte| byte == b'\n') {
-        Some(end) if end > 0 && buffer[end - 1] == b'\r' => {
-            let mut line = buffer.split_to(end + 1);
-            line.truncate(end - 1);
-            Ok(Some(line.freeze()))
+/// What [`discard_line`] has discarded, with the number of bytes of the line, its CR LF not counted.
+enum DiscardedLine {
+    Incomplete(usize),
+    Complete(usize),
+}
+
+/// Removes the received part of a line of which `read` bytes were removed before. Returns `error` if the line is longer
+/// than `max_length` or ends in LF alone. Of an incomplete line, only a CR stays in the buffer.
+fn discard_line(
+    buffer: &mut BytesMut,
+    read: usize,
+    max_length: usize,
+    error: HttpError,
+) -> Result<DiscardedLine, HttpError> {
+    let line = match buffer.iter().position(|&byte| byte == b'\n') {
+        Some(end) if end == 0 || buffer[end - 1] != b'\r' => return Err(error),
+        Some(end) => {
+            buffer.advance(end + 1);
+            DiscardedLine::Complete(read + end - 1)
+        }
+        None => {
+            let discarded = buffer.len() - usize::from(buffer.ends_with(b"\r"));
+            buffer.advance(discarded);
+            DiscardedLine::Incomplete(read + discarded)
+        }
+    };
+    match line {
+        DiscardedLine::Incomplete(length) | DiscardedLine::Complete(length) if length > max_length => {
+            Err(error)
         }
-        None if buffer.len() < max_length => Ok(None),
-        _ => Err(error),
+        line => Ok(line),
     }
 }
