--- a/crates/gateway/src/discovery_watch.rs
+++ b/crates/gateway/src/discovery_watch.rs
@@ -6,15 +6,15 @@
 //! answered within [`RESPONSE_TIMEOUT`]. With one failed call, the delay is 3 + 0.4 + 1 + 0.4 s.
 
 use bytes::{Bytes, BytesMut};
-use tideroute_http::{write, Body, HttpError, Limits};
+use tideroute_http::{write, Body, HttpError};
 use tideroute_wire::event_loop::{ConnectionId, Effects};
 use tideroute_wire::{Address, Micros};
 
 use crate::headers;
 use crate::json_splitter::{JsonSplitter, NotJson};
+use crate::response_head::{ResponseHeadParser, RESPONSE_LIMITS};
 use crate::timers::{Timeout, TimerKey};
 
-const RESPONSE_LIMITS: Limits = Limits { head: 16 << 10, fields: 64, body: u64::MAX >> 1 };
 /// Maximum size of one object in bytes: a list of some thousands of workers.
 const MAX_OBJECT_BYTES: usize = 2 << 20;
 /// Microseconds within which the discovery agent, which runs on the same machine, must accept a connection.
@@ -43,6 +43,7 @@
 #[derive(Debug)]
 pub struct DiscoveryWatch {
     connection: Option<ConnectionId>,
+    head_parser: ResponseHeadParser,
     /// Decodes the response's body; `None` until its head is parsed.
     decoder: Option<Body>,
     received: BytesMut,
@@ -56,6 +57,7 @@
     fn default() -> Self {
         DiscoveryWatch {
             connection: None,
+            head_parser: ResponseHeadParser::default(),
             decoder: None,
             received: BytesMut::new(),
             splitter: JsonSplitter::default(),
@@ -92,10 +94,8 @@
         effects: &mut Effects,
     ) -> Result<Vec<Bytes>, WatchError> {
         self.received.extend_from_slice(bytes);
-        while self.decoder.is_none() {
-            if !self.parse_head(now, effects)? {
-                return Ok(vec![]);
-            }
+        if self.decoder.is_none() && !self.parse_head(now, effects)? {
+            return Ok(vec![]);
         }
         let was_pending = !self.splitter.is_empty();
         let objects = self.split_objects()?;
@@ -111,18 +111,14 @@
         Ok(objects)
     }
 
-    /// Parses one head, of the final response or of an interim one. False if it is not complete.
+    /// Parses the head of the final response. False if it is not complete.
     fn parse_head(&mut self, now: Micros, effects: &mut Effects) -> Result<bool, WatchError> {
-        let Some((head, length)) = tideroute_http::response(&self.received, &RESPONSE_LIMITS)? else {
-            return Ok(false);
-        };
-        let _ = self.received.split_to(length);
-        if head.status == 200 {
-            self.decoder = Some(Body::new(head.framing, RESPONSE_LIMITS.body));
-            self.timeout.set(now + SILENCE_TIMEOUT, TimerKey::DiscoveryWatch, effects);
-        } else if head.status >= 200 {
+        let Some(head) = self.head_parser.next(&mut self.received)? else { return Ok(false) };
+        if head.status != 200 {
             return Err(HttpError::Version.into());
         }
+        self.decoder = Some(Body::new(head.framing, RESPONSE_LIMITS.body));
+        self.timeout.set(now + SILENCE_TIMEOUT, TimerKey::DiscoveryWatch, effects);
         Ok(true)
     }
 
@@ -143,6 +139,7 @@
         if let Some(connection) = self.connection.take() {
             effects.abort(connection);
         }
+        self.head_parser = ResponseHeadParser::default();
         self.decoder = None;
         self.received = BytesMut::new();
         self.splitter = JsonSplitter::default();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,8 @@
 //!
 //! The modules form layers, each of which uses only the layers before it:
 //!
-//! 1. `timers`, `headers`, `request_trace`, `capacity`, `memory`, `body_buffer`, `refused_requests`, `json_splitter`
+//! 1. `timers`, `headers`, `request_trace`, `capacity`, `memory`, `body_buffer`, `refused_requests`, `response_head`,
+//!    `json_splitter`
 //! 2. `config`, `request_head`, `request_context`, `endpoint_list`, `worker_connection`, `client_connection`, `client_turns`
 //! 3. `worker_pool`, `clients`, `discovery_watch`, `reserved_state`, and `release_calls`, which connects `worker_pool` and `reserved_state`
 //! 4. `egress` (decisions to calls) and `state` (all parts together), then what each kind of event does: `ingress` with
@@ -41,6 +42,7 @@
 mod request_head;
 mod request_trace;
 mod reserved_state;
+mod response_head;
 mod shutdown;
 mod state;
 mod streaming;
--- a/crates/gateway/src/worker_connection.rs
+++ b/crates/gateway/src/worker_connection.rs
@@ -2,19 +2,16 @@
 
 use bytes::{Bytes, BytesMut};
 use tideroute::types::{RequestId, WorkerId};
-use tideroute_http::{Body, HttpError, Limits};
+use tideroute_http::{Body, HttpError};
 use tideroute_wire::{Address, Micros};
 
 use crate::headers;
-use crate::memory::ChargedBuffer;
+use crate::memory::{ChargedBuffer, MemoryBudget, MemoryCharge};
+use crate::response_head::{ResponseHeadParser, RESPONSE_LIMITS};
 use crate::timers::Timeout;
 
-/// Limits of the head of a worker's response, and of the bytes of a stream.
-const RESPONSE_LIMITS: Limits = Limits { head: 16 << 10, fields: 64, body: u64::MAX >> 1 };
 /// Maximum body size in bytes of a response that is not a stream.
 const MAX_PLAIN_RESPONSE_BYTES: u64 = 256 << 10;
-/// Maximum number of interim responses (1xx) before the final one.
-const MAX_INTERIM_RESPONSES: u8 = 16;
 
 /// What a connection is used for now.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -95,8 +92,10 @@
     pub idle_time: Micros,
     /// Bytes received that are not yet parsed.
     pub received: BytesMut,
-    /// Interim responses to this call so far.
-    pub interim_responses: u8,
+    /// The charge for the received bytes.
+    received_charge: Option<MemoryCharge>,
+    /// Parses the head of the response to this call.
+    head_parser: ResponseHeadParser,
     /// The response, once its head is parsed.
     pub response: Option<IncomingResponse>,
 }
@@ -140,7 +139,8 @@
             idle_since: 0,
             idle_time: 0,
             received: BytesMut::new(),
-            interim_responses: 0,
+            received_charge: None,
+            head_parser: ResponseHeadParser::default(),
             response: None,
         }
     }
@@ -153,7 +153,7 @@
         self.idle_time = if is_reused { now - self.idle_since } else { 0 };
         self.pending_reservation = None;
         self.is_streaming = false;
-        self.interim_responses = 0;
+        self.head_parser = ResponseHeadParser::default();
         self.dispatch_deadline = dispatch_deadline;
         self.timeout.clear();
     }
@@ -173,17 +173,26 @@
         self.received.extend_from_slice(bytes);
     }
 
-    /// Frees the received bytes that are parsed. The last few would otherwise keep the whole buffer in memory.
-    pub fn free_parsed_bytes(&mut self) {
-        self.received = BytesMut::from(&self.received[..]);
+    /// Frees the received bytes that are parsed, and charges the others to `budget`. The last few would otherwise keep
+    /// the whole buffer in memory. Returns false if memory is lacking to wait for the rest of a head.
+    pub fn free_parsed_bytes(&mut self, budget: &MemoryBudget) -> bool {
+        if self.received.is_empty() {
+            self.received = BytesMut::new();
+            self.received_charge = None;
+            return true;
+        }
+        if self.response.is_some() || self.head_parser.has_removed_bytes() {
+            self.received = BytesMut::from(&self.received[..]);
+        }
+        let allocated = self.received.capacity();
+        self.received_charge.get_or_insert_with(|| budget.charge(0)).resize(allocated);
+        self.response.is_some() || !budget.would_exceed(0)
     }
 
     /// Parses the next part of the received bytes.
     pub fn next_event(&mut self) -> Result<ResponseEvent, HttpError> {
-        while self.response.is_none() {
-            if !self.parse_head()? {
-                return Ok(ResponseEvent::Incomplete);
-            }
+        if self.response.is_none() && !self.parse_head()? {
+            return Ok(ResponseEvent::Incomplete);
         }
         let Some(response) = &mut self.response else { return Ok(ResponseEvent::Incomplete) };
         if let Some(piece) = response.body.next(&mut self.received)? {
@@ -195,19 +204,9 @@
         Ok(ResponseEvent::Complete(response.status()))
     }
 
-    /// Parses one head, of the final response or of an interim one. False if it is not complete.
+    /// Parses the head of the final response. False if it is not complete.
     fn parse_head(&mut self) -> Result<bool, HttpError> {
-        let Some((head, length)) = tideroute_http::response(&self.received, &RESPONSE_LIMITS)? else {
-            return Ok(false);
-        };
-        let _ = self.received.split_to(length);
-        if (100..200).contains(&head.status) {
-            self.interim_responses += 1;
-            if self.interim_responses > MAX_INTERIM_RESPONSES {
-                return Err(HttpError::HeadTooLarge(RESPONSE_LIMITS.head));
-            }
-            return Ok(true);
-        }
+        let Some(head) = self.head_parser.next(&mut self.received)? else { return Ok(false) };
         let is_stream = self.is_decode_attempt() && head.status == 200;
         let max_body_bytes = if is_stream { RESPONSE_LIMITS.body } else { MAX_PLAIN_RESPONSE_BYTES };
         self.response = Some(IncomingResponse {
--- a/crates/gateway/src/worker_events.rs
+++ b/crates/gateway/src/worker_events.rs
@@ -81,7 +81,12 @@
         loop {
             let Some(worker_connection) = self.workers.get_mut(connection) else { return };
             match worker_connection.next_event() {
-                Ok(ResponseEvent::Incomplete) => return worker_connection.free_parsed_bytes(),
+                Ok(ResponseEvent::Incomplete) => {
+                    if !worker_connection.free_parsed_bytes(&self.response_memory) {
+                        self.response_invalid(now, connection, effects);
+                    }
+                    return;
+                }
                 Ok(ResponseEvent::Body(200, piece)) if worker_connection.is_decode_attempt() => {
                     if !self.stream_data(now, connection, piece, effects) {
                         return self.response_invalid(now, connection, effects);
--- a/crates/gateway/tests/additional_content.rs
+++ b/crates/gateway/tests/additional_content.rs
@@ -93,6 +93,34 @@
     assert_eq!(ready_status(&mut harness), 200);
 }
 
+/// Returns load reports that nobody can read: too long, of many lines, folded, and with control characters.
+fn odd_reports() -> [(&'static str, String); 4] {
+    let name = "Endpoint-Load-Metrics";
+    [
+        ("a long report", format!("{name}: TEXT {}\r\n", "inflight=7, ".repeat(1_700))),
+        ("a report of many lines", format!("{name}: TEXT inflight=7\r\n").repeat(80)),
+        ("a folded report", format!("{name}: TEXT inflight=7,\r\n queue=2,\r\n\tutil=0.61\r\n")),
+        ("a report of control characters", format!("{name} : TEXT \0\u{1}\u{7f}\r\n")),
+    ]
+}
+
+/// Guards against good streams that are cut off for a long, folded or garbled field, or for many fields.
+#[test]
+fn responses_with_an_odd_load_report_are_served() {
+    for (case, report) in odd_reports() {
+        assert_served_with(case, report.as_bytes(), b"");
+        let interim = format!("HTTP/1.1 103 Early Hints\r\n{report}\r\n");
+        assert_served_with(case, b"", interim.as_bytes());
+    }
+}
+
+/// Guards against good streams that are cut off for the number of the interim responses before them.
+#[test]
+fn responses_behind_many_interim_responses_are_served() {
+    let interim = "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 100 Continue\r\nx: y\r\n\r\n".repeat(50);
+    assert_served_with("100 interim responses", b"", interim.as_bytes());
+}
+
 /// Guards against whole streams that end without the last chunk, for what their chunks carry besides the events.
 #[test]
 fn streams_with_long_chunk_extensions_and_trailers_are_served() {
@@ -109,3 +137,17 @@
         assert_eq!(decode_chunked(&harness.sent_text(client)), (STREAM_EVENTS.concat(), true));
     }
 }
+
+/// Guards against drains that are never learnt, because each watch is ended for what its head brings.
+#[test]
+fn a_watch_with_odd_fields_and_many_interim_responses_is_read() {
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n".repeat(100);
+    for (case, report) in odd_reports() {
+        let mut harness = Harness::new();
+        let (watch, _) = harness.watch();
+        let head = format!("{interim}HTTP/1.1 200 OK\r\n{report}transfer-encoding: chunked\r\n\r\n");
+        head.as_bytes().chunks(1_000).for_each(|piece| harness.deliver(watch, piece));
+        harness.deliver(watch, chunk(&format!("{}\n", endpoint_list(5))));
+        assert_eq!(ready_status(&mut harness), 200, "{case}");
+    }
+}
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -4,6 +4,9 @@
 
 use crate::{Fields, Framing, HttpError, Limits};
 
+/// Number of fields for which room is made at first when a response is parsed. Most have fewer.
+const USUAL_FIELDS: usize = 64;
+
 /// The head of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Request {
@@ -59,10 +62,39 @@
 
 /// Parses the head of a response as [`request`] does that of a request. An informational head (status 1xx) is returned
 /// as a response without a body.
+///
+/// What RFC 9110 and 9112 let a recipient of responses put up with is accepted: blanks before a field's colon, values
+/// folded over several lines, and control characters in values, which are read as blanks.
 pub fn response(buffer: &[u8], limits: &Limits) -> Result<Option<(Response, usize)>, HttpError> {
-    let mut headers = vec![httparse::EMPTY_HEADER; limits.fields];
+    match parse_response(buffer, limits) {
+        Err(HttpError::Malformed(httparse::Error::HeaderValue)) => {
+            let head = &buffer[..buffer.len().min(limits.head + 1)];
+            parse_response(&with_blanks_for_control_characters(head), limits)
+        }
+        result => result,
+    }
+}
+
+fn parse_response(buffer: &[u8], limits: &Limits) -> Result<Option<(Response, usize)>, HttpError> {
+    let usual_fields = limits.fields.min(USUAL_FIELDS);
+    match parse_response_fields(buffer, limits, usual_fields) {
+        Err(HttpError::TooManyFields(_)) => parse_response_fields(buffer, limits, limits.fields),
+        result => result,
+    }
+}
+
+/// Parses the head of a response with at most `max_fields` fields.
+fn parse_response_fields(
+    buffer: &[u8],
+    limits: &Limits,
+    max_fields: usize,
+) -> Result<Option<(Response, usize)>, HttpError> {
+    let mut headers = vec![httparse::EMPTY_HEADER; max_fields];
     let mut head = httparse::Response::new(&mut headers);
-    let parsed = head.parse(buffer);
+    let mut parser = httparse::ParserConfig::default();
+    parser.allow_spaces_after_header_name_in_responses(true);
+    parser.allow_obsolete_multiline_headers_in_responses(true);
+    let parsed = parser.parse_response(&mut head, buffer);
     let Some(length) = head_length(parsed, buffer, limits)? else { return Ok(None) };
     if head.version != Some(1) {
         return Err(HttpError::Version);
@@ -78,6 +110,27 @@
     Ok(Some((Response { status, framing, last, fields }, length)))
 }
 
+/// Returns a head in which each control character in a field's value is a blank (RFC 9110, 5.5). Names and the first line
+/// stay as they are.
+fn with_blanks_for_control_characters(head: &[u8]) -> Vec<u8> {
+    let mut cleaned = Vec::with_capacity(head.len());
+    for (number, line) in head.split_inclusive(|&byte| byte == b'\n').enumerate() {
+        let value_start = match line.first() {
+            _ if number == 0 => line.len(),
+            // The line continues the value of the line before it.
+            Some(b' ' | b'\t') => 0,
+            _ => line.iter().position(|&byte| byte == b':').map_or(line.len(), |colon| colon + 1),
+        };
+        let (name, value) = line.split_at(value_start);
+        let line_end = if value.ends_with(b"\r\n") { 2 } else { usize::from(value.ends_with(b"\n")) };
+        let (value, line_end) = value.split_at(value.len() - line_end);
+        cleaned.extend_from_slice(name);
+        cleaned.extend(value.iter().map(|&byte| if byte.is_ascii_control() { b' ' } else { byte }));
+        cleaned.extend_from_slice(line_end);
+    }
+    cleaned
+}
+
 /// Returns the length in bytes of a complete head within the limits; `None` while the head is incomplete.
 fn head_length(
     parsed: Result<Status<usize>, httparse::Error>,
--- a/crates/http/tests/parsing.rs
+++ b/crates/http/tests/parsing.rs
@@ -233,3 +233,27 @@
         assert_eq!(read_body(Framing::Chunked, &pieces), Ok(whole), "pieces of {length} bytes");
     }
 }
+
+/// Guards against responses that are rejected for a field that nobody reads. In requests the same lines are rejected.
+#[test]
+fn response_fields_that_a_recipient_may_put_up_with_are_read() {
+    for line in ["x: \u{1}\u{7f}\0\x1b[0m", "x: a\r\n b\r\n\t\u{2}c", "x : a", "x: a\rb", "x:"] {
+        let text = format!("HTTP/1.1 200 OK\r\n{line}\r\ncontent-length: 4\r\ny: \u{1}\r\n\r\nbody");
+        let (head, length) = response(text.as_bytes(), &LIMITS).expect(line).expect("complete");
+        assert_eq!((head.framing, &text[length..]), (Framing::Length(4), "body"), "{line:?}");
+        for split in 0..length {
+            assert_eq!(response(&text.as_bytes()[..split], &LIMITS), Ok(None), "{line:?} split at {split}");
+        }
+        let request_text = format!("GET / HTTP/1.1\r\nhost: a\r\n{line}\r\n\r\n");
+        assert!(line == "x:" || request(request_text.as_bytes(), &LIMITS).is_err(), "{line:?} in a request");
+    }
+    for malformed in [
+        "HTTP/1.1 2\u{1}0 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\u{1}x: y\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nno field\r\n\r\n",
+        "noise\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 5\07\r\n\r\n",
+    ] {
+        assert!(response(malformed.as_bytes(), &LIMITS).is_err(), "{malformed:?}");
+    }
+}
