Apply endpoint list updates that hold more than the router needs

What callers saw: drains that are never learnt, so requests go to draining workers, while discovery sends a member that is no UTF-8, or a worker of an unknown kind without an IPv4 address.

Cause: the update was parsed as UTF-8 as a whole, and entries that are left out were checked first; the watch was opened again and got the same update.

Change: bytes that are no UTF-8 are replaced before parsing; an entry whose kind or zone the settings do not name is left out before the rest of it is read. Also an escape in a test of the HTTP parsers that the compiler's lint rejects.

--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -48,9 +48,10 @@
 
 impl EndpointUpdate {
     /// Parses one JSON object. Entries whose kind or zone the settings do not name are left out, because their
-    /// capabilities are unknown.
+    /// capabilities are unknown. Bytes that are no UTF-8 are replaced: they may stand in a member that is not used.
     pub fn parse(text: &[u8], names: &ConfiguredNames) -> Result<EndpointUpdate, EndpointListError> {
-        let update = serde_json::from_slice(text).map_err(|_| EndpointListError::Json)?;
+        let text = String::from_utf8_lossy(text);
+        let update = serde_json::from_str(&text).map_err(|_| EndpointListError::Json)?;
         EndpointUpdate::from_json(&update, names)
     }
 
@@ -88,13 +89,8 @@
         }
         _ => return Err(EndpointListError::Field("state")),
     };
-    let address = parse_address(text("addr")?).ok_or(EndpointListError::Field("addr"))?;
     let kind_name = text("kind")?;
     let zone_name = text("zone")?;
-    let cell = server["cell"].as_u64().and_then(|cell| u16::try_from(cell).ok());
-    let cell = cell.ok_or(EndpointListError::Field("cell"))?;
-    let started_ms = server["started_ms"].as_f64().ok_or(EndpointListError::Field("started_ms"))?;
-    let size = server["weight"].as_f64().unwrap_or(1.0);
     let kind = names.kinds.iter().position(|name| name == kind_name);
     let zone = names.zones.iter().position(|name| name == zone_name);
     let (Some(kind), Some(zone)) = (kind, zone) else {
@@ -105,6 +101,11 @@
         );
         return Ok(None);
     };
+    let address = parse_address(text("addr")?).ok_or(EndpointListError::Field("addr"))?;
+    let cell = server["cell"].as_u64().and_then(|cell| u16::try_from(cell).ok());
+    let cell = cell.ok_or(EndpointListError::Field("cell"))?;
+    let started_ms = server["started_ms"].as_f64().ok_or(EndpointListError::Field("started_ms"))?;
+    let size = server["weight"].as_f64().unwrap_or(1.0);
     let endpoint = Endpoint {
         worker,
         kind: kind as u16,
--- a/crates/gateway/tests/additional_content.rs
+++ b/crates/gateway/tests/additional_content.rs
@@ -151,3 +151,31 @@
         assert_eq!(ready_status(&mut harness), 200, "{case}");
     }
 }
+
+/// Returns an update after which all workers drain, with a note at the first one that is no text, and a worker of another
+/// deployment.
+fn update_with_additions() -> Vec<u8> {
+    let mut servers: Vec<_> =
+        (0..WORKERS.len()).map(|worker| endpoint_entry(worker, "DRAINING", 0)).collect();
+    servers[0]["note"] = serde_json::json!(["@", {"@": null}]);
+    servers.push(serde_json::json!({"id": "s1", "addr": "[::1]:80", "zone": "north", "kind": "scoring", "state": "SERVING"}));
+    let update =
+        serde_json::json!({"version": 6, "full": false, "servers": servers, "sent_by": "@"}).to_string();
+    update.bytes().map(|byte| if byte == b'@' { 0xe9 } else { byte }).collect()
+}
+
+/// Guards against drains that are never learnt, because the update holds more than the router needs: members that are no
+/// text, and workers that the settings do not name, whose entries may look otherwise.
+#[test]
+fn an_update_with_more_than_the_router_needs_is_applied() {
+    let mut harness = Harness::new();
+    harness.send_update(&endpoint_list(5));
+    let (watch, _) = harness.watch();
+    let update = update_with_additions();
+    harness.deliver(watch, [format!("{:x}\r\n", update.len()).as_bytes(), &update, b"\r\n"].concat());
+    harness.advance(20 * MS);
+    assert!(!harness.ended.contains_key(&watch), "the watch stays open");
+    let client = harness.connect_client();
+    harness.deliver(client, chat_request("id", "safe"));
+    assert_eq!(harness.new_attempts(), [], "all workers drain");
+}
--- a/crates/http/tests/parsing.rs
+++ b/crates/http/tests/parsing.rs
@@ -252,7 +252,7 @@
         "HTTP/1.1 200 OK\r\n\u{1}x: y\r\n\r\n",
         "HTTP/1.1 200 OK\r\nno field\r\n\r\n",
         "noise\r\n\r\n",
-        "HTTP/1.1 200 OK\r\ncontent-length: 5\07\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 5\x007\r\n\r\n",
     ] {
         assert!(response(malformed.as_bytes(), &LIMITS).is_err(), "{malformed:?}");
     }
