End responses whose stream is spoilt after its first event, in each framing

Cause: a stream was checked up to its first event and never again: what followed was forwarded, whatever it was, and the end of the framing was taken for the end of the stream.

Change: each line is checked as it passes; a line that is no part of an event stream ends the response without the last chunk, and is not forwarded. Without chunks, a response is completed only if data: [DONE] was its last event.

It works because the size of a swallowed chunk always begins a line, and none is the name of a field.

--- a/crates/gateway/src/streaming.rs
+++ b/crates/gateway/src/streaming.rs
@@ -18,35 +18,9 @@
 /// Number of bytes within which a stream's first event must end.
 const MAX_FIRST_EVENT_BYTES: usize = 64 << 10;
 
-/// Valid beginnings of an event stream: data or a comment.
-const EVENT_PREFIXES: [&[u8]; 2] = [b"data:", b":"];
-
-/// How far the start of a stream has been received, before it is forwarded.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum StreamStart {
-    /// The bytes are not the start of an event.
-    Invalid,
-    Incomplete,
-    /// The first event is complete.
-    Complete,
-}
-
-impl StreamStart {
-    fn of(buffered: &[u8]) -> StreamStart {
-        let may_begin_with = |prefix: &[u8]| buffered.starts_with(prefix) || prefix.starts_with(buffered);
-        if !EVENT_PREFIXES.into_iter().any(may_begin_with) || buffered.len() > MAX_FIRST_EVENT_BYTES {
-            StreamStart::Invalid
-        } else if buffered.windows(2).any(|pair| pair == b"\n\n") {
-            StreamStart::Complete
-        } else {
-            StreamStart::Incomplete
-        }
-    }
-}
-
 impl GatewayState {
-    /// Forwards a piece of a stream. Returns false if the bytes are not a valid response stream, or if its first event is
-    /// incomplete and memory is lacking to wait for the rest.
+    /// Forwards a piece of a stream as far as it consists of events. Returns false if it does not as a whole, or if the
+    /// first event is incomplete and memory is lacking to wait for the rest.
     pub fn stream_data(
         &mut self,
         now: Micros,
@@ -66,21 +40,25 @@
             return true;
         }
         let client = request.context.client;
+        let checked = stream.events.check(piece);
         if stream.is_streaming {
-            effects.send(client, write::chunk(&piece));
-            return true;
-        }
-        stream.buffered.append(&piece, &self.response_memory);
-        match StreamStart::of(stream.buffered.bytes()) {
-            StreamStart::Invalid => false,
-            StreamStart::Incomplete => !self.response_memory.would_exceed(0),
-            StreamStart::Complete => {
-                stream.is_streaming = true;
-                let first_event = stream.buffered.take();
-                self.start_response(now, id, client, &first_event, effects);
-                true
+            if !checked.valid.is_empty() {
+                effects.send(client, write::chunk(&checked.valid));
             }
+            return !checked.is_invalid;
+        }
+        stream.buffered.append(&checked.valid, &self.response_memory);
+        let is_spoilt = checked.is_invalid && !stream.awaits_only_close();
+        if is_spoilt || stream.buffered.bytes().len() > MAX_FIRST_EVENT_BYTES {
+            return false;
+        }
+        if !stream.events.has_complete_event() {
+            return !self.response_memory.would_exceed(0);
         }
+        stream.is_streaming = true;
+        let first_event = stream.buffered.take();
+        self.start_response(now, id, client, &first_event, effects);
+        !checked.is_invalid
     }
 
     fn start_response(
--- a/crates/gateway/src/worker_connection.rs
+++ b/crates/gateway/src/worker_connection.rs
@@ -2,9 +2,10 @@
 
 use bytes::{Bytes, BytesMut};
 use tideroute::types::{RequestId, WorkerId};
-use tideroute_http::{Body, HttpError};
+use tideroute_http::{Body, Framing, HttpError};
 use tideroute_wire::{Address, Micros};
 
+use crate::event_stream::EventStream;
 use crate::headers;
 use crate::memory::{ChargedBuffer, MemoryBudget, MemoryCharge};
 use crate::response_head::{ResponseHeadParser, RESPONSE_LIMITS};
@@ -55,6 +56,7 @@
     never_ran: bool,
     /// Whether the worker closes the connection after the response.
     pub closes_connection: bool,
+    framing: Framing,
     body: Body,
 }
 
@@ -78,6 +80,8 @@
     pub pending_reservation: Option<WorkerId>,
     /// Whether the response is being forwarded to the client.
     pub is_streaming: bool,
+    /// Checks the events of a stream.
+    pub events: EventStream,
     /// The start of a stream until its first event is complete; or a load report.
     pub buffered: ChargedBuffer,
     /// The timeout of the call, or of the idle connection.
@@ -132,6 +136,7 @@
             dispatch_deadline: Micros::MAX,
             pending_reservation: None,
             is_streaming: false,
+            events: EventStream::default(),
             buffered: ChargedBuffer::default(),
             timeout: Timeout::NEVER,
             opened_at: now,
@@ -153,6 +158,7 @@
         self.idle_time = if is_reused { now - self.idle_since } else { 0 };
         self.pending_reservation = None;
         self.is_streaming = false;
+        self.events = EventStream::default();
         self.head_parser = ResponseHeadParser::default();
         self.dispatch_deadline = dispatch_deadline;
         self.timeout.clear();
@@ -213,6 +219,7 @@
             status: head.status,
             never_ran: head.fields.one(headers::NEVER_RAN) == Some("1"),
             closes_connection: head.last,
+            framing: head.framing,
             body: Body::new(head.framing, max_body_bytes),
         });
         Ok(true)
@@ -223,10 +230,28 @@
         self.received.is_empty() && self.response.is_none()
     }
 
-    /// Returns the response that is completed by the end of the connection, if its framing allows that.
+    /// Returns the response that is completed by the end of the connection, if its framing allows that and it is no stream
+    /// of which events are missing.
     pub fn completed_by_close(&self) -> Option<ResponseStatus> {
         let response = self.response.as_ref().filter(|response| response.body.may_end())?;
-        Some(response.status())
+        (!self.is_streaming || self.is_stream_whole()).then_some(response.status())
+    }
+
+    /// Returns whether a stream is whole, if its body ends here. The last chunk proves it; neither a length, which may be
+    /// wrong, nor the end of the connection does, so in these framings the last event has to have arrived.
+    pub fn is_stream_whole(&self) -> bool {
+        match self.response.as_ref().map(|response| response.framing) {
+            Some(Framing::Chunked) => self.events.is_between_lines(),
+            _ => self.events.is_between_lines() && self.events.is_terminated(),
+        }
+    }
+
+    /// Returns whether all events of a stream that ends with its connection have arrived. What follows them does not belong
+    /// to the stream.
+    pub fn awaits_only_close(&self) -> bool {
+        let ends_with_connection =
+            self.response.as_ref().is_some_and(|response| response.framing == Framing::ToEnd);
+        ends_with_connection && self.events.is_terminated()
     }
 }
 
--- a/crates/gateway/src/worker_events.rs
+++ b/crates/gateway/src/worker_events.rs
@@ -101,6 +101,12 @@
                     worker_connection.buffered.append(&piece, &self.response_memory);
                 }
                 Ok(ResponseEvent::Body(..)) => {}
+                Ok(ResponseEvent::Complete(_))
+                    if worker_connection.is_streaming && !worker_connection.is_stream_whole() =>
+                {
+                    tracing::debug!(worker = ?worker_connection.worker, "stream ended before its last event; closing the connection");
+                    return self.response_invalid(now, connection, effects);
+                }
                 Ok(ResponseEvent::Complete(response)) => {
                     return self.response_complete(now, connection, response, effects)
                 }
@@ -186,8 +192,11 @@
         let Some(call) = worker_connection.call else { return };
         // A stream that began correctly counts as cancelled by this router; only a response that never became a valid
         // stream counts against its worker.
-        let is_streaming = worker_connection.is_streaming;
-        let outcome = if is_streaming { AttemptOutcome::Cancelled } else { AttemptOutcome::ServerError };
+        let outcome = match worker_connection.is_streaming {
+            true if worker_connection.awaits_only_close() => AttemptOutcome::Completed,
+            true => AttemptOutcome::Cancelled,
+            false => AttemptOutcome::ServerError,
+        };
         self.workers.abort(connection, effects);
         self.call_failed(now, connection, call, outcome, effects);
     }
--- a/crates/gateway/tests/streaming.rs
+++ b/crates/gateway/tests/streaming.rs
@@ -137,3 +137,103 @@
         );
     }
 }
+
+/// The heads of a stream in each framing; a length of 3 GB stands for one that does not fit.
+const UNFRAMED_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+const ENDLESS_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 3221225472\r\n\r\n";
+
+/// Returns the head of a stream with a content length.
+fn length_head(length: usize) -> String {
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n")
+}
+
+/// Delivers a response to a decode attempt in pieces of some lengths. Each time, returns what the client has received,
+/// whether that is complete, and whether the client's connection is open.
+fn play_stream(response: &str, worker_closes: bool) -> Vec<(String, bool, bool)> {
+    let play_in_pieces = |length: usize| {
+        let (mut harness, client, decode) = decoding_request("once");
+        response.as_bytes().chunks(length).for_each(|piece| harness.deliver(decode, piece));
+        if worker_closes && !harness.ended.contains_key(&decode) {
+            harness.reset(decode);
+        }
+        let (body, is_complete) = decode_chunked(&harness.sent_text(client));
+        (body, is_complete, !harness.ended.contains_key(&client))
+    };
+    [1, 7, 64, response.len()].map(play_in_pieces).into()
+}
+
+/// Guards against clients that get bytes which are no events, and whose connection ends long after the stream was spoilt:
+/// a chunk that holds less than its size says takes in the chunks behind it, and a length that does not fit takes in
+/// whatever is sent.
+#[test]
+fn a_stream_that_continues_with_other_bytes_is_ended_at_once() {
+    let first = chunk(STREAM_EVENTS[0]);
+    let second = STREAM_EVENTS[1];
+    for (case, response) in [
+        (
+            "a chunk size that takes in the next chunk",
+            format!("{STREAM_HEAD}{first}4000\r\n{second}\r\n{}", chunk(second)),
+        ),
+        ("one that looks like a field", format!("{STREAM_HEAD}{first}4000\r\n{second}\r\nda\r\n{second}")),
+        ("one with an extension", format!("{STREAM_HEAD}{first}4000\r\n{second}\r\ne;x=y\r\n{second}")),
+        ("one that takes in the last chunk", format!("{STREAM_HEAD}{first}4000\r\n{second}\r\n0\r\n\r\n")),
+        ("one that ends within an event", format!("{STREAM_HEAD}{first}4000\r\n{second}\r\n5\r\ndata:\r\n")),
+        ("noise in a chunk", format!("{STREAM_HEAD}{first}{}", chunk(&format!("{second}\0noise\n")))),
+        ("noise behind a length", format!("{ENDLESS_HEAD}{}{second}\0noise\n", STREAM_EVENTS[0])),
+        ("noise up to the end", format!("{UNFRAMED_HEAD}{}{second}\0noise\n", STREAM_EVENTS[0])),
+    ] {
+        for (body, is_complete, is_open) in play_stream(&response, false) {
+            assert!(!is_complete, "{case}: {body:?}");
+            assert!(body.is_empty() || !is_open, "{case}: the connection is ended");
+            let valid = [STREAM_EVENTS[0], second].concat();
+            assert!(body == valid || body.is_empty(), "{case}: {body:?}");
+        }
+    }
+}
+
+/// Guards against clients that get the last chunk of a stream whose events have not all arrived.
+#[test]
+fn a_stream_that_ends_before_its_last_event_is_not_completed() {
+    let events = STREAM_EVENTS.concat();
+    for missing in [1, 2, 5, STREAM_EVENTS[2].len(), STREAM_EVENTS[2].len() + 3] {
+        let incomplete = &events[..events.len() - missing];
+        for (case, response, worker_closes) in [
+            ("a length that is too small", format!("{}{events}", length_head(incomplete.len())), false),
+            ("a length that is not reached", format!("{}{incomplete}", length_head(events.len())), true),
+            ("the connection ends", format!("{UNFRAMED_HEAD}{incomplete}"), true),
+            (
+                "the connection ends within a chunk",
+                format!("{STREAM_HEAD}{}", chunk(&events).split_at(missing + 9).0),
+                true,
+            ),
+        ] {
+            for (body, is_complete, is_open) in play_stream(&response, worker_closes) {
+                assert!(!is_complete, "{case}, {missing} bytes missing: {body:?}");
+                assert!(
+                    body.is_empty() || !is_open,
+                    "{case}, {missing} bytes missing: the connection is ended"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against good streams that are cut off for their framing, their line breaks or for what follows them.
+#[test]
+fn a_whole_stream_is_completed_in_each_framing() {
+    let events = STREAM_EVENTS.concat();
+    let other_lines = ": note\r\n\r\nevent: x\r\nid: 1\r\ndata: a\r\n\r\nretry: 5\r\ndata: [DONE]\r\n: Endpoint-Load-Metrics: TEXT\r\n\r\n";
+    let second = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi";
+    for (response, worker_closes, body) in [
+        (format!("{}{events}", length_head(events.len())), false, events.as_str()),
+        (format!("{}{events}{second}", length_head(events.len())), false, &events),
+        (format!("{UNFRAMED_HEAD}{events}"), true, &events),
+        (format!("{UNFRAMED_HEAD}{events}{second}"), false, &events),
+        (format!("{UNFRAMED_HEAD}{other_lines}"), true, other_lines),
+        (format!("{STREAM_HEAD}{}0\r\n\r\n{second}", chunk(other_lines)), false, other_lines),
+    ] {
+        for (received, is_complete, is_open) in play_stream(&response, worker_closes) {
+            assert_eq!((received.as_str(), is_complete, is_open), (body, true, true), "{response:?}");
+        }
+    }
+}
