Read nothing from a client that waits for its turn

What callers saw: one client that sends requests without time left at full speed fills the memory for requests being received (17.7 MB of 32 after a second, 0.6 before), so others are refused.

Cause: such a request is answered in the scheduling pass that follows it, and the next one waits for its client's turn, while 64 KB of input are read in each iteration.

Change: reading is paused until the turn comes, as it is already for commands.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -54,7 +54,7 @@
             }
         }
         for connection in std::mem::take(&mut self.state.deferred.completed_clients) {
-            self.state.client_turns.wait(connection);
+            self.state.wait_for_turn(connection, effects);
         }
         self.state.client_turns.end_iteration(now, effects);
     }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -86,6 +86,14 @@
         self.take_requests(now, connection, effects);
     }
 
+    /// Makes a client wait for its next turn. Until then nothing more is read from it: input at full speed would grow
+    /// beyond any limit, as each turn may answer a single request.
+    pub fn wait_for_turn(&mut self, connection: ConnectionId, effects: &mut Effects) {
+        let Some(client) = self.clients.get_mut(connection) else { return };
+        client.pause_reading(connection, true, effects);
+        self.client_turns.wait(connection);
+    }
+
     /// Parses requests until one is open, more bytes are needed, or the client's turn is over. An open request is answered
     /// before the next one is parsed.
     fn take_requests(&mut self, now: Micros, connection: ConnectionId, effects: &mut Effects) {
--- a/crates/gateway/tests/client_connections.rs
+++ b/crates/gateway/tests/client_connections.rs
@@ -404,3 +404,30 @@
         assert_eq!(harness.ended.get(&client), Some(&false));
     }
 }
+
+/// Guards against memory that one client fills with requests without time left at full speed: a turn answers one of them,
+/// while the next 64 KB of them are read.
+#[test]
+fn requests_without_time_left_are_read_no_faster_than_they_are_answered() {
+    const READ_BYTES: usize = 64 << 10;
+    const MAX_WAITING_BYTES: usize = 2 * READ_BYTES;
+    let mut harness = Harness::new();
+    let client = harness.connect_client();
+    let request = |number: usize| chat_request_with(&format!("id{number:06}"), "safe", 0, "{}");
+    let request_length = request(0).len();
+    let mut sent = 0;
+    for _ in 0..300 {
+        if !harness.paused.contains(&client) {
+            let piece: String = (sent..sent + READ_BYTES / request_length).map(request).collect();
+            sent += READ_BYTES / request_length;
+            harness.deliver(client, piece);
+        }
+        if harness.next_timer().is_some_and(|timer| timer <= harness.now) {
+            harness.fire_next_timer();
+        }
+        let waiting_bytes = (sent - harness.statuses(client).len()) * request_length;
+        assert!(waiting_bytes <= MAX_WAITING_BYTES, "{waiting_bytes} bytes wait");
+    }
+    assert!(harness.statuses(client).len() >= 100, "its requests are answered");
+    harness.reset(client);
+}
