Limit the number of prompt prefixes whose popularity is counted

What callers saw: while one client names ever new prefixes, the router's memory grows by 0.5 MB a second, to 34,000 KB after 30 s with a limit of 32 MB, over which it is killed.

Cause: a prefix was kept until its count had decayed to 0.01, three minutes after one request, and nothing limited their number.

Change: 16,384 prefixes at most; beyond, the rarest are forgotten until half are left.

--- a/src/prefix_popularity.rs
+++ b/src/prefix_popularity.rs
@@ -6,6 +6,9 @@
 use crate::ewma::Ewma;
 use crate::types::TenthMillis;
 
+/// Maximum number of prefixes whose counts are kept. When there are more, the rarest are forgotten.
+const MAX_PREFIXES: usize = 16_384;
+
 /// Decayed counts of requests.
 pub struct Popularity {
     /// The requests with the prefix.
@@ -36,12 +39,23 @@
             *count = Ewma::default();
         }
         count.add(now, time_constant, 1.0);
-        if self.by_prefix.len() > self.sweep_above {
-            self.by_prefix.retain(|_, count| count.read(now, time_constant) > forget_at);
-            self.sweep_above = 2 * self.by_prefix.len();
+        if self.by_prefix.len() > self.sweep_above.min(MAX_PREFIXES) {
+            self.remove_rare(now, time_constant, forget_at);
         }
     }
 
+    /// Removes the prefixes whose count has decayed to `forget_at` or less, and rarer ones than others until half of
+    /// [`MAX_PREFIXES`] are left at most.
+    fn remove_rare(&mut self, now: TenthMillis, time_constant: TenthMillis, forget_at: f64) {
+        let mut least_count = forget_at;
+        self.by_prefix.retain(|_, count| count.read(now, time_constant) > least_count);
+        while self.by_prefix.len() > MAX_PREFIXES / 2 {
+            least_count = (2.0 * least_count).max(1.0);
+            self.by_prefix.retain(|_, count| count.read(now, time_constant) > least_count);
+        }
+        self.sweep_above = 2 * self.by_prefix.len();
+    }
+
     /// Returns the counts for a prefix as of `now`.
     pub fn read(&mut self, now: TenthMillis, time_constant: TenthMillis, prefix: u64) -> Popularity {
         let prefix_count =
@@ -50,3 +64,6 @@
         Popularity { prefix_count, total_count }
     }
 }
+
+#[cfg(test)]
+mod tests;
