--- a/crates/gateway/src/egress.rs
+++ b/crates/gateway/src/egress.rs
@@ -14,6 +14,7 @@
 use crate::clients::Clients;
 use crate::config::Config;
 use crate::discovery_watch::DiscoveryWatch;
+use crate::executed_requests::{AttemptId, ExecutedRequests};
 use crate::headers;
 use crate::request_context::RequestContext;
 use crate::request_trace::{self, TraceEvent};
@@ -71,6 +72,8 @@
     pub workers: &'a mut WorkerPool,
     /// The manager of what workers hold for requests.
     pub reserved_state: &'a mut ReservedStateManager,
+    /// The requests that must not run twice and may have run.
+    pub executed: &'a mut ExecutedRequests,
     /// The watch at discovery.
     pub watch: &'a mut DiscoveryWatch,
     /// Events to hand to the lifecycle afterwards.
@@ -132,6 +135,13 @@
         _permit: AttemptPermit,
     ) {
         let context = &request.context;
+        let call = self.workers.get_mut(connection).and_then(|connection| connection.call);
+        if let Some(Call::Attempt { id, number, is_prefill: false, .. }) = call {
+            if !self.is_repeatable(request) {
+                let attempt = AttemptId { request: id, number };
+                self.executed.attempt_sent(self.now, &context.trace_id, attempt);
+            }
+        }
         let remaining_ms = (request.deadline.saturating_sub(self.now) / 1_000).to_string();
         let forwarded = context.headers.iter().map(|(name, value)| (name.as_str(), value.as_slice()));
         let fields = forwarded.chain([(headers::EXPIRES_IN_MS, remaining_ms.as_bytes())]);
@@ -140,6 +150,12 @@
         self.effects.send(connection, context.body.clone());
     }
 
+    /// Returns whether a request may run any number of times.
+    fn is_repeatable(&self, request: &RequestState<RequestContext>) -> bool {
+        let class = self.config.lifecycle.scheduler.classes.get(usize::from(request.class));
+        class.is_some_and(|class| class.idempotency.is_safe_anywhere())
+    }
+
     /// Returns whether the last byte of an attempt may have been written; true also if its connection is unknown.
     fn may_be_written(&self, connection: ConnectionId) -> bool {
         self.workers.is_written(connection).unwrap_or(true)
@@ -309,6 +325,9 @@
         let trace_id = &request.context.trace_id;
         let event = TraceEvent::AttemptEnded { number: attempt.number, outcome };
         request_trace::record(id, trace_id, event);
+        if outcome.never_ran() {
+            self.executed.attempt_never_ran(trace_id, AttemptId { request: id, number: attempt.number });
+        }
         if outcome == AttemptOutcome::PrefillComplete {
             let (reserved_state, mut context) = self.reserved_state();
             reserved_state.prefill_completed(id, trace_id, attempt.worker, &mut context);
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -28,6 +28,7 @@
 /// bytes are read and discarded, because a disconnect is only seen once all bytes before it have been read.
 const MAX_PIPELINED_BYTES: usize = MAX_HEAD_BYTES + MAX_BODY_BYTES + (8 << 10);
 const DUPLICATE_TRACE_ID: Rejection = Rejection::new(409, "a request with this x-trace-id is open");
+const EXECUTED_TRACE_ID: Rejection = Rejection::new(409, "a request with this x-trace-id may have run");
 
 impl GatewayState {
     /// Accepts a client's connection. At the connection limit, the longest idle one is closed to make room.
@@ -282,6 +283,9 @@
         if self.clients.is_open(&head.trace_id) {
             return self.reject_and_wait(connection, DUPLICATE_TRACE_ID, effects);
         }
+        if self.executed.may_have_run(now, &head.trace_id) {
+            return self.reject_and_wait(connection, EXECUTED_TRACE_ID, effects);
+        }
         if let Some(rejection) = self.lifecycle.check_capacity(false) {
             let text = rejection.reason.text();
             self.egress(now, effects).respond_with_text(connection, 503, rejection.retry_after, text);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,7 @@
 //! The modules form layers, each of which uses only the layers before it:
 //!
 //! 1. `timers`, `headers`, `request_trace`, `capacity`, `memory`, `body_buffer`, `refused_requests`, `response_head`,
-//!    `event_stream`, `json_splitter`
+//!    `event_stream`, `executed_requests`, `json_splitter`
 //! 2. `config`, `request_head`, `request_context`, `endpoint_list`, `worker_connection`, `client_connection`, `client_turns`
 //! 3. `worker_pool`, `clients`, `discovery_watch`, `reserved_state`, and `release_calls`, which connects `worker_pool` and `reserved_state`
 //! 4. `egress` (decisions to calls) and `state` (all parts together), then what each kind of event does: `ingress` with
@@ -31,6 +31,7 @@
 mod endpoint_list;
 mod endpoint_updates;
 mod event_stream;
+mod executed_requests;
 mod gateway;
 mod headers;
 mod ingress;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
 use crate::config::Config;
 use crate::discovery_watch::DiscoveryWatch;
 use crate::egress::{AttemptEnded, DeferredEvents, Egress};
+use crate::executed_requests::ExecutedRequests;
 use crate::memory::MemoryBudget;
 use crate::request_context::RequestContext;
 use crate::reserved_state::{Context, ReservedStateManager};
@@ -38,6 +39,8 @@
     pub workers: WorkerPool,
     /// The manager of what workers hold for requests.
     pub reserved_state: ReservedStateManager,
+    /// The requests that must not run twice and may have run.
+    pub executed: ExecutedRequests,
     /// The memory for responses of which the first event is incomplete, and for load reports.
     pub response_memory: MemoryBudget,
     /// The watch at discovery.
@@ -70,6 +73,7 @@
             clients: Clients::new(&config.capacity),
             workers: WorkerPool::new(max_connections, config.connect_timeout, idle_timeout),
             reserved_state: ReservedStateManager::new(config.release_timeout),
+            executed: ExecutedRequests::default(),
             response_memory: MemoryBudget::new(config.capacity.response_bytes),
             config,
             watch: DiscoveryWatch::default(),
@@ -95,6 +99,7 @@
             clients: &mut self.clients,
             workers: &mut self.workers,
             reserved_state: &mut self.reserved_state,
+            executed: &mut self.executed,
             watch: &mut self.watch,
             deferred: &mut self.deferred,
             is_shutting_down: self.is_shutting_down,
--- a/crates/gateway/tests/attempts.rs
+++ b/crates/gateway/tests/attempts.rs
@@ -400,3 +400,46 @@
     }
     order
 }
+
+/// Ends a request; gets the connections of its client and of its decode attempt.
+type Ending = fn(&mut Harness, ConnectionId, ConnectionId);
+
+/// Guards against a request that runs twice, because its id comes again after its client has left or was answered.
+#[test]
+fn an_id_that_may_have_run_does_not_run_again() {
+    // Each case: what happens after the decode attempt was sent, and whether the request may have run.
+    let endings: [(&str, Ending, bool); 4] = [
+        ("its client leaves", |harness, client, _| harness.reset(client), true),
+        ("it is answered", |harness, _, decode| harness.deliver(decode, streamed_response()), true),
+        ("its worker resets the connection", |harness, _, decode| harness.reset(decode), true),
+        (
+            "all workers turn it away",
+            |harness, _, decode| {
+                harness.deliver(decode, NEVER_RAN);
+                for _ in 0..100 {
+                    harness
+                        .new_attempts()
+                        .iter()
+                        .for_each(|(attempt, _)| harness.deliver(*attempt, NEVER_RAN));
+                    harness.advance(50 * MS);
+                }
+            },
+            false,
+        ),
+    ];
+    for (case, end, may_have_run) in endings {
+        for class in ["once", "safe"] {
+            let (mut harness, client, decode) = decoding_request(class);
+            end(&mut harness, client, decode);
+            harness.advance(100 * MS);
+            harness.new_attempts();
+            let next_client = harness.connect_client();
+            harness.deliver(next_client, chat_request("id", class));
+            harness.advance(100 * MS);
+            let is_refused = harness.statuses(next_client) == [409];
+            let is_open = class == "safe" && case == "its worker resets the connection";
+            assert_eq!(is_refused, (class == "once" && may_have_run) || is_open, "{case}, {class}");
+            assert_eq!(harness.new_attempts().is_empty(), is_refused, "{case}, {class}");
+        }
+    }
+}
