Tell clients that read slowly from clients that do not read

What callers saw: a client that reads a long stream steadily with 50 KB/s was cut off after 82 s, 4.09 of 6.25 MB; with 440 slow readers the router's sockets held 396 MB in the kernel.

Cause: the kernel takes megabytes for a connection and reports it writable again once a third of it is free; until then the router sees no progress, and after 15 s it gives the client up.

Change: the kernel's buffers of raw connections hold 64 KiB each (the kernel doubles this), and the event loop reports each progress while backpressure goes on, which sets the timeout anew.

--- a/crates/gateway/tests/streaming.rs
+++ b/crates/gateway/tests/streaming.rs
@@ -237,3 +237,18 @@
         }
     }
 }
+
+/// Guards against a long response that is cut off although its client reads it, only slowly: 15 seconds after the client
+/// became slow, whatever it had read since.
+#[test]
+fn a_stream_is_not_ended_while_its_slow_client_makes_progress() {
+    let (mut harness, client, decode) = decoding_request("once");
+    harness.deliver(decode, format!("{STREAM_HEAD}{}", chunk(STREAM_EVENTS[0])));
+    for _ in 0..6 {
+        harness.set_backpressure(client, true);
+        harness.advance(10_000 * MS);
+        assert!(harness.paused.contains(&decode) && !harness.ended.contains_key(&decode));
+    }
+    harness.advance(5_100 * MS);
+    assert!(harness.ended.contains_key(&decode), "without progress, the stream is ended after 15 seconds");
+}
--- a/crates/reactor/src/connection.rs
+++ b/crates/reactor/src/connection.rs
@@ -4,7 +4,7 @@
 use std::net::TcpStream;
 
 use bytes::{Bytes, BytesMut};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use tideroute_wire::event_loop::ConnectionId;
 use tideroute_wire::{frame, Address, Malformed, Micros};
 
@@ -22,6 +22,9 @@
 pub const RAW_HIGH_WATERMARK: usize = 32 << 10;
 /// [`LOW_WATERMARK`] of raw connections.
 pub const RAW_LOW_WATERMARK: usize = 8 << 10;
+/// Bytes that each kernel buffer of a raw connection may hold. The kernel's own limits are megabytes: they would count
+/// against the memory of the process, and hide for minutes whether a slow peer reads.
+const RAW_SOCKET_BUFFER: usize = 64 << 10;
 /// Bytes of waiting output above which a connection is closed: four of the largest frames.
 pub const MAX_BUFFERED: usize = 4 << 20;
 
@@ -131,6 +134,18 @@
         Ok(Connection::new(id, socket.into(), ConnectionState::Connecting { deadline }))
     }
 
+    /// Makes this a raw connection, and limits what the kernel buffers for it.
+    pub fn set_raw(&mut self) {
+        self.raw = true;
+        let socket = SockRef::from(&self.stream);
+        let limited = socket
+            .set_send_buffer_size(RAW_SOCKET_BUFFER)
+            .and_then(|()| socket.set_recv_buffer_size(RAW_SOCKET_BUFFER));
+        if let Err(error) = limited {
+            tracing::debug!(%error, "limiting the kernel buffers of a connection failed; continuing with larger ones");
+        }
+    }
+
     /// Returns whether the connection is established; valid once the socket has become writable.
     pub fn is_established(&self) -> bool {
         self.stream.take_error().is_ok_and(|error| error.is_none()) && self.stream.peer_addr().is_ok()
--- a/crates/reactor/src/reactor/accepting.rs
+++ b/crates/reactor/src/reactor/accepting.rs
@@ -135,7 +135,9 @@
             capture.record_with_addresses(now, id, CaptureEvent::Accepted, ends);
         }
         let mut connection = Connection::new(id, stream, ConnectionState::Open);
-        connection.raw = self.raw;
+        if self.raw {
+            connection.set_raw();
+        }
         self.insert(connection, Event::readable(0));
         handler.on_accepted(now, id, listener, effects);
         self.execute(effects);
--- a/crates/reactor/src/reactor/connecting.rs
+++ b/crates/reactor/src/reactor/connecting.rs
@@ -21,7 +21,9 @@
         let to = self.address_overrides.get(&to).copied().unwrap_or(to);
         match Connection::connect(id, to, deadline) {
             Ok(mut connection) => {
-                connection.raw = self.raw;
+                if self.raw {
+                    connection.set_raw();
+                }
                 self.insert(connection, Event::writable(0));
                 self.set_connection_deadline(deadline, id);
             }
--- a/crates/reactor/src/reactor/writing.rs
+++ b/crates/reactor/src/reactor/writing.rs
@@ -59,7 +59,7 @@
             return self.finish_output(slot);
         }
         if !closing {
-            self.update_backpressure(slot);
+            self.update_backpressure(slot, buffered < before);
         }
         let connection = &self.connections[slot];
         if connection.raw && before > 0 && buffered == 0 {
@@ -81,13 +81,15 @@
         }
     }
 
-    /// Notifies the handler if the amount of waiting output has crossed a watermark.
-    fn update_backpressure(&mut self, slot: usize) {
+    /// Notifies the handler if the amount of waiting output has crossed a watermark. The handler of a raw connection is
+    /// also notified of progress while backpressure goes on, by which it tells a slow peer from one that does not read.
+    fn update_backpressure(&mut self, slot: usize, has_progress: bool) {
         let connection = &mut self.connections[slot];
         let watermarks = connection.watermarks();
         let watermark = if connection.backpressure { watermarks.low } else { watermarks.high };
         let backpressure = connection.buffered() > watermark;
-        if backpressure != connection.backpressure {
+        let continues = connection.raw && backpressure && has_progress;
+        if backpressure != connection.backpressure || continues {
             connection.backpressure = backpressure;
             self.notifications.push_back(Notification::Backpressure(connection.id, backpressure));
         }
--- a/crates/reactor/tests/connections.rs
+++ b/crates/reactor/tests/connections.rs
@@ -457,3 +457,47 @@
     );
     assert!(TcpStream::connect(address).is_err(), "the listener accepts no connection after the late client");
 }
+
+/// Bytes of a response that is larger than what the kernel buffers, and within what a connection may queue.
+const LONG_RESPONSE: usize = 3 << 20;
+
+/// Runs a raw loop that sends a long response to its first connection when asked.
+fn run_long_response() -> Run {
+    let mut reactor = Reactor::new(&["127.0.0.1:0".parse().unwrap()]).unwrap();
+    reactor.set_raw(8);
+    let address = reactor.addresses()[0];
+    let script = move |call: &Observed, connection, effects: &mut Effects, _| {
+        if matches!(call, Observed::Received(_)) && connection == ConnectionId(0) {
+            (0..LONG_RESPONSE >> 16).for_each(|_| effects.send(connection, vec![7; 64 << 10].into()));
+        }
+    };
+    let (observed, calls) = channel();
+    let mut handler = ScriptedHandler { observed, script, finished: false };
+    (address, calls, std::thread::spawn(move || reactor.run(&mut handler).unwrap()))
+}
+
+/// Ends a loop of [`run_long_response`].
+fn finish_raw(address: SocketAddr, thread: JoinHandle<RunOutcome>) {
+    let mut last = TcpStream::connect(address).unwrap();
+    last.write_all(b"end").unwrap();
+    assert_eq!(thread.join().unwrap(), RunOutcome::Finished);
+}
+
+/// Guards against peers that read a response slowly and count as peers that do not read, as the kernel's buffer hides it.
+#[test]
+fn a_raw_connection_reports_progress_while_backpressure_goes_on() {
+    let (address, calls, thread) = run_long_response();
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(b"ask").unwrap();
+    let mut part = vec![0; LONG_RESPONSE / 12];
+    let mut reports = 0;
+    while next_call(&calls) != Observed::Backpressure(true) {}
+    for _ in 0..6 {
+        stream.read_exact(&mut part).unwrap();
+        std::thread::sleep(Duration::from_millis(100));
+        reports += usize::from(calls.try_iter().any(|call| call == Observed::Backpressure(true)));
+    }
+    assert!(reports >= 5, "{reports} of 6 times a part was read, progress was reported");
+    drop(stream);
+    finish_raw(address, thread);
+}
