Keep a closing connection while its slow peer reads the response

Cause: a closing connection was ended two seconds after its last progress.

Change: 15 seconds after its last progress, as for open ones, for as many closing connections as may linger; one that had stalled for longer before ends after two seconds as before.

Evidence: a_raw_connection_is_closed_only_after_a_slow_peer_has_read_its_response fails without the change of closing.rs and passes with it.

--- a/crates/reactor/src/reactor/closing.rs
+++ b/crates/reactor/src/reactor/closing.rs
@@ -11,12 +11,15 @@
 use tideroute_wire::Micros;
 
 use super::{Notification, Reactor};
-use crate::connection::ConnectionState;
+use crate::connection::{Connection, ConnectionState};
 
 /// Microseconds within which a closing connection must make progress in sending its output.
 const CLOSE_TIMEOUT: Micros = 500_000;
-/// [`CLOSE_TIMEOUT`] of raw connections, whose peers may be slow.
+/// [`CLOSE_TIMEOUT`] of raw connections, whose peers may be slow, if the last progress was long ago.
 const RAW_CLOSE_TIMEOUT: Micros = 2_000_000;
+/// Microseconds since its last progress for which a closing raw connection is kept: a peer that reads steadily, but
+/// slowly, takes a part of the kernel's buffer at a time.
+const RAW_STALL_TIMEOUT: Micros = 15_000_000;
 /// Maximum number of bytes discarded on a lingering connection: as many as the largest senders have in flight.
 const MAX_DISCARDED: usize = 96 << 20;
 /// Maximum number of chunks discarded on a connection in one iteration, so that a sender at full speed does not starve
@@ -67,15 +70,31 @@
 
     /// Puts a connection into the closing state, or extends the deadline of that state after progress.
     pub(super) fn start_closing(&mut self, slot: usize) {
-        let now = self.now();
+        let deadline = self.closing_deadline(slot);
         let connection = &mut self.connections[slot];
-        let timeout = if connection.raw { RAW_CLOSE_TIMEOUT } else { CLOSE_TIMEOUT };
-        let deadline = now + timeout;
         connection.state = ConnectionState::Closing { deadline };
         let id = connection.id;
         self.set_connection_deadline(deadline, id);
     }
 
+    /// Returns when a closing connection is ended if it makes no progress until then. Only so many raw connections are
+    /// kept for slow peers as may linger, because descriptors are scarce.
+    fn closing_deadline(&self, slot: usize) -> Micros {
+        let now = self.now();
+        let connection = &self.connections[slot];
+        if !connection.raw {
+            return now + CLOSE_TIMEOUT;
+        }
+        let is_closing =
+            |connection: &Connection| matches!(connection.state, ConnectionState::Closing { .. });
+        let closing = self.connections.iter().filter(|(_, other)| is_closing(other)).count();
+        let deadline = now + RAW_CLOSE_TIMEOUT;
+        if closing > self.max_lingering {
+            return deadline;
+        }
+        deadline.max(connection.stalled_since + RAW_STALL_TIMEOUT)
+    }
+
     /// Ends a connection whose output has been sent. If the peer is still sending, closing the socket would reset the
     /// connection, and the reset might overtake the output; an accepted raw connection therefore lingers first.
     pub(super) fn finish_output(&mut self, slot: usize) {
--- a/crates/reactor/tests/connections.rs
+++ b/crates/reactor/tests/connections.rs
@@ -460,15 +460,20 @@
 
 /// Bytes of a response that is larger than what the kernel buffers, and within what a connection may queue.
 const LONG_RESPONSE: usize = 3 << 20;
+/// Time without progress for which a slow peer must be waited for; a peer that reads steadily takes a part at a time.
+const PEER_PAUSE: Duration = Duration::from_millis(3_000);
 
-/// Runs a raw loop that sends a long response to its first connection when asked.
-fn run_long_response() -> Run {
+/// Runs a raw loop that sends a long response to its first connection when asked, and closes it if `closes` is set.
+fn run_long_response(closes: bool) -> Run {
     let mut reactor = Reactor::new(&["127.0.0.1:0".parse().unwrap()]).unwrap();
     reactor.set_raw(8);
     let address = reactor.addresses()[0];
     let script = move |call: &Observed, connection, effects: &mut Effects, _| {
         if matches!(call, Observed::Received(_)) && connection == ConnectionId(0) {
             (0..LONG_RESPONSE >> 16).for_each(|_| effects.send(connection, vec![7; 64 << 10].into()));
+            if closes {
+                effects.close(connection, "closed after its last response");
+            }
         }
     };
     let (observed, calls) = channel();
@@ -483,10 +488,25 @@
     assert_eq!(thread.join().unwrap(), RunOutcome::Finished);
 }
 
+/// Guards against long responses that are cut off although the peer reads them, only slowly: the connection was ended two
+/// seconds after its last progress.
+#[test]
+fn a_raw_connection_is_closed_only_after_a_slow_peer_has_read_its_response() {
+    let (address, _calls, thread) = run_long_response(true);
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(b"ask").unwrap();
+    let mut part = vec![0; 64 << 10];
+    stream.read_exact(&mut part).unwrap();
+    std::thread::sleep(PEER_PAUSE);
+    let rest = std::io::copy(&mut stream, &mut std::io::sink()).expect("no reset");
+    assert_eq!(part.len() + rest as usize, LONG_RESPONSE);
+    finish_raw(address, thread);
+}
+
 /// Guards against peers that read a response slowly and count as peers that do not read, as the kernel's buffer hides it.
 #[test]
 fn a_raw_connection_reports_progress_while_backpressure_goes_on() {
-    let (address, calls, thread) = run_long_response();
+    let (address, calls, thread) = run_long_response(false);
     let mut stream = TcpStream::connect(address).unwrap();
     stream.write_all(b"ask").unwrap();
     let mut part = vec![0; LONG_RESPONSE / 12];
