Let the kernel take whole requests for workers that read them late

Cause: the kernel's send buffers of connections to workers were limited like those to clients, so the last byte was not written within the 0.25 s after which an attempt is given up.

Change: only their receive buffers are limited. What is sent to workers is limited by the memory for requests already.

The new test fails if the send buffers are limited.

--- a/crates/reactor/src/connection.rs
+++ b/crates/reactor/src/connection.rs
@@ -134,13 +134,15 @@
         Ok(Connection::new(id, socket.into(), ConnectionState::Connecting { deadline }))
     }
 
-    /// Makes this a raw connection, and limits what the kernel buffers for it.
+    /// Makes this a raw connection, and limits what the kernel buffers for it. The kernel still takes a whole request for
+    /// a peer that reads it a little later: how much is sent on outbound connections is limited by the handler.
     pub fn set_raw(&mut self) {
         self.raw = true;
         let socket = SockRef::from(&self.stream);
-        let limited = socket
-            .set_send_buffer_size(RAW_SOCKET_BUFFER)
-            .and_then(|()| socket.set_recv_buffer_size(RAW_SOCKET_BUFFER));
+        let mut limited = socket.set_recv_buffer_size(RAW_SOCKET_BUFFER);
+        if !self.id.is_outbound() {
+            limited = limited.and(socket.set_send_buffer_size(RAW_SOCKET_BUFFER));
+        }
         if let Err(error) = limited {
             tracing::debug!(%error, "limiting the kernel buffers of a connection failed; continuing with larger ones");
         }
--- a/crates/reactor/tests/connections.rs
+++ b/crates/reactor/tests/connections.rs
@@ -22,6 +22,7 @@
     Received(Bytes),
     Disconnected(DisconnectReason),
     Backpressure(bool),
+    WriteComplete,
     TimerFired(u64),
 }
 
@@ -77,6 +78,9 @@
     ) {
         self.observe(now, connection, Observed::Backpressure(backpressure), effects);
     }
+    fn on_write_complete(&mut self, now: Micros, connection: ConnectionId, effects: &mut Effects) {
+        self.observe(now, connection, Observed::WriteComplete, effects);
+    }
     fn on_timer(&mut self, now: Micros, key: u64, effects: &mut Effects) {
         self.observe(now, ConnectionId(0), Observed::TimerFired(key), effects);
     }
@@ -521,3 +525,28 @@
     drop(stream);
     finish_raw(address, thread);
 }
+
+/// Guards against requests that are given up because a worker reads them a little later: the kernel has to take them whole.
+#[test]
+fn a_whole_request_is_written_to_a_peer_that_does_not_read_yet() {
+    const REQUEST_BYTES: usize = 264 << 10;
+    let peer = TcpListener::bind("127.0.0.1:0").unwrap();
+    // What the peer does not read is left to this side's buffers.
+    socket2::SockRef::from(&peer).set_recv_buffer_size(4 << 10).unwrap();
+    let peer_address = wire_address(peer.local_addr().unwrap());
+    let mut reactor = Reactor::new(&["127.0.0.1:0".parse().unwrap()]).unwrap();
+    reactor.set_raw(8);
+    let address = reactor.addresses()[0];
+    let script = move |call: &Observed, _, effects: &mut Effects, _| {
+        if *call == Observed::TimerFired(0) {
+            let connection = effects.connect(peer_address, 1_000_000);
+            effects.send(connection, vec![7; REQUEST_BYTES].into());
+        }
+    };
+    let (observed, calls) = channel();
+    let mut handler = ScriptedHandler { observed, script, finished: false };
+    let thread = std::thread::spawn(move || reactor.run(&mut handler).unwrap());
+    let (_stream, _) = peer.accept().unwrap();
+    while next_call(&calls) != Observed::WriteComplete {}
+    finish_raw(address, thread);
+}
