--- a/crates/gateway/src/discovery_watch.rs
+++ b/crates/gateway/src/discovery_watch.rs
@@ -31,9 +31,12 @@
 /// Why the data of a watch cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum WatchError {
-    /// The response is invalid HTTP or has another status than 200.
+    /// The response is invalid HTTP.
     #[error(transparent)]
     Http(#[from] HttpError),
+    /// The response has another status than 200.
+    #[error("the status is {0}")]
+    Status(u16),
     /// The body is not a stream of JSON objects.
     #[error(transparent)]
     Json(#[from] NotJson),
@@ -115,7 +118,7 @@
     fn parse_head(&mut self, now: Micros, effects: &mut Effects) -> Result<bool, WatchError> {
         let Some(head) = self.head_parser.next(&mut self.received)? else { return Ok(false) };
         if head.status != 200 {
-            return Err(HttpError::Version.into());
+            return Err(WatchError::Status(head.status));
         }
         self.decoder = Some(Body::new(head.framing, RESPONSE_LIMITS.body));
         self.timeout.set(now + SILENCE_TIMEOUT, TimerKey::DiscoveryWatch, effects);
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -1,6 +1,6 @@
-//! Accounts for the memory that requests and unfinished responses occupy. Each buffer carries a [`MemoryCharge`], which counts against the
-//! [`MemoryBudget`] until the buffer is dropped, wherever it is by then: still being received, stored with its request,
-//! or queued on a connection to a worker.
+//! Accounts for the memory that requests and unfinished responses occupy. Each buffer carries a [`MemoryCharge`], which
+//! counts against the [`MemoryBudget`] until the buffer is dropped, wherever it is by then: still being received, stored
+//! with its request, or queued on a connection to a worker.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
