--- a/crates/gateway/src/egress.rs
+++ b/crates/gateway/src/egress.rs
@@ -134,14 +134,8 @@
         request: &RequestState<RequestContext>,
         _permit: AttemptPermit,
     ) {
+        self.record_execution(connection, request);
         let context = &request.context;
-        let call = self.workers.get_mut(connection).and_then(|connection| connection.call);
-        if let Some(Call::Attempt { id, number, is_prefill: false, .. }) = call {
-            if !self.is_repeatable(request) {
-                let attempt = AttemptId { request: id, number };
-                self.executed.attempt_sent(self.now, &context.trace_id, attempt);
-            }
-        }
         let remaining_ms = (request.deadline.saturating_sub(self.now) / 1_000).to_string();
         let forwarded = context.headers.iter().map(|(name, value)| (name.as_str(), value.as_slice()));
         let fields = forwarded.chain([(headers::EXPIRES_IN_MS, remaining_ms.as_bytes())]);
@@ -150,6 +144,18 @@
         self.effects.send(connection, context.body.clone());
     }
 
+    /// Remembers a request that must not run twice, if the attempt on `connection` executes it.
+    fn record_execution(&mut self, connection: ConnectionId, request: &RequestState<RequestContext>) {
+        if self.is_repeatable(request) {
+            return;
+        }
+        let call = self.workers.get_mut(connection).and_then(|connection| connection.call);
+        if let Some(Call::Attempt { id, number, is_prefill: false, .. }) = call {
+            let attempt = AttemptId { request: id, number };
+            self.executed.attempt_sent(self.now, &request.context.trace_id, attempt);
+        }
+    }
+
     /// Returns whether a request may run any number of times.
     fn is_repeatable(&self, request: &RequestState<RequestContext>) -> bool {
         let class = self.config.lifecycle.scheduler.classes.get(usize::from(request.class));
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -110,25 +110,40 @@
     Ok(Some((Response { status, framing, last, fields }, length)))
 }
 
-/// Returns a head in which each control character in a field's value is a blank (RFC 9110, 5.5). Names and the first line
-/// stay as they are.
-fn with_blanks_for_control_characters(head: &[u8]) -> Vec<u8> {
-    let mut cleaned = Vec::with_capacity(head.len());
-    for (number, line) in head.split_inclusive(|&byte| byte == b'\n').enumerate() {
-        let value_start = match line.first() {
-            _ if number == 0 => line.len(),
-            // The line continues the value of the line before it.
-            Some(b' ' | b'\t') => 0,
-            _ => line.iter().position(|&byte| byte == b':').map_or(line.len(), |colon| colon + 1),
-        };
-        let (name, value) = line.split_at(value_start);
-        let line_end = if value.ends_with(b"\r\n") { 2 } else { usize::from(value.ends_with(b"\n")) };
-        let (value, line_end) = value.split_at(value.len() - line_end);
-        cleaned.extend_from_slice(name);
-        cleaned.extend(value.iter().map(|&byte| if byte.is_ascii_control() { b' ' } else { byte }));
-        cleaned.extend_from_slice(line_end);
+/// Returns the head at the start of `received`, in which each control character in a field's value is a blank (RFC 9110,
+/// 5.5). Names and the first line stay as they are.
+fn with_blanks_for_control_characters(received: &[u8]) -> Vec<u8> {
+    let mut head = vec![];
+    let mut is_first_line = true;
+    for line in received.split_inclusive(|&byte| byte == b'\n') {
+        let is_empty = matches!(line, b"\r\n" | b"\n");
+        if is_empty || is_first_line {
+            head.extend_from_slice(line);
+        } else {
+            append_field_line(&mut head, line);
+        }
+        if is_empty && !is_first_line {
+            break;
+        }
+        // Empty lines before the first line are ignored (RFC 9112, 2.2).
+        is_first_line &= is_empty;
     }
-    cleaned
+    head
+}
+
+/// Appends a line of a head, with blanks for the control characters in the value.
+fn append_field_line(head: &mut Vec<u8>, line: &[u8]) {
+    let value_start = match line.first() {
+        // The line continues the value of the line before it.
+        Some(b' ' | b'\t') => 0,
+        _ => line.iter().position(|&byte| byte == b':').map_or(line.len(), |colon| colon + 1),
+    };
+    let (name, value) = line.split_at(value_start);
+    let line_end = if value.ends_with(b"\r\n") { 2 } else { usize::from(value.ends_with(b"\n")) };
+    let (value, line_end) = value.split_at(value.len() - line_end);
+    head.extend_from_slice(name);
+    head.extend(value.iter().map(|&byte| if byte.is_ascii_control() { b' ' } else { byte }));
+    head.extend_from_slice(line_end);
 }
 
 /// Returns the length in bytes of a complete head within the limits; `None` while the head is incomplete.
--- a/crates/http/tests/parsing.rs
+++ b/crates/http/tests/parsing.rs
@@ -247,6 +247,10 @@
         let request_text = format!("GET / HTTP/1.1\r\nhost: a\r\n{line}\r\n\r\n");
         assert!(line == "x:" || request(request_text.as_bytes(), &LIMITS).is_err(), "{line:?} in a request");
     }
+    // Empty lines before the first line are ignored, and what follows the head is not looked at.
+    let text = "\r\n\r\nHTTP/1.1 200 OK\r\nx: \u{1}\r\ncontent-length: 0\r\n\r\n\u{1}: \u{1}\r\n";
+    let (_, length) = response(text.as_bytes(), &LIMITS).expect("valid").expect("complete");
+    assert_eq!(&text[length..], "\u{1}: \u{1}\r\n");
     for malformed in [
         "HTTP/1.1 2\u{1}0 OK\r\n\r\n",
         "HTTP/1.1 200 OK\r\n\u{1}x: y\r\n\r\n",
