Free the charge for received bytes with their buffer when a call ends

Cause: call_finished freed the received bytes of a connection, but not the charge for them.

Change: free_received frees both, in both places where the buffer is dropped.

Evidence: found by reading the whole change again; a_head_that_came_in_pieces_is_not_charged_once_its_call_has_ended fails without it and passes now.

--- a/crates/gateway/src/worker_connection.rs
+++ b/crates/gateway/src/worker_connection.rs
@@ -179,12 +179,17 @@
         self.received.extend_from_slice(bytes);
     }
 
+    /// Frees the buffer of received bytes, with the charge for it.
+    pub fn free_received(&mut self) {
+        self.received = BytesMut::new();
+        self.received_charge = None;
+    }
+
     /// Frees the received bytes that are parsed, and charges the others to `budget`. The last few would otherwise keep
     /// the whole buffer in memory. Returns false if memory is lacking to wait for the rest of a head.
     pub fn free_parsed_bytes(&mut self, budget: &MemoryBudget) -> bool {
         if self.received.is_empty() {
-            self.received = BytesMut::new();
-            self.received_charge = None;
+            self.free_received();
             return true;
         }
         if self.response.is_some() || self.head_parser.has_removed_bytes() {
--- a/crates/gateway/src/worker_pool.rs
+++ b/crates/gateway/src/worker_pool.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use tideroute::types::{RequestId, WorkerId};
 use tideroute_wire::event_loop::{ConnectionId, Effects};
 use tideroute_wire::{Address, Micros};
@@ -329,7 +329,7 @@
             self.abort(id, effects);
             return call;
         }
-        connection.received = BytesMut::new();
+        connection.free_received();
         connection.idle_since = now;
         connection.timeout.set(now + self.idle.idle_timeout(), TimerKey::Worker(id), effects);
         let reusable_at = if connection.is_streaming { now + LATE_RESPONSE_WINDOW } else { now };
--- a/crates/gateway/tests/memory_limit.rs
+++ b/crates/gateway/tests/memory_limit.rs
@@ -236,3 +236,25 @@
     assert_eq!(harness.statuses(client).len(), 2_000);
     assert!(!harness.ended.contains_key(&client), "the connection stays open");
 }
+
+/// Guards against memory that counts as used on idle connections, where the head of the last response came in pieces: it
+/// is then lacking for other responses.
+#[test]
+fn a_head_that_came_in_pieces_is_not_charged_once_its_call_has_ended() {
+    let mut config = router_config();
+    config["limits"]["memory_mb"] = 16.into();
+    config["settings"]["family_info"]["ahead"] = false.into();
+    let mut harness = Harness::with_config(&config);
+    for number in 0..90 {
+        let client = harness.connect_client();
+        harness.deliver(client, chat_request(&format!("id{number}"), "safe"));
+    }
+    let prefills = harness.new_attempts();
+    assert!(prefills.len() * INCOMPLETE_BYTES > 2 << 20, "only {} prefills have begun", prefills.len());
+    let head = format!("HTTP/1.1 202 Accepted\r\nx: {}", "x".repeat(INCOMPLETE_BYTES));
+    for (prefill, _) in prefills {
+        harness.deliver(prefill, &head);
+        harness.deliver(prefill, "\r\ncontent-length: 0\r\n\r\n");
+        assert!(!harness.ended.contains_key(&prefill), "the response is read, and its connection kept");
+    }
+}
