Count a synchronisation with discovery only once its list has been applied

Cause: any byte of a call counted as a synchronisation, also the head of the answer and an empty line, before the list behind it was read. A start more than 6 s before that then counts as implausible, and connections opened between the start and those 6 s are taken for connections to the old process.

Evidence: streams_of_a_worker_that_restarted_during_an_outage_of_discovery_are_kept (crates/gateway/tests/worker_restarts.rs) fails before, with head and list apart.

Fix: an update counts once it is applied, an empty line only where it follows another line of the same call without a gap. Nothing is missed between two such lines; after a gap, what was missed may still be to come. What is counted less errs to a longer time in which a reported start is believed.

--- a/crates/gateway/src/discovery_watch.rs
+++ b/crates/gateway/src/discovery_watch.rs
@@ -24,11 +24,8 @@
 mod call;
 
 pub use call::ReceivedLines;
-use call::{CallStage, WatchCall, MAX_OBJECT_BYTES};
+use call::{CallStage, WatchCall, HEARTBEAT_TIMEOUT, MAX_OBJECT_BYTES};
 
-/// Microseconds without an object or an empty line after which another call is made beside the watch. Discovery sends
-/// an empty line every two seconds.
-const HEARTBEAT_TIMEOUT: Micros = 2_500_000;
 /// Microseconds until a second call is made beside the first one; doubled up to [`MAX_CALL_INTERVAL`] for each further
 /// call.
 const MIN_CALL_INTERVAL: Micros = 500_000;
@@ -190,22 +187,25 @@
     }
 
     /// Records that a line was received on a call, and that its update, if there is one, was applied. An update ends
-    /// the other calls.
+    /// the other calls. Returns whether the list in force is now the one that discovery has: after an update, or an
+    /// empty line that follows one without a gap.
     pub fn line_applied(
         &mut self,
         now: Micros,
         connection: ConnectionId,
         is_update: bool,
         effects: &mut Effects,
-    ) {
+    ) -> bool {
         let address = self.address;
-        let Some(call) = self.call_on(connection) else { return };
+        let Some(call) = self.call_on(connection) else { return is_update };
+        let is_synced = is_update || call.stage == CallStage::Answered && call.is_working(now);
         call.last_line_at = Some(now);
         if is_update {
             call.stage = CallStage::Answered;
         }
         if call.address != address {
-            return self.end_calls(effects, |call| call.connection == connection && is_update);
+            self.end_calls(effects, |call| call.connection == connection && is_update);
+            return is_synced;
         }
         self.reset_pauses();
         self.next_call.set(now + HEARTBEAT_TIMEOUT, TimerKey::DiscoveryWatch, effects);
@@ -213,6 +213,7 @@
             self.patience = MIN_PATIENCE;
             self.end_calls(effects, |call| call.connection != connection);
         }
+        is_synced
     }
 
     /// Ends a call that failed. Another one follows after a pause, unless one of those that remain works.
@@ -224,13 +225,9 @@
         }
     }
 
-    /// Returns whether lines arrive on a call.
+    /// Returns whether lines arrive on a call to the address in force.
     fn has_working_call(&self, now: Micros) -> bool {
-        let is_working = |call: &WatchCall| {
-            call.address == self.address
-                && call.last_line_at.is_some_and(|last_line_at| now < last_line_at + HEARTBEAT_TIMEOUT)
-        };
-        self.calls.iter().any(is_working)
+        self.calls.iter().any(|call| call.address == self.address && call.is_working(now))
     }
 
     fn call_on(&mut self, connection: ConnectionId) -> Option<&mut WatchCall> {
--- a/crates/gateway/src/discovery_watch/call.rs
+++ b/crates/gateway/src/discovery_watch/call.rs
@@ -11,6 +11,9 @@
 
 /// Maximum size of one object in bytes: a list of some thousands of workers.
 pub const MAX_OBJECT_BYTES: usize = 2 << 20;
+/// Microseconds without an object or an empty line after which another call is made beside the watch. Discovery sends
+/// an empty line every two seconds.
+pub const HEARTBEAT_TIMEOUT: Micros = 2_500_000;
 
 /// How far the response to a call has come.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -75,6 +78,11 @@
         self.last_line_at.unwrap_or(self.made_at)
     }
 
+    /// Returns whether lines arrive.
+    pub fn is_working(&self, now: Micros) -> bool {
+        self.last_line_at.is_some_and(|last_line_at| now < last_line_at + HEARTBEAT_TIMEOUT)
+    }
+
     /// Returns the number of received bytes whose head or object is incomplete.
     pub fn incomplete_bytes(&self) -> usize {
         self.received.len() + self.splitter.len()
--- a/crates/gateway/src/endpoint_updates.rs
+++ b/crates/gateway/src/endpoint_updates.rs
@@ -64,10 +64,11 @@
                 return self.watch.call_failed(now, connection, effects);
             }
         }
-        if lines.is_line_complete {
-            self.watch.line_applied(now, connection, !lines.objects.is_empty(), effects);
+        if lines.is_line_complete
+            && self.watch.line_applied(now, connection, !lines.objects.is_empty(), effects)
+        {
+            self.lifecycle.discovery_synced(now);
         }
-        self.lifecycle.discovery_synced(now);
     }
 
     fn update_endpoints(
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -12,6 +12,9 @@
 use tideroute_wire::event_loop::{ConnectionId, DisconnectReason, Effect, Effects, EventHandler};
 use tideroute_wire::{Address, Micros};
 
+/// The head of discovery's response to a call.
+pub const WATCH_HEAD: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+
 /// A gateway under test, with all that it has asked of its event loop.
 pub struct Harness {
     pub gateway: Gateway,
@@ -305,8 +308,7 @@
     /// Sends an update of the endpoint list on the watch; the first one follows the head of the response.
     pub fn send_update(&mut self, line: &serde_json::Value) {
         let (connection, _) = self.watch();
-        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
-        let head = if self.answered_watches.insert(connection) { head } else { "" };
+        let head = if self.answered_watches.insert(connection) { WATCH_HEAD } else { "" };
         self.deliver(connection, format!("{head}{}", chunk(&format!("{line}\n"))));
     }
 }
--- a/crates/gateway/tests/slow_discovery.rs
+++ b/crates/gateway/tests/slow_discovery.rs
@@ -17,7 +17,6 @@
 const RELOAD_LIMIT: Micros = 4_000 * MS;
 /// Microseconds for which discovery's former address serves its open calls.
 const FORMER_ADDRESS_TIME: Micros = 1_500 * MS;
-const HEAD: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 const ADDRESSES: [&str; 2] = ["127.0.9.9:90", "127.0.8.8:85"];
 const UPDATE_PIECES: usize = 20;
 
@@ -117,7 +116,7 @@
             };
             let empty_line =
                 if self.part == SlowPart::FirstUpdateBehindEmptyLine { chunk("\n") } else { String::new() };
-            pending.insert(head_at, format!("{HEAD}{empty_line}"));
+            pending.insert(head_at, format!("{WATCH_HEAD}{empty_line}"));
             self.schedule_update(&mut pending, update_at, &update);
         }
         let version = if is_unanswered { 0 } else { self.version };
@@ -409,7 +408,7 @@
     for _ in 0..100 {
         let (newest, _) = harness.watch();
         delivered.entry(newest).or_insert_with(|| {
-            harness.deliver(newest, HEAD);
+            harness.deliver(newest, WATCH_HEAD);
             0
         });
         for (connection, sent) in &mut delivered {
--- a/crates/gateway/tests/worker_restarts.rs
+++ b/crates/gateway/tests/worker_restarts.rs
@@ -97,6 +97,43 @@
     }
 }
 
+/// Guards against streams that are cut off after an outage of discovery: its head, or an empty line, counted as a
+/// synchronisation before the list had come, so that a start during the outage was not believed.
+#[test]
+fn streams_of_a_worker_that_restarted_during_an_outage_of_discovery_are_kept() {
+    for (outage_ends_watch, first_line) in [(true, ""), (true, "\n"), (false, "\n")] {
+        let mut harness = Harness::without_reservations();
+        harness.send_update(&endpoint_list(5));
+        let (watch, _) = harness.watch();
+        if outage_ends_watch {
+            harness.reset(watch);
+        }
+        harness.advance(1_200 * MS);
+        let restarted_at = harness.now / MS;
+        harness.advance(200 * MS);
+        let client = harness.connect_client();
+        harness.deliver(client, chat_request("id", "safe"));
+        let (prefill, _) = harness.new_attempt();
+        harness.deliver(prefill, PREFILL_COMPLETE);
+        let (decode, decode_worker) = harness.new_attempt();
+        harness.deliver(decode, format!("{STREAM_HEAD}{}", chunk(STREAM_EVENTS[0])));
+        for _ in 0..8 {
+            harness.advance(1_000 * MS);
+            harness.deliver(decode, chunk(STREAM_EVENTS[1]));
+        }
+        let (watch, head) = if outage_ends_watch { (harness.watch().0, WATCH_HEAD) } else { (watch, "") };
+        let empty_line = if first_line.is_empty() { String::new() } else { chunk(first_line) };
+        harness.deliver(watch, format!("{head}{empty_line}"));
+        let mut list = endpoint_list(6);
+        list["servers"][decode_worker] = endpoint_entry(decode_worker, "SERVING", restarted_at);
+        harness.deliver(watch, chunk(&format!("{list}\n")));
+        assert!(
+            !harness.ended.contains_key(&decode),
+            "the stream began after the restart; the outage ended the watch: {outage_ends_watch}, {first_line:?}"
+        );
+    }
+}
+
 /// Returns the restarted worker, and the prefill workers of many requests just after the restart and once it is warm.
 fn prefill_workers_after_a_start(clock: WorkerClock) -> (usize, Vec<usize>, Vec<usize>) {
     let mut harness = Harness::without_reservations();
