Bind the listeners of all cores before the first one listens

What was seen: a_core_that_panics_loses_only_its_own_requests failed once beside a release build, "all 48 connections ended with one core". An operator sees that a router of several cores which is asked for at its start serves all first connections with one core, and loses them all if that core panics.

Cause: each core's thread bound its own listener, so the first one got all connections until the others had started.

With all listening, 48 connections that meet one of three by chance are out of the question. The failure of the test itself was not played again.

Fix: the sockets of all cores are bound, and then listen one right after another, before the first core's thread starts. Connections wait there until their core runs.

Test: connections_that_arrive_at_once_are_spread_over_all_shared_listeners.

--- a/crates/command/src/multi_core.rs
+++ b/crates/command/src/multi_core.rs
@@ -13,7 +13,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use tideroute_config_language::records::Router;
 use tideroute_lifecycle::ProtobufRouter;
-use tideroute_reactor::{Reactor, ReactorError, RunOutcome};
+use tideroute_reactor::{shared_listeners, Reactor, ReactorError, RunOutcome};
 use tideroute_simulation::convert;
 use tideroute_simulation::processes::PROCESS_NUMBERS_PER_CORE;
 use tideroute_wire::Origin;
@@ -101,8 +101,9 @@
         }
         let (results, received) = channel();
         let supervisor = Supervisor { config, listen, args, admin, stopping, results };
-        for index in 0..supervisor.config.cores {
-            supervisor.start_core(index, fail_after.filter(|_| index == 0), 0)?;
+        let listeners = shared_listeners(listen, supervisor.config.cores as usize)?;
+        for (index, listener) in (0..).zip(listeners) {
+            supervisor.start_core(index, listener, fail_after.filter(|_| index == 0), 0)?;
         }
         supervisor.supervise(&received)
     }
@@ -127,15 +128,23 @@
                     restarts += 1;
                     tracing::error!(core, "core panicked and lost its requests; restarting it");
                     counter!("tideroute_cores_failed_total").increment(1);
-                    self.start_core(core, None, restarts)?;
+                    for listener in shared_listeners(self.listen, 1)? {
+                        self.start_core(core, listener, None, restarts)?;
+                    }
                 }
             }
         }
         Ok(CommandStatus::success_if(all_finished))
     }
 
-    /// Starts a core's thread. `restarts` counts the restarts of all cores so far.
-    fn start_core(&self, index: u32, fail_after: Option<u64>, restarts: u32) -> Result<(), CommandError> {
+    /// Starts a core's thread on its listener. `restarts` counts the restarts of all cores so far.
+    fn start_core(
+        &self,
+        index: u32,
+        listener: TcpListener,
+        fail_after: Option<u64>,
+        restarts: u32,
+    ) -> Result<(), CommandError> {
         let mut args = self.args.clone();
         // A restarted core writes no capture, which would overwrite the capture of its first run.
         args.capture = args.capture.filter(|_| restarts == 0).map(|path| core_path(&path, index));
@@ -150,7 +159,7 @@
         };
         let results = self.results.clone();
         let body = move || {
-            let run = AssertUnwindSafe(|| core.run_shared(fail_after));
+            let run = AssertUnwindSafe(|| core.run_shared(listener, fail_after));
             let _ = results.send((index, std::panic::catch_unwind(run).ok()));
         };
         std::thread::Builder::new().name(format!("core {index}")).spawn(body)?;
@@ -170,8 +179,8 @@
 
 impl Core {
     /// Runs the core on a listener that shares its address with the other cores.
-    fn run_shared(&self, fail_after: Option<u64>) -> Result<RunOutcome, CommandError> {
-        let mut reactor = Reactor::with_reuse_port(&[self.listen])?;
+    fn run_shared(&self, listener: TcpListener, fail_after: Option<u64>) -> Result<RunOutcome, CommandError> {
+        let mut reactor = Reactor::with_shared_listener(listener)?;
         if let Some(milliseconds) = fail_after {
             reactor.panic_after(milliseconds * 1000);
         }
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -33,5 +33,5 @@
 pub use clock::ClockSkew;
 pub use error::ReactorError;
 pub use mailbox::Mailbox;
-pub use reactor::{Reactor, RunOutcome};
+pub use reactor::{shared_listeners, Reactor, RunOutcome};
 pub use traffic_capture::TrafficCapture;
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -37,6 +37,8 @@
 mod timers;
 mod writing;
 
+pub use setup::shared_listeners;
+
 /// How a run ended.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum RunOutcome {
--- a/crates/reactor/src/reactor/setup.rs
+++ b/crates/reactor/src/reactor/setup.rs
@@ -25,35 +25,48 @@
 use crate::timer_key::TimerKey;
 use crate::traffic_capture::TrafficCapture;
 
+/// Listens at an address with SO_REUSEPORT, once for each of `count` loops: the kernel gives each connection to one of
+/// the listeners. All of them are bound before the first one listens, so that connections which arrive at once are
+/// spread over all of them, and wait there until their loop runs.
+pub fn shared_listeners(address: SocketAddr, count: usize) -> Result<Vec<TcpListener>, ReactorError> {
+    let listen_error = |error| ReactorError::Listen(address, error);
+    let sockets: Vec<_> =
+        (0..count).map(|_| bind_shared(address)).collect::<io::Result<_>>().map_err(listen_error)?;
+    for socket in &sockets {
+        socket.listen(BACKLOG).map_err(listen_error)?;
+    }
+    Ok(sockets.into_iter().map(TcpListener::from).collect())
+}
+
+fn bind_shared(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
 impl Reactor {
     /// Creates a loop that listens at each address; for port 0 the operating system chooses the port.
     pub fn new(addresses: &[SocketAddr]) -> Result<Reactor, ReactorError> {
-        Self::with_listeners(addresses, TcpListener::bind)
-    }
-
-    /// Creates a loop as [`new`](Reactor::new) does, but with SO_REUSEPORT: several loops of this user may listen at
-    /// the same addresses, and the kernel gives each connection to one of them.
-    pub fn with_reuse_port(addresses: &[SocketAddr]) -> Result<Reactor, ReactorError> {
-        Self::with_listeners(addresses, |address| {
-            let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-            socket.set_reuse_address(true)?;
-            socket.set_reuse_port(true)?;
-            socket.bind(&address.into())?;
-            socket.listen(BACKLOG)?;
-            Ok(socket.into())
-        })
-    }
-
-    fn with_listeners(
-        addresses: &[SocketAddr],
-        bind: impl Fn(SocketAddr) -> io::Result<TcpListener>,
-    ) -> Result<Reactor, ReactorError> {
+        let bind =
+            |&address| TcpListener::bind(address).map_err(|error| ReactorError::Listen(address, error));
+        let sockets: Vec<_> = addresses.iter().map(bind).collect::<Result<_, _>>()?;
+        Self::with_listeners(sockets)
+    }
+
+    /// Creates a loop on one of the listeners of [`shared_listeners`].
+    pub fn with_shared_listener(listener: TcpListener) -> Result<Reactor, ReactorError> {
+        Self::with_listeners([listener])
+    }
+
+    fn with_listeners(sockets: impl IntoIterator<Item = TcpListener>) -> Result<Reactor, ReactorError> {
         let poller = Arc::new(Poller::new()?);
         let clock = Clock::start();
         let mut listeners = Vec::new();
-        for &address in addresses {
+        for socket in sockets {
+            let address = socket.local_addr()?;
             let listen_error = |error| ReactorError::Listen(address, error);
-            let socket = bind(address).map_err(listen_error)?;
             socket.set_nonblocking(true).map_err(listen_error)?;
             add(&poller, &socket, readable(PollKey::Listener(listeners.len())))?;
             listeners.push(Listener::new(socket).map_err(listen_error)?);
--- a/crates/reactor/tests/connections.rs
+++ b/crates/reactor/tests/connections.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use tideroute_reactor::connection::{HIGH_WATERMARK, MAX_BUFFERED};
-use tideroute_reactor::{Reactor, RunOutcome};
+use tideroute_reactor::{shared_listeners, Reactor, RunOutcome};
 use tideroute_wire::event_loop::{ConnectionId, DisconnectReason, Effects, EventHandler};
 use tideroute_wire::{Address, Micros};
 
@@ -550,3 +550,23 @@
     while next_call(&calls) != Observed::WriteComplete {}
     finish_raw(address, thread);
 }
+
+/// Guards against cores that listen one after another: connections that arrive at the start then all go to the first
+/// one, whose panic ends them all.
+#[test]
+fn connections_that_arrive_at_once_are_spread_over_all_shared_listeners() {
+    const CONNECTIONS: usize = 48;
+    let free_port = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
+    let address = free_port.expect("a port");
+    let listeners = shared_listeners(address, 3).expect("three listeners");
+    // No loop runs yet; the connections wait at the listeners.
+    let clients: Vec<_> =
+        (0..CONNECTIONS).map(|_| TcpStream::connect(address).expect("a connection")).collect();
+    let waiting = |listener: &TcpListener| {
+        listener.set_nonblocking(true).expect("a mode");
+        std::iter::from_fn(|| listener.accept().ok()).count()
+    };
+    let accepted: Vec<_> = listeners.iter().map(waiting).collect();
+    assert_eq!(accepted.iter().sum::<usize>(), clients.len());
+    assert!(accepted.iter().all(|count| *count > 0), "{accepted:?}");
+}
