--- a/crates/gateway/tests/worker_restarts.rs
+++ b/crates/gateway/tests/worker_restarts.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use serde_json::json;
+use tideroute_wire::event_loop::ConnectionId;
 
 #[test]
 fn a_restarted_worker_invalidates_its_old_connections() {
@@ -73,17 +74,23 @@
     (worker, restarted)
 }
 
+/// Starts a request whose response streams. Returns the client's connection, and the decode attempt's with its worker.
+fn start_stream(harness: &mut Harness) -> (ConnectionId, ConnectionId, usize) {
+    let client = harness.connect_client();
+    harness.deliver(client, chat_request("id", "safe"));
+    let (prefill, _) = harness.new_attempt();
+    harness.deliver(prefill, PREFILL_COMPLETE);
+    let (decode, decode_worker) = harness.new_attempt();
+    harness.deliver(decode, format!("{STREAM_HEAD}{}", chunk(STREAM_EVENTS[0])));
+    (client, decode, decode_worker)
+}
+
 #[test]
 fn a_restart_reported_by_a_wrong_clock_ends_streams_of_the_old_process() {
     for clock in [WorkerClock::InStep, WorkerClock::Ahead, WorkerClock::Behind] {
         let mut harness = Harness::without_reservations();
         harness.send_update(&endpoint_list(5));
-        let client = harness.connect_client();
-        harness.deliver(client, chat_request("id", "safe"));
-        let (prefill, _) = harness.new_attempt();
-        harness.deliver(prefill, PREFILL_COMPLETE);
-        let (decode, decode_worker) = harness.new_attempt();
-        harness.deliver(decode, format!("{STREAM_HEAD}{}", chunk(STREAM_EVENTS[0])));
+        let (client, decode, decode_worker) = start_stream(&mut harness);
         // This takes longer than an update may be late, so that the stream must have begun before the restart.
         for version in 6..11 {
             harness.advance(2_000 * MS);
@@ -111,12 +118,7 @@
         harness.advance(1_200 * MS);
         let restarted_at = harness.now / MS;
         harness.advance(200 * MS);
-        let client = harness.connect_client();
-        harness.deliver(client, chat_request("id", "safe"));
-        let (prefill, _) = harness.new_attempt();
-        harness.deliver(prefill, PREFILL_COMPLETE);
-        let (decode, decode_worker) = harness.new_attempt();
-        harness.deliver(decode, format!("{STREAM_HEAD}{}", chunk(STREAM_EVENTS[0])));
+        let (_, decode, decode_worker) = start_stream(&mut harness);
         for _ in 0..8 {
             harness.advance(1_000 * MS);
             harness.deliver(decode, chunk(STREAM_EVENTS[1]));
